--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,23 @@
+# Declares a static library hs_NAME, and when TESTS are given a doctest
+# program NAME_tests registered with CTest. The RapidCheck seed is fixed so
+# that the verdict is the same on every run; `make fuzz` varies it.
+function(hs_add_module name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;TESTS;DEPS" ${ARGN})
+    add_library(hs_${name} STATIC ${ARG_SOURCES})
+    target_include_directories(hs_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src
+                                                 ${PROJECT_SOURCE_DIR}/include)
+    target_link_libraries(hs_${name} PUBLIC ${ARG_DEPS})
+    if(ARG_TESTS)
+        hs_add_tests(${name} TESTS ${ARG_TESTS} DEPS hs_${name})
+    endif()
+endfunction()
+
+function(hs_add_tests name)
+    cmake_parse_arguments(ARG "" "" "TESTS;DEPS" ${ARGN})
+    add_executable(${name}_tests ${PROJECT_SOURCE_DIR}/src/base/test_main.cpp
+                                 ${ARG_TESTS})
+    target_link_libraries(${name}_tests PRIVATE ${ARG_DEPS} hs_test_support)
+    add_test(NAME ${name} COMMAND ${name}_tests)
+    set_tests_properties(
+        ${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/base/text.hpp
@@ -0,0 +1,36 @@
+#ifndef HAWTHORNSPUR_BASE_TEXT_HPP
+#define HAWTHORNSPUR_BASE_TEXT_HPP
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace hawthornspur
+{
+
+/// Compares ASCII text, as header names are compared.
+bool equals_ignore_case(std::string_view a, std::string_view b) noexcept;
+
+/// Removes spaces and tabs at both ends.
+std::string_view trim(std::string_view text) noexcept;
+
+/// Parses a whole number that fills the whole text; no sign unless T has one,
+/// no spaces.
+template <class T>
+std::optional<T> parse_number(std::string_view text, int base = 10) noexcept
+{
+    T number{};
+    auto const* const end = text.data() + text.size();
+    auto const [stop, problem] =
+        std::from_chars(text.data(), end, number, base);
+    if (problem != std::errc{} || stop != end || text.empty())
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace hawthornspur
+
+#endif
--- /dev/null
+++ b/src/core/configuration.hpp
@@ -0,0 +1,125 @@
+#ifndef HAWTHORNSPUR_CORE_CONFIGURATION_HPP
+#define HAWTHORNSPUR_CORE_CONFIGURATION_HPP
+
+#include "core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornspur::core
+{
+
+/// Whether a request may run more than once.
+enum class execution_rule : std::uint8_t
+{
+    at_most_once,
+    idempotent,
+};
+
+/// Rules for one kind of request of a service. The first kind whose method
+/// and path prefix match a request applies.
+struct kind_config
+{
+    std::string m_name;
+    std::string m_method;
+    std::string m_path_prefix;
+    execution_rule m_execution = execution_rule::at_most_once;
+    /// Used when the caller sends no deadline, and the upper bound otherwise.
+    duration m_deadline = std::chrono::seconds(2);
+    /// 0 is the most urgent, 9 the least.
+    int m_priority = 4;
+    /// Largest share of the pool's slots that the kind may hold, 0 to 1.
+    double m_max_share = 1.0;
+    bool m_share_declared = false;
+    bool m_hedge = false;
+    /// Statuses that mean "not run" even without Hawthornspur-Not-Run: 1.
+    std::vector<int> m_not_run_statuses;
+};
+
+enum class target_state : std::uint8_t
+{
+    active,
+    draining,
+};
+
+struct target_config
+{
+    std::string m_name;
+    std::string m_zone;
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    int m_slots = 1;
+    int m_max_connections = 100;
+    target_state m_state = target_state::active;
+};
+
+/// Bounds the cost that measuring load may cause at one target of the service,
+/// as time of the target per second, over all hosts together.
+struct probe_budget_config
+{
+    duration m_cost_per_second{0};
+    duration m_probe_cost = std::chrono::milliseconds(6);
+    duration m_connection_cost = std::chrono::milliseconds(1);
+    std::string m_path = "/health";
+};
+
+/// Retries earned by each success, and the largest number that can be saved.
+struct retry_budget_config
+{
+    double m_ratio = 0.1;
+    double m_burst = 10;
+};
+
+struct service_config
+{
+    std::string m_name;
+    std::vector<kind_config> m_kinds;
+    std::vector<target_config> m_targets;
+    probe_budget_config m_probe_budget;
+    retry_budget_config m_retry_budget;
+    std::size_t m_max_body_bytes = std::size_t{1} << 20U;
+    std::size_t m_max_answer_bytes = std::size_t{64} << 20U;
+    std::size_t m_max_queue = 1000;
+};
+
+struct zone_config
+{
+    std::string m_name;
+    std::string m_region;
+    /// One-way delay to other zones.
+    std::map<std::string, duration> m_one_way_delay;
+    /// Added to a zone's delay when spilling there, since such links cost more.
+    duration m_extra_cost{0};
+};
+
+/// One whole configuration document.
+struct configuration
+{
+    std::uint64_t m_generation = 0;
+    /// Identifies the change, so that a lost answer can be resolved.
+    std::string m_change_id;
+    std::vector<zone_config> m_zones;
+    /// Upper bound on the number of entry hosts; divides the probe budget.
+    int m_max_entry_hosts = 19;
+    /// How long callers may keep an address answer.
+    duration m_address_lifetime = std::chrono::seconds(10);
+    /// How long an at-most-once key may be used.
+    duration m_key_lifetime = std::chrono::seconds(60);
+    int m_max_depth = 17;
+    std::vector<service_config> m_services;
+};
+
+/// The service of this name, or null.
+service_config const* find_service(configuration const& document,
+                                   std::string const& name) noexcept;
+
+/// The zone of this name, or null.
+zone_config const* find_zone(configuration const& document,
+                             std::string const& name) noexcept;
+
+} // namespace hawthornspur::core
+
+#endif
--- /dev/null
+++ b/src/core/configuration_state.cpp
@@ -0,0 +1,66 @@
+#include "core/configuration_state.hpp"
+
+#include "core/ownership.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace hawthornspur::core
+{
+
+offer_result offer(configuration_state& state,
+                   std::shared_ptr<configuration const> document)
+{
+    assert(document != nullptr);
+    state.m_newest_heard =
+        std::max(state.m_newest_heard, document->m_generation);
+    if (state.m_in_force == nullptr ||
+        document->m_generation > state.m_in_force->m_generation)
+    {
+        state.m_in_force = std::move(document);
+        return offer_result::in_force;
+    }
+    if (document->m_generation < state.m_in_force->m_generation)
+    {
+        ++state.m_stale_offers;
+        return offer_result::stale;
+    }
+    if (document->m_change_id != state.m_in_force->m_change_id)
+    {
+        ++state.m_conflicting_offers;
+        return offer_result::conflicting;
+    }
+    return offer_result::same;
+}
+
+bool note_generation(configuration_state& state, std::uint64_t generation)
+{
+    state.m_newest_heard = std::max(state.m_newest_heard, generation);
+    return state.m_in_force == nullptr ||
+           generation > state.m_in_force->m_generation;
+}
+
+void note_rejected(configuration_state& state, std::uint64_t generation)
+{
+    ++state.m_rejected_documents;
+    state.m_rejected_generation =
+        std::max(state.m_rejected_generation, generation);
+}
+
+bool is_watcher(std::string const& host, std::string const& zone,
+                std::vector<owner_candidate> const& hosts, std::size_t watchers)
+{
+    static constexpr std::string_view key = "configuration-watcher";
+    auto const own_weight = rendezvous_weight(key, host);
+    auto const before = std::count_if(
+        hosts.begin(), hosts.end(),
+        [&](owner_candidate const& other)
+        {
+            return other.m_zone == zone && other.m_name != host &&
+                   rendezvous_weight(key, other.m_name) > own_weight;
+        });
+    return static_cast<std::size_t>(before) < watchers;
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/core/pool_effects.hpp
@@ -0,0 +1,81 @@
+#ifndef HAWTHORNSPUR_CORE_POOL_EFFECTS_HPP
+#define HAWTHORNSPUR_CORE_POOL_EFFECTS_HPP
+
+#include "core/ids.hpp"
+#include <hawthornspur/result_code.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hawthornspur::core
+{
+
+/// Why an attempt is not the first one of its request. Each is counted.
+enum class attempt_reason : std::uint8_t
+{
+    first,
+    retry_after_shed,
+    retry_after_connect_failure,
+    retry_after_silence,
+    retry_after_close,
+    retry_after_malformed_answer,
+    hedge,
+};
+
+/// Send the request to a target.
+struct dispatch_effect
+{
+    request_id m_request;
+    attempt_number m_attempt = 0;
+    target_id m_target;
+    attempt_reason m_reason = attempt_reason::first;
+    /// At-most-once requests go on a new connection or on one that delivered
+    /// an answer very lately.
+    bool m_needs_proved_connection = false;
+};
+
+/// Answer the caller with a result code; the request is forgotten. The code
+/// says whether it ran.
+struct refuse_effect
+{
+    request_id m_request;
+    result_code m_code = result_code::ok;
+};
+
+/// Relay this attempt's answer to the caller.
+struct relay_effect
+{
+    request_id m_request;
+    attempt_number m_attempt = 0;
+};
+
+/// Close the attempt at its target; its answer is of no use any more.
+struct cancel_attempt_effect
+{
+    request_id m_request;
+    attempt_number m_attempt = 0;
+    target_id m_target;
+};
+
+/// Hand the request over to the owner of the service's pool in another zone.
+struct spill_effect
+{
+    request_id m_request;
+    std::string m_zone;
+};
+
+/// Ask the target's health endpoint; the cost is already charged.
+struct probe_effect
+{
+    target_id m_target;
+};
+
+using pool_effect =
+    std::variant<dispatch_effect, refuse_effect, relay_effect,
+                 cancel_attempt_effect, spill_effect, probe_effect>;
+using pool_effects = std::vector<pool_effect>;
+
+} // namespace hawthornspur::core
+
+#endif
--- /dev/null
+++ b/src/core/token_bucket.cpp
@@ -0,0 +1,38 @@
+#include "core/token_bucket.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hawthornspur::core
+{
+
+token_bucket make_token_bucket(double tokens_per_second, double capacity,
+                               time_point now)
+{
+    assert(tokens_per_second >= 0 && capacity >= 0);
+    return {.m_tokens_per_second = tokens_per_second,
+            .m_capacity = capacity,
+            .m_tokens = 0,
+            .m_updated = now};
+}
+
+bool try_take(token_bucket& bucket, double tokens, time_point now)
+{
+    assert(tokens >= 0);
+    if (now > bucket.m_updated)
+    {
+        std::chrono::duration<double> const elapsed = now - bucket.m_updated;
+        bucket.m_tokens = std::min(
+            bucket.m_capacity,
+            bucket.m_tokens + elapsed.count() * bucket.m_tokens_per_second);
+        bucket.m_updated = now;
+    }
+    if (bucket.m_tokens < tokens)
+    {
+        return false;
+    }
+    bucket.m_tokens -= tokens;
+    return true;
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,180 @@
+#include "net/event_loop.hpp"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+timeval to_timeval(core::duration delay)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    auto const total =
+        std::max<std::int64_t>(0, duration_cast<microseconds>(delay).count());
+    constexpr std::int64_t per_second = 1'000'000;
+    timeval value{};
+    value.tv_sec = total / per_second;
+    value.tv_usec = total % per_second;
+    return value;
+}
+
+struct posted_task
+{
+    std::function<void()> m_task;
+};
+
+void run_posted(int /*fd*/, short /*what*/, void* argument)
+{
+    std::unique_ptr<posted_task> const task(
+        static_cast<posted_task*>(argument));
+    task->m_task();
+}
+
+} // namespace
+
+event_loop::event_loop(event_base* base) noexcept
+    : m_base(base)
+{
+}
+
+event_loop::~event_loop()
+{
+    event_base_free(m_base);
+}
+
+result<std::unique_ptr<event_loop>> event_loop::create()
+{
+    // Precise timers: the coarse clock of the kernel is off by up to 4 ms,
+    // more than the time that the balancer may add to a call.
+    auto* config = event_config_new();
+    if (config == nullptr)
+    {
+        return make_error(result_code::system_failure,
+                          "cannot allocate the event loop configuration");
+    }
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    auto* base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (base == nullptr)
+    {
+        return make_error(result_code::system_failure,
+                          "cannot create the event loop");
+    }
+    return std::unique_ptr<event_loop>(new event_loop(base));
+}
+
+void event_loop::run()
+{
+    event_base_dispatch(m_base);
+}
+
+void event_loop::stop()
+{
+    event_base_loopbreak(m_base);
+}
+
+core::time_point event_loop::now()
+{
+    auto const since_start = std::chrono::steady_clock::now();
+    return core::time_point(since_start.time_since_epoch());
+}
+
+void event_loop::post(std::function<void()> task)
+{
+    auto holder = std::make_unique<posted_task>();
+    holder->m_task = std::move(task);
+    timeval const immediately{};
+    auto const status = event_base_once(m_base, -1, EV_TIMEOUT, run_posted,
+                                        holder.get(), &immediately);
+    assert(status == 0);
+    if (status == 0)
+    {
+        // run_posted takes ownership.
+        static_cast<void>(holder.release());
+    }
+}
+
+timer::timer(std::function<void()> action)
+    : m_action(std::move(action))
+{
+}
+
+timer::~timer()
+{
+    if (m_event != nullptr)
+    {
+        event_free(m_event);
+    }
+}
+
+result<std::unique_ptr<timer>> timer::create(event_loop& loop,
+                                             std::function<void()> action)
+{
+    std::unique_ptr<timer> created(new timer(std::move(action)));
+    created->m_event =
+        event_new(loop.base(), -1, 0, &timer::on_event, created.get());
+    if (created->m_event == nullptr)
+    {
+        return make_error(result_code::system_failure, "cannot create a timer");
+    }
+    return created;
+}
+
+void timer::on_event(int /*fd*/, short /*what*/, void* self)
+{
+    static_cast<timer*>(self)->m_action();
+}
+
+void timer::start(core::duration delay)
+{
+    auto const value = to_timeval(delay);
+    event_add(m_event, &value);
+}
+
+void timer::stop()
+{
+    event_del(m_event);
+}
+
+signal_watch::signal_watch(std::function<void()> action)
+    : m_action(std::move(action))
+{
+}
+
+signal_watch::~signal_watch()
+{
+    if (m_event != nullptr)
+    {
+        event_free(m_event);
+    }
+}
+
+result<std::unique_ptr<signal_watch>>
+signal_watch::create(event_loop& loop, int signal_number,
+                     std::function<void()> action)
+{
+    std::unique_ptr<signal_watch> created(new signal_watch(std::move(action)));
+    created->m_event = evsignal_new(loop.base(), signal_number,
+                                    &signal_watch::on_event, created.get());
+    if (created->m_event == nullptr ||
+        event_add(created->m_event, nullptr) != 0)
+    {
+        return make_error(result_code::system_failure, "cannot watch a signal");
+    }
+    return created;
+}
+
+void signal_watch::on_event(int /*fd*/, short /*what*/, void* self)
+{
+    static_cast<signal_watch*>(self)->m_action();
+}
+
+} // namespace hawthornspur::net
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,76 @@
+#include "net/http_message.hpp"
+
+#include "base/text.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+bool has_name(http_header const& header, std::string_view name)
+{
+    return equals_ignore_case(header.first, name);
+}
+
+} // namespace
+
+std::optional<std::string_view> find_header(http_headers const& headers,
+                                            std::string_view name)
+{
+    auto const found =
+        std::find_if(headers.begin(), headers.end(),
+                     [&](http_header const& h) { return has_name(h, name); });
+    if (found == headers.end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+void remove_header(http_headers& headers, std::string_view name)
+{
+    std::erase_if(headers,
+                  [&](http_header const& h) { return has_name(h, name); });
+}
+
+void set_header(http_headers& headers, std::string_view name, std::string value)
+{
+    remove_header(headers, name);
+    headers.emplace_back(std::string(name), std::move(value));
+}
+
+void remove_hop_by_hop_headers(http_headers& headers)
+{
+    std::vector<std::string> listed;
+    for (auto const& header : headers)
+    {
+        if (has_name(header, "Connection"))
+        {
+            std::string_view rest = header.second;
+            while (!rest.empty())
+            {
+                auto const comma = std::min(rest.find(','), rest.size());
+                listed.emplace_back(trim(rest.substr(0, comma)));
+                rest.remove_prefix(std::min(comma + 1, rest.size()));
+            }
+        }
+    }
+    for (auto const& name : listed)
+    {
+        remove_header(headers, name);
+    }
+    static constexpr auto names = std::to_array<std::string_view>(
+        {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+         "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
+         "Upgrade"});
+    for (auto const name : names)
+    {
+        remove_header(headers, name);
+    }
+}
+
+} // namespace hawthornspur::net
--- /dev/null
+++ b/src/net/http_message.hpp
@@ -0,0 +1,48 @@
+#ifndef HAWTHORNSPUR_NET_HTTP_MESSAGE_HPP
+#define HAWTHORNSPUR_NET_HTTP_MESSAGE_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+using http_header = std::pair<std::string, std::string>;
+using http_headers = std::vector<http_header>;
+
+/// A request with its whole body.
+struct http_request
+{
+    std::string m_method;
+    /// Path and query as sent.
+    std::string m_uri;
+    http_headers m_headers;
+    std::string m_body;
+};
+
+struct http_response_head
+{
+    int m_status = 0;
+    http_headers m_headers;
+};
+
+/// The value of the first header of this name (any case), if present.
+std::optional<std::string_view> find_header(http_headers const& headers,
+                                            std::string_view name);
+
+void remove_header(http_headers& headers, std::string_view name);
+
+/// Removes any header of this name, then adds it.
+void set_header(http_headers& headers, std::string_view name,
+                std::string value);
+
+/// Removes Connection, the names listed in it, and the other headers that
+/// apply to one connection only (RFC 9110, section 7.6.1).
+void remove_hop_by_hop_headers(http_headers& headers);
+
+} // namespace hawthornspur::net
+
+#endif
