--- /dev/null
+++ b/src/net/peer_messages.hpp
@@ -0,0 +1,160 @@
+#ifndef HAWTHORNSPUR_NET_PEER_MESSAGES_HPP
+#define HAWTHORNSPUR_NET_PEER_MESSAGES_HPP
+
+#include "base/result.hpp"
+#include "core/time.hpp"
+#include "net/http_message.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+/// Names a forwarded request on one link; chosen by the forwarding host and
+/// never used twice in its lifetime.
+using forward_id = std::uint64_t;
+
+/// Why a request is forwarded; decides what the receiver may do with it.
+enum class forward_purpose : std::uint8_t
+{
+    /// To the owner of the pool.
+    to_owner,
+    /// To the owner of another zone's pool; refused at once without a free
+    /// slot.
+    spill,
+    /// A request with an at-most-once key, to the home of its session.
+    to_home,
+};
+
+struct forward_request
+{
+    forward_id m_id = 0;
+    forward_purpose m_purpose = forward_purpose::to_owner;
+    std::string m_service;
+    /// Zone of the pool.
+    std::string m_zone;
+    std::string m_kind;
+    /// Generation of the configuration under which the kind was chosen.
+    std::uint64_t m_generation = 0;
+    core::duration m_time_left{0};
+    std::string m_once_key;
+    int m_earlier_attempts = 0;
+    int m_hops = 0;
+    /// Head and size; the body follows in body_chunk messages.
+    std::string m_method;
+    std::string m_uri;
+    http_headers m_headers;
+    std::uint64_t m_body_size = 0;
+};
+
+struct body_chunk
+{
+    forward_id m_id = 0;
+    std::string m_data;
+};
+
+struct answer_head
+{
+    forward_id m_id = 0;
+    http_response_head m_head;
+    std::optional<std::uint64_t> m_length;
+};
+
+struct answer_chunk
+{
+    forward_id m_id = 0;
+    std::string m_data;
+};
+
+/// The answer is whole.
+struct answer_end
+{
+    forward_id m_id = 0;
+};
+
+/// The request was refused or failed; after answer_head it means that the
+/// answer is not whole.
+struct refusal
+{
+    forward_id m_id = 0;
+    result_code m_code = result_code::ok;
+};
+
+struct cancel_request
+{
+    forward_id m_id = 0;
+};
+
+/// Allows the peer to send more bytes of an answer.
+struct window_update
+{
+    forward_id m_id = 0;
+    std::uint32_t m_bytes = 0;
+};
+
+struct summary_message
+{
+    std::string m_service;
+    std::string m_zone;
+    int m_free_slots = 0;
+    int m_slots = 0;
+    std::uint64_t m_queued = 0;
+    core::duration m_expected_wait{0};
+};
+
+struct configuration_request
+{
+    /// The generation that the sender has in force.
+    std::uint64_t m_generation = 0;
+};
+
+/// A whole document in canonical form.
+struct configuration_reply
+{
+    std::uint64_t m_generation = 0;
+    std::string m_document;
+};
+
+struct handover_target
+{
+    std::string m_target;
+    int m_in_flight = 0;
+    double m_limit = 1;
+};
+
+/// Sent by a host that stops owning a pool to the next owner.
+struct handover_message
+{
+    std::string m_service;
+    std::string m_zone;
+    std::vector<handover_target> m_targets;
+};
+
+/// A target announced that it is leaving.
+struct target_leaving
+{
+    std::string m_service;
+    std::string m_target;
+};
+
+using peer_message =
+    std::variant<forward_request, body_chunk, answer_head, answer_chunk,
+                 answer_end, refusal, cancel_request, window_update,
+                 summary_message, configuration_request, configuration_reply,
+                 handover_message, target_leaving>;
+
+/// Encodes a message as a msgpack array [type, version, fields...].
+std::string encode(peer_message const& message);
+
+/// Decodes it; unknown trailing fields are ignored. Errors: frame_malformed,
+/// protocol_version_mismatch, unexpected_message for an unknown type.
+result<peer_message> decode(std::string_view bytes);
+
+} // namespace hawthornspur::net
+
+#endif
