--- /dev/null
+++ b/src/core/routing.cpp
@@ -0,0 +1,136 @@
+#include "core/routing.hpp"
+
+#include "core/ownership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+bool has_active_target(service_config const& service, std::string const& zone)
+{
+    return std::any_of(service.m_targets.begin(), service.m_targets.end(),
+                       [&](target_config const& target) {
+                           return target.m_zone == zone &&
+                                  target.m_state == target_state::active;
+                       });
+}
+
+} // namespace
+
+void reset(routing_table& table, std::vector<host_record> hosts)
+{
+    table.m_hosts = std::move(hosts);
+    table.m_owner_orders.clear();
+    table.m_pool_zones.clear();
+}
+
+std::string const& pool_zone(routing_table& table,
+                             configuration const& document,
+                             service_config const& service,
+                             std::string const& zone)
+{
+    auto const [entry, is_new] =
+        table.m_pool_zones.try_emplace(pool_id{service.m_name, zone});
+    if (is_new)
+    {
+        for (auto const& candidate : nearest_zones(document, zone))
+        {
+            if (has_active_target(service, candidate))
+            {
+                entry->second = candidate;
+                break;
+            }
+        }
+    }
+    return entry->second;
+}
+
+std::vector<std::string> const&
+owners(routing_table& table, configuration const& document, pool_id const& pool)
+{
+    auto const [entry, is_new] = table.m_owner_orders.try_emplace(pool);
+    if (is_new)
+    {
+        std::vector<owner_candidate> candidates;
+        for (auto const& host : table.m_hosts)
+        {
+            if (host.m_state == host_state::live)
+            {
+                candidates.push_back({host.m_name, host.m_zone});
+            }
+        }
+        entry->second = owner_order(pool, candidates, document);
+    }
+    return entry->second;
+}
+
+host_record const* find_host(routing_table const& table,
+                             std::string const& name) noexcept
+{
+    auto const found = std::find_if(table.m_hosts.begin(), table.m_hosts.end(),
+                                    [&](host_record const& host)
+                                    { return host.m_name == name; });
+    return found == table.m_hosts.end() ? nullptr : &*found;
+}
+
+std::optional<route>
+choose_owner(routing_table& table, configuration const& document,
+             pool_id const& pool, std::string const& self,
+             std::function<bool(std::string const&)> const& is_reachable,
+             std::span<std::string const> excluded)
+{
+    for (auto const& host : owners(table, document, pool))
+    {
+        bool const is_excluded =
+            std::find(excluded.begin(), excluded.end(), host) != excluded.end();
+        if (!is_excluded && (host == self || is_reachable(host)))
+        {
+            return route{pool, host};
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<remote_pool> remote_pools(routing_table& table,
+                                      configuration const& document,
+                                      service_config const& service,
+                                      std::string const& zone,
+                                      std::size_t limit)
+{
+    std::vector<remote_pool> found;
+    auto const* here = find_zone(document, zone);
+    for (auto const& other : nearest_zones(document, zone))
+    {
+        if (found.size() == limit)
+        {
+            break;
+        }
+        if (other == zone || !has_active_target(service, other))
+        {
+            continue;
+        }
+        pool_id pool{service.m_name, other};
+        auto const& order = owners(table, document, pool);
+        if (order.empty() || here == nullptr)
+        {
+            continue;
+        }
+        duration one_way{0};
+        auto const delay = here->m_one_way_delay.find(other);
+        if (delay != here->m_one_way_delay.end())
+        {
+            one_way = delay->second;
+        }
+        auto const* there = find_zone(document, other);
+        found.push_back({std::move(pool), order.front(),
+                         2 * one_way + there->m_extra_cost});
+    }
+    return found;
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/serve/accept.hpp
@@ -0,0 +1,32 @@
+#ifndef HAWTHORNSPUR_SERVE_ACCEPT_HPP
+#define HAWTHORNSPUR_SERVE_ACCEPT_HPP
+
+#include "base/result.hpp"
+#include "serve/call.hpp"
+
+namespace hawthornspur::serve
+{
+
+namespace headers
+{
+inline constexpr std::string_view service = "Hawthornspur-Service";
+inline constexpr std::string_view zone = "Hawthornspur-Zone";
+inline constexpr std::string_view deadline = "Hawthornspur-Deadline-Ms";
+inline constexpr std::string_view key = "Hawthornspur-Key";
+inline constexpr std::string_view attempt = "Hawthornspur-Attempt";
+inline constexpr std::string_view depth = "Hawthornspur-Depth";
+inline constexpr std::string_view code = "Hawthornspur-Code";
+inline constexpr std::string_view outcome = "Hawthornspur-Outcome";
+inline constexpr std::string_view load = "Hawthornspur-Load";
+inline constexpr std::string_view not_run = "Hawthornspur-Not-Run";
+inline constexpr std::string_view draining = "Hawthornspur-Draining";
+} // namespace headers
+
+/// First filter: reads the balancer's own headers and removes those that end
+/// at this host. Errors: malformed_request, deadline_invalid, unknown_service
+/// when no service is named.
+result<accepted_request> accept_request(net::http_request request);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/account.hpp
@@ -0,0 +1,18 @@
+#ifndef HAWTHORNSPUR_SERVE_ACCOUNT_HPP
+#define HAWTHORNSPUR_SERVE_ACCOUNT_HPP
+
+#include <hawthornspur/result_code.hpp>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+struct call;
+
+/// Last filter: counts and logs the result and forgets the call. The
+/// reference is invalid afterwards.
+void end_call(host& h, call& c, result_code code);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/address_answer.cpp
@@ -0,0 +1,144 @@
+#include "serve/address_answer.hpp"
+
+#include "core/once_key.hpp"
+#include "core/once_table.hpp"
+#include "core/routing.hpp"
+#include "serve/host.hpp"
+#include "serve/refusal.hpp"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// Callers get the owner and this many hosts to fall back to.
+constexpr std::size_t max_addresses = 5;
+
+struct query_deleter
+{
+    void operator()(evkeyvalq* query) const noexcept
+    {
+        evhttp_clear_headers(query);
+        delete query;
+    }
+};
+using query_ptr = std::unique_ptr<evkeyvalq, query_deleter>;
+
+query_ptr parse_query(std::string const& uri)
+{
+    query_ptr query(new evkeyvalq{});
+    auto const mark = uri.find('?');
+    auto const* text = mark == std::string::npos ? "" : &uri[mark + 1];
+    if (evhttp_parse_query_str(text, query.get()) != 0)
+    {
+        return nullptr;
+    }
+    return query;
+}
+
+std::string parameter(evkeyvalq const& query, char const* name)
+{
+    auto const* value = evhttp_find_header(&query, name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+void refuse(host& h, net::http_exchange& exchange, result_code code)
+{
+    h.m_metrics.count_result("addresses", code);
+    auto const [head, body] = make_refusal(code, {});
+    exchange.reply(head, body);
+}
+
+nlohmann::json describe(core::host_record const& record)
+{
+    return {{"host", record.m_name},
+            {"zone", record.m_zone},
+            {"address", record.m_address},
+            {"port", record.m_caller_port}};
+}
+
+std::string make_session(host& h, core::host_record const& home)
+{
+    return core::to_string(core::session{home.m_name, home.m_incarnation,
+                                         home.m_once_epoch, h.m_random()});
+}
+
+} // namespace
+
+void answer_addresses(host& h, net::http_request const& request,
+                      net::http_exchange& exchange)
+{
+    if (request.m_method != "GET")
+    {
+        refuse(h, exchange, result_code::method_not_allowed);
+        return;
+    }
+    auto const document = h.m_configuration.m_in_force;
+    if (document == nullptr)
+    {
+        refuse(h, exchange, result_code::host_not_ready);
+        return;
+    }
+    auto const query = parse_query(request.m_uri);
+    if (query == nullptr)
+    {
+        refuse(h, exchange, result_code::malformed_request);
+        return;
+    }
+    auto const* service =
+        core::find_service(*document, parameter(*query, "service"));
+    if (service == nullptr)
+    {
+        refuse(h, exchange, result_code::unknown_service);
+        return;
+    }
+    auto zone = parameter(*query, "zone");
+    if (core::find_zone(*document, zone) == nullptr)
+    {
+        zone = h.m_settings.m_zone;
+    }
+    core::pool_id const pool{
+        service->m_name,
+        core::pool_zone(h.m_routing, *document, *service, zone)};
+    nlohmann::json addresses = nlohmann::json::array();
+    std::optional<std::string> session;
+    for (auto const& name : core::owners(h.m_routing, *document, pool))
+    {
+        auto const* record = core::find_host(h.m_routing, name);
+        if (record == nullptr || addresses.size() == max_addresses)
+        {
+            continue;
+        }
+        addresses.push_back(describe(*record));
+        if (!session)
+        {
+            session = make_session(h, *record);
+        }
+    }
+    if (addresses.empty())
+    {
+        refuse(h, exchange, result_code::host_leaving);
+        return;
+    }
+    auto const lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(
+        document->m_address_lifetime);
+    nlohmann::json const body{{"service", service->m_name},
+                              {"zone", zone},
+                              {"lifetime_ms", lifetime.count()},
+                              {"addresses", std::move(addresses)},
+                              {"session", *session}};
+    h.m_metrics.count_result("addresses", result_code::ok);
+    exchange.reply({200, {{"Content-Type", "application/json"}}}, body.dump());
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/address_answer.hpp
@@ -0,0 +1,26 @@
+#ifndef HAWTHORNSPUR_SERVE_ADDRESS_ANSWER_HPP
+#define HAWTHORNSPUR_SERVE_ADDRESS_ANSWER_HPP
+
+#include "net/http_message.hpp"
+#include "net/http_server.hpp"
+
+#include <string_view>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+inline constexpr std::string_view address_path =
+    "/.well-known/hawthornspur/addresses";
+
+/// Answers a caller that asks which entry hosts to use for a service: the
+/// owner of the pool first, then its successors, with a lifetime and a
+/// session whose home is the first host. The protocol is described in
+/// docs/callers.md.
+void answer_addresses(host& h, net::http_request const& request,
+                      net::http_exchange& exchange);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/administration.cpp
@@ -0,0 +1,208 @@
+#include "serve/administration.hpp"
+
+#include "core/once_table.hpp"
+#include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
+#include "serve/refusal.hpp"
+#include "serve/stop.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+nlohmann::json describe_pools(host& h)
+{
+    auto pools = nlohmann::json::array();
+    for (auto const& [id, hosted] : h.m_pools)
+    {
+        auto const summary = core::summarize(*hosted->m_pool, id.m_zone, now());
+        pools.push_back({{"service", id.m_service},
+                         {"zone", id.m_zone},
+                         {"owned", hosted->m_is_owned},
+                         {"queued", summary.m_queued},
+                         {"in_flight", core::in_flight(*hosted->m_pool)},
+                         {"slots", summary.m_slots},
+                         {"free_slots", summary.m_free_slots}});
+    }
+    return pools;
+}
+
+nlohmann::json describe_hosts(host& h)
+{
+    auto list = nlohmann::json::array();
+    for (auto const& record : core::hosts(*h.m_membership))
+    {
+        list.push_back({{"name", record.m_name},
+                        {"zone", record.m_zone},
+                        {"state", to_string(record.m_state)},
+                        {"generation", record.m_generation},
+                        {"linked", h.m_peers->is_linked(record.m_name)}});
+    }
+    return list;
+}
+
+std::string describe_status(host& h)
+{
+    auto const& configuration = h.m_configuration;
+    auto const& self = core::self(*h.m_membership);
+    auto leaving = nlohmann::json::array();
+    for (auto const& [target, since] : h.m_leaving_targets)
+    {
+        leaving.push_back(
+            {{"service", target.first}, {"target", target.second}});
+    }
+    nlohmann::json const status{
+        {"host", h.m_settings.m_name},
+        {"zone", h.m_settings.m_zone},
+        {"incarnation", h.m_incarnation},
+        {"state", to_string(self.m_state)},
+        {"ready", configuration.m_in_force != nullptr},
+        {"isolated", h.m_is_isolated},
+        {"generation", configuration.m_in_force == nullptr
+                           ? 0
+                           : configuration.m_in_force->m_generation},
+        {"change_id", configuration.m_in_force == nullptr
+                          ? std::string()
+                          : configuration.m_in_force->m_change_id},
+        {"newest_generation_heard", configuration.m_newest_heard},
+        {"rejected_generation", configuration.m_rejected_generation},
+        {"rejected_documents", configuration.m_rejected_documents},
+        {"calls_in_flight", h.m_calls.size()},
+        {"once_keys", h.m_once == nullptr ? 0 : core::size(*h.m_once)},
+        {"leaving_targets", std::move(leaving)},
+        {"pools", describe_pools(h)},
+        {"hosts", describe_hosts(h)}};
+    return status.dump();
+}
+
+metrics::sample counter(std::string name, std::string help, std::uint64_t value)
+{
+    return {
+        std::move(name), std::move(help), static_cast<double>(value), true, {}};
+}
+
+std::vector<metrics::sample> collect_samples(host const& h)
+{
+    auto const& peers = h.m_peers->counters();
+    auto const& client = h.m_client->counters();
+    auto const& configuration = h.m_configuration;
+    std::vector<metrics::sample> samples{
+        {"hawthornspur_calls_in_flight",
+         "Calls that have not ended.",
+         static_cast<double>(h.m_calls.size()),
+         false,
+         {}},
+        {"hawthornspur_generation",
+         "Configuration generation in force.",
+         configuration.m_in_force == nullptr
+             ? 0
+             : static_cast<double>(configuration.m_in_force->m_generation),
+         false,
+         {}},
+        counter("hawthornspur_rejected_documents_total",
+                "Stored documents that failed the check.",
+                configuration.m_rejected_documents),
+        counter("hawthornspur_stale_documents_total",
+                "Documents older than the one in force.",
+                configuration.m_stale_offers),
+        counter("hawthornspur_connections_opened_total",
+                "Connections opened to targets and the platform.",
+                client.m_connections_opened),
+        counter("hawthornspur_connections_reused_total",
+                "Requests sent on a kept connection.",
+                client.m_connections_reused),
+        counter("hawthornspur_connections_silent_total",
+                "Connections closed because no answer came in time.",
+                client.m_connections_silent),
+        counter("hawthornspur_peer_bytes_sent_total",
+                "Bytes sent on peer links.", peers.m_bytes_sent),
+        counter("hawthornspur_peer_bytes_received_total",
+                "Bytes received on peer links.", peers.m_bytes_received),
+        counter("hawthornspur_peer_frames_malformed_total",
+                "Frames that could not be parsed.", peers.m_malformed),
+        counter("hawthornspur_peer_authentication_failures_total",
+                "Frames or handshakes without the peer key.",
+                peers.m_authentication_failures),
+        counter("hawthornspur_peer_links_lost_total",
+                "Links that closed or went silent.", peers.m_links_lost),
+        counter("hawthornspur_datagram_bytes_sent_total",
+                "Bytes of membership datagrams sent.",
+                peers.m_datagram_bytes_sent),
+        counter("hawthornspur_datagram_bytes_received_total",
+                "Bytes of membership datagrams received.",
+                peers.m_datagram_bytes_received),
+        counter("hawthornspur_datagrams_refused_total",
+                "Datagrams that failed authentication or parsing.",
+                peers.m_datagrams_refused)};
+    return samples;
+}
+
+void reply(net::http_exchange& exchange, std::string const& type,
+           std::string const& body)
+{
+    exchange.reply({200, {{"Content-Type", type}}}, body);
+}
+
+void refuse(net::http_exchange& exchange, result_code code)
+{
+    auto const [head, body] = make_refusal(code, {});
+    exchange.reply(head, body);
+}
+
+void answer(host& h, net::http_request const& request,
+            net::http_exchange& exchange)
+{
+    auto const path = request.m_uri.substr(0, request.m_uri.find('?'));
+    bool const is_get = request.m_method == "GET";
+    if (path == "/status" && is_get)
+    {
+        reply(exchange, "application/json", describe_status(h));
+    }
+    else if (path == "/metrics" && is_get)
+    {
+        reply(exchange, "text/plain; version=0.0.4",
+              h.m_metrics.to_text(collect_samples(h)));
+    }
+    else if (path == "/drain" && request.m_method == "POST")
+    {
+        begin_stop(h, "drain command");
+        reply(exchange, "application/json", describe_status(h));
+    }
+    else
+    {
+        refuse(exchange,
+               path == "/status" || path == "/metrics" || path == "/drain"
+                   ? result_code::method_not_allowed
+                   : result_code::not_found);
+    }
+}
+
+} // namespace
+
+status open_administration(host& h)
+{
+    net::http_server_settings settings;
+    settings.m_address = h.m_settings.m_administration.m_address;
+    settings.m_port = h.m_settings.m_administration.m_port;
+    auto server = net::http_server::create(
+        *h.m_loop, settings,
+        [&h](net::http_request const& request,
+             std::shared_ptr<net::http_exchange> const& exchange)
+        { answer(h, request, *exchange); });
+    if (!has_value(server))
+    {
+        return failure(server);
+    }
+    h.m_administration = take(std::move(server));
+    return success();
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/administration.hpp
@@ -0,0 +1,17 @@
+#ifndef HAWTHORNSPUR_SERVE_ADMINISTRATION_HPP
+#define HAWTHORNSPUR_SERVE_ADMINISTRATION_HPP
+
+#include "base/result.hpp"
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Opens the administration address: GET /status (JSON), GET /metrics
+/// (Prometheus text), POST /drain (starts the planned stop).
+status open_administration(host& h);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/admit.cpp
@@ -0,0 +1,72 @@
+#include "serve/admit.hpp"
+
+#include "core/routing.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/host.hpp"
+#include "serve/pipeline.hpp"
+#include "serve/pools.hpp"
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// A request that was forwarded for its pool is served here, also when this
+/// host sees another owner: a second hop could go round in circles.
+bool is_bound_to_this_host(call const& c)
+{
+    return c.m_origin == call_origin::forwarded_to_owner ||
+           c.m_origin == call_origin::spilled;
+}
+
+bool can_own_pools(host const& h)
+{
+    return h.m_stop == stop_stage::running && !h.m_is_isolated;
+}
+
+} // namespace
+
+void admit_call(host& h, call& c)
+{
+    if (h.m_is_isolated)
+    {
+        fail_call(h, c, result_code::host_paused);
+        return;
+    }
+    auto const& document = *c.m_classified.m_configuration;
+    if (is_bound_to_this_host(c))
+    {
+        c.m_pool = {c.m_accepted.m_service, c.m_accepted.m_zone};
+        enqueue_call(h, c);
+        return;
+    }
+    auto const& zone = core::pool_zone(
+        h.m_routing, document, *c.m_classified.m_service, c.m_accepted.m_zone);
+    if (zone.empty())
+    {
+        fail_call(h, c, result_code::no_target_available);
+        return;
+    }
+    c.m_pool = {c.m_accepted.m_service, zone};
+    auto const is_reachable = [&](std::string const& name)
+    {
+        return h.m_peers != nullptr && h.m_peers->is_linked(name);
+    };
+    auto const route =
+        core::choose_owner(h.m_routing, document, c.m_pool, h.m_settings.m_name,
+                           is_reachable, c.m_excluded_hosts);
+    if (route && route->m_owner != h.m_settings.m_name)
+    {
+        forward_call(h, c, route->m_owner, net::forward_purpose::to_owner);
+        return;
+    }
+    if (!route && !can_own_pools(h))
+    {
+        fail_call(h, c, result_code::owner_unreachable);
+        return;
+    }
+    enqueue_call(h, c);
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/call.hpp
@@ -0,0 +1,134 @@
+#ifndef HAWTHORNSPUR_SERVE_CALL_HPP
+#define HAWTHORNSPUR_SERVE_CALL_HPP
+
+#include "core/configuration.hpp"
+#include "core/ids.hpp"
+#include "core/once_key.hpp"
+#include "core/once_table.hpp"
+#include "core/pool.hpp"
+#include "core/time.hpp"
+#include "net/http_client.hpp"
+#include "net/http_message.hpp"
+#include "net/peer_messages.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+/// Where the answer of a call goes: an HTTP caller, or the host that
+/// forwarded the request. After the receiver is gone all functions do
+/// nothing.
+struct answer_sink
+{
+    std::function<void(net::http_response_head, std::optional<std::uint64_t>)>
+        m_start;
+    std::function<void(std::string_view)> m_write;
+    std::function<void()> m_end;
+    /// A refusal, or after m_start the sign that the answer is not whole.
+    std::function<void(result_code)> m_fail;
+    /// Bytes written and not yet taken by the receiver.
+    std::function<std::size_t()> m_buffered;
+};
+
+/// Who sent the request to this host, which decides what it may do next.
+enum class call_origin : std::uint8_t
+{
+    caller,
+    /// Forwarded to this host as owner of the pool.
+    forwarded_to_owner,
+    /// Spilled from another zone.
+    spilled,
+    /// Forwarded to this host as home of the session.
+    forwarded_to_home,
+};
+
+/// Result of the accept filter.
+struct accepted_request
+{
+    net::http_request m_request;
+    std::string m_service;
+    std::string m_zone;
+    std::optional<core::duration> m_time_left;
+    std::optional<std::string> m_once_key;
+    int m_earlier_attempts = 0;
+    int m_depth = 0;
+};
+
+/// Result of the classify filter. The configuration pointer keeps the rules
+/// under which the request started.
+struct classified_request
+{
+    std::shared_ptr<core::configuration const> m_configuration;
+    core::service_config const* m_service = nullptr;
+    core::kind_config const* m_kind = nullptr;
+    core::kind_id m_kind_id;
+    core::time_point m_deadline;
+};
+
+/// One attempt of a call at a target.
+struct call_attempt
+{
+    net::exchange_id m_exchange = 0;
+    core::target_id m_target;
+    core::time_point m_started;
+    /// The status says "not run", so the answer is not relayed.
+    bool m_is_shed = false;
+    bool m_is_server_error = false;
+    bool m_is_draining = false;
+    std::optional<core::reported_load> m_load;
+    /// Head held back until the pool has decided which attempt is relayed.
+    std::optional<net::http_response_head> m_head;
+    std::optional<std::uint64_t> m_length;
+};
+
+/// A request that this host sent to another one.
+struct forwarded_call
+{
+    std::string m_host;
+    net::forward_id m_id = 0;
+    net::forward_purpose m_purpose = net::forward_purpose::to_owner;
+    /// Answer bytes not yet granted back to the sender.
+    std::uint32_t m_ungranted = 0;
+};
+
+/// One request on its way through the pipeline. It lives from arrival until
+/// its answer is complete or refused.
+struct call
+{
+    core::request_id m_id;
+    call_origin m_origin = call_origin::caller;
+    accepted_request m_accepted;
+    classified_request m_classified;
+    core::time_point m_arrived;
+    int m_hops = 0;
+    core::pool_id m_pool;
+    answer_sink m_sink;
+    bool m_is_receiver_gone = false;
+
+    /// Set when this host is the home of the key and runs the request.
+    std::optional<core::once_key> m_key;
+    bool m_is_joined = false;
+    std::optional<core::kept_answer> m_kept;
+    bool m_keeps_answer = false;
+
+    bool m_is_queued = false;
+    std::map<core::attempt_number, call_attempt> m_attempts;
+    core::attempt_number m_relayed_attempt = 0;
+    bool m_is_answer_started = false;
+    core::duration m_target_time{0};
+
+    std::optional<forwarded_call> m_forwarded;
+    std::vector<std::string> m_excluded_hosts;
+};
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/caller_server.cpp
@@ -0,0 +1,98 @@
+#include "serve/caller_server.hpp"
+
+#include "serve/address_answer.hpp"
+#include "serve/host.hpp"
+#include "serve/pipeline.hpp"
+#include "serve/refusal.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+using exchange_ptr = std::shared_ptr<net::http_exchange>;
+
+/// A leaving host closes kept connections, so that callers ask for addresses
+/// anew and no request is lost when the process ends.
+void close_when_leaving(host const& h, net::http_response_head& head)
+{
+    if (h.m_stop != stop_stage::running)
+    {
+        net::set_header(head.m_headers, "Connection", "close");
+    }
+}
+
+answer_sink make_sink(host& h, exchange_ptr const& exchange)
+{
+    answer_sink sink;
+    sink.m_start = [&h, exchange](net::http_response_head head,
+                                  std::optional<std::uint64_t> length)
+    {
+        close_when_leaving(h, head);
+        exchange->start(head, length);
+    };
+    sink.m_write = [exchange](std::string_view data)
+    {
+        exchange->write(data);
+    };
+    sink.m_end = [exchange]
+    {
+        exchange->end();
+    };
+    sink.m_fail = [&h, exchange](result_code code)
+    {
+        if (exchange->is_started())
+        {
+            exchange->abort();
+            return;
+        }
+        auto [head, body] = make_refusal(code, {});
+        close_when_leaving(h, head);
+        exchange->reply(head, body);
+    };
+    sink.m_buffered = [exchange]
+    {
+        return exchange->buffered_bytes();
+    };
+    return sink;
+}
+
+void on_request(host& h, net::http_request request,
+                exchange_ptr const& exchange)
+{
+    if (request.m_uri.starts_with(address_path))
+    {
+        answer_addresses(h, request, *exchange);
+        return;
+    }
+    auto const id = std::make_shared<core::request_id>();
+    exchange->set_on_closed([&h, id] { on_receiver_gone(h, *id); });
+    exchange->set_on_drained([&h, id] { on_receiver_drained(h, *id); });
+    start_call(h, std::move(request), make_sink(h, exchange), *id);
+}
+
+} // namespace
+
+status open_caller_server(host& h)
+{
+    net::http_server_settings settings;
+    settings.m_address = h.m_settings.m_callers.m_address;
+    settings.m_port = h.m_settings.m_callers.m_port;
+    settings.m_max_headers_bytes = h.m_settings.m_max_headers_bytes;
+    auto server = net::http_server::create(
+        *h.m_loop, settings,
+        [&h](net::http_request request, exchange_ptr const& exchange)
+        { on_request(h, std::move(request), exchange); });
+    if (!has_value(server))
+    {
+        return failure(server);
+    }
+    h.m_callers = take(std::move(server));
+    return success();
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/caller_server.hpp
@@ -0,0 +1,17 @@
+#ifndef HAWTHORNSPUR_SERVE_CALLER_SERVER_HPP
+#define HAWTHORNSPUR_SERVE_CALLER_SERVER_HPP
+
+#include "base/result.hpp"
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Opens the address where callers connect: address answers, and requests
+/// that go through the pipeline.
+status open_caller_server(host& h);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/classify.hpp
@@ -0,0 +1,22 @@
+#ifndef HAWTHORNSPUR_SERVE_CLASSIFY_HPP
+#define HAWTHORNSPUR_SERVE_CLASSIFY_HPP
+
+#include "base/result.hpp"
+#include "serve/call.hpp"
+
+#include <memory>
+
+namespace hawthornspur::serve
+{
+
+/// Second filter: finds service and kind, checks depth and body size, and
+/// sets the deadline. Errors: unknown_service, unknown_kind, body_too_large,
+/// depth_limit_reached.
+result<classified_request>
+classify_request(accepted_request const& accepted,
+                 std::shared_ptr<core::configuration const> configuration,
+                 core::time_point now);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/configuration_driver.hpp
@@ -0,0 +1,30 @@
+#ifndef HAWTHORNSPUR_SERVE_CONFIGURATION_DRIVER_HPP
+#define HAWTHORNSPUR_SERVE_CONFIGURATION_DRIVER_HPP
+
+#include "base/result.hpp"
+#include "net/peer_messages.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Starts to follow the configuration: a few hosts of each zone watch the
+/// store, every host reads the head now and then, and a host that hears of a
+/// newer generation fetches the document from that peer.
+status start_configuration(host& h);
+
+/// A peer announced a newer generation.
+void on_newer_generation(host& h, std::string const& peer,
+                         std::uint64_t generation);
+
+void on_configuration_request(host& h, std::string const& from,
+                              net::configuration_request const& request);
+void on_configuration_reply(host& h, net::configuration_reply const& reply);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/dispatch.cpp
@@ -0,0 +1,201 @@
+#include "serve/dispatch.hpp"
+
+#include "base/text.hpp"
+#include "core/pool_effects.hpp"
+#include "serve/accept.hpp"
+#include "serve/account.hpp"
+#include "serve/deduplicate.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/host.hpp"
+#include "serve/leaving_targets.hpp"
+#include "serve/pipeline.hpp"
+#include "serve/pools.hpp"
+#include "serve/relay.hpp"
+#include "serve/target_signals.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// A kept connection is trusted for this long after its last answer.
+constexpr auto max_connection_age = std::chrono::seconds(5);
+
+/// The same for at-most-once requests, which cannot be repeated when the
+/// connection turns out to be dead.
+constexpr auto max_proved_age = std::chrono::seconds(1);
+
+constexpr int first_server_error = 500;
+
+std::string milliseconds_left(core::duration left)
+{
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    return std::to_string(std::max<std::int64_t>(1, ms));
+}
+
+net::http_request request_for_target(call const& c, core::duration left,
+                                     core::attempt_number attempt)
+{
+    auto request = c.m_accepted.m_request;
+    auto& list = request.m_headers;
+    net::set_header(list, headers::deadline, milliseconds_left(left));
+    net::set_header(list, headers::attempt,
+                    std::to_string(c.m_accepted.m_earlier_attempts +
+                                   static_cast<int>(attempt)));
+    net::set_header(list, headers::depth,
+                    std::to_string(c.m_accepted.m_depth + 1));
+    net::remove_header(list, headers::service);
+    net::remove_header(list, headers::zone);
+    return request;
+}
+
+core::attempt_outcome outcome_of(net::exchange_outcome outcome,
+                                 call_attempt const& attempt)
+{
+    switch (outcome)
+    {
+    case net::exchange_outcome::complete:
+        if (attempt.m_is_shed)
+        {
+            return core::attempt_outcome::shed;
+        }
+        return attempt.m_is_server_error ? core::attempt_outcome::server_error
+                                         : core::attempt_outcome::ok;
+    case net::exchange_outcome::connect_failed:
+        return core::attempt_outcome::connect_failed;
+    case net::exchange_outcome::silent:
+        return core::attempt_outcome::silent;
+    case net::exchange_outcome::malformed:
+        return core::attempt_outcome::malformed;
+    case net::exchange_outcome::closed:
+    case net::exchange_outcome::truncated:
+    case net::exchange_outcome::too_large:
+        break;
+    }
+    return core::attempt_outcome::closed;
+}
+
+void on_head(host& h, core::request_id id, core::attempt_number number,
+             net::http_response_head head, std::optional<std::uint64_t> length)
+{
+    auto* c = find_call(h, id);
+    if (c == nullptr || !c->m_attempts.contains(number))
+    {
+        return;
+    }
+    auto& attempt = c->m_attempts.at(number);
+    attempt.m_is_shed = is_not_run(head, *c->m_classified.m_kind);
+    attempt.m_is_server_error = head.m_status >= first_server_error;
+    attempt.m_is_draining = is_draining(head);
+    attempt.m_load = read_load(head);
+    if (attempt.m_is_draining)
+    {
+        announce_leaving_target(h, attempt.m_target);
+    }
+    if (attempt.m_is_shed)
+    {
+        return;
+    }
+    attempt.m_head = std::move(head);
+    attempt.m_length = length;
+    announce_answer(h, *c, number);
+}
+
+/// The answer that is being relayed ended.
+void finish_relayed(host& h, call& c, net::exchange_outcome outcome)
+{
+    switch (outcome)
+    {
+    case net::exchange_outcome::complete:
+        if (c.m_sink.m_end)
+        {
+            c.m_sink.m_end();
+        }
+        settle_key_with_answer(h, c);
+        end_call(h, c, result_code::ok);
+        break;
+    case net::exchange_outcome::too_large:
+        fail_call(h, c, result_code::answer_too_large);
+        break;
+    case net::exchange_outcome::silent:
+        fail_call(h, c, result_code::deadline_passed_after_dispatch);
+        break;
+    default:
+        fail_call(h, c, result_code::answer_truncated);
+        break;
+    }
+}
+
+void on_end(host& h, core::request_id id, core::attempt_number number,
+            net::exchange_outcome outcome)
+{
+    auto* c = find_call(h, id);
+    if (c == nullptr || !c->m_attempts.contains(number))
+    {
+        h.m_metrics.count_event("late_answer");
+        return;
+    }
+    auto const attempt = std::move(c->m_attempts.at(number));
+    c->m_attempts.erase(number);
+    c->m_target_time += now() - attempt.m_started;
+    core::attempt_end const end{id, number, outcome_of(outcome, attempt),
+                                attempt.m_load, attempt.m_is_draining};
+    auto const pool = c->m_pool;
+    if (c->m_relayed_attempt == number)
+    {
+        finish_relayed(h, *c, outcome);
+    }
+    finish_attempt(h, pool, end);
+}
+
+} // namespace
+
+void dispatch_attempt(host& h, call& c, core::dispatch_effect const& effect)
+{
+    auto const target = h.m_targets.find(effect.m_target);
+    auto const number = effect.m_attempt;
+    auto const left = std::max<core::duration>(
+        std::chrono::milliseconds(1), c.m_classified.m_deadline - now());
+    net::exchange_options options;
+    options.m_timeout = left;
+    options.m_max_connection_age = effect.m_needs_proved_connection
+                                       ? core::duration(max_proved_age)
+                                       : core::duration(max_connection_age);
+    options.m_max_answer_bytes = c.m_classified.m_service->m_max_answer_bytes;
+    auto& attempt = c.m_attempts[number];
+    attempt.m_target = effect.m_target;
+    attempt.m_started = now();
+    mark_key_dispatched(h, c);
+    h.m_metrics.count_attempt(c.m_classified.m_service->m_name,
+                              effect.m_reason);
+    auto const id = c.m_id;
+    attempt.m_exchange = h.m_client->send(
+        target->second.m_endpoint, request_for_target(c, left, number), options,
+        {.m_on_head = [&h, id, number](net::http_response_head head,
+                                       std::optional<std::uint64_t> length)
+         { on_head(h, id, number, std::move(head), length); },
+         .m_on_data = [&h, id, number](std::string_view data)
+         { relay_data(h, id, number, data); },
+         .m_on_end =
+             [&h, id, number](net::exchange_outcome outcome)
+         {
+             on_end(h, id, number, outcome);
+         }});
+}
+
+void cancel_attempt(host& h, call& c, core::attempt_number number)
+{
+    auto const found = c.m_attempts.find(number);
+    if (found != c.m_attempts.end())
+    {
+        h.m_client->cancel(found->second.m_exchange);
+        c.m_attempts.erase(found);
+    }
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/dispatch.hpp
@@ -0,0 +1,26 @@
+#ifndef HAWTHORNSPUR_SERVE_DISPATCH_HPP
+#define HAWTHORNSPUR_SERVE_DISPATCH_HPP
+
+#include "core/ids.hpp"
+
+namespace hawthornspur::core
+{
+struct dispatch_effect;
+}
+
+namespace hawthornspur::serve
+{
+
+struct host;
+struct call;
+
+/// Sends one attempt of a call to the target that its pool chose.
+void dispatch_attempt(host& h, call& c, core::dispatch_effect const& effect);
+
+/// Closes an attempt in flight. The pool is told by the caller of this
+/// function.
+void cancel_attempt(host& h, call& c, core::attempt_number attempt);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/host.cpp
@@ -0,0 +1,171 @@
+#include "serve/host.hpp"
+
+#include "base/logging.hpp"
+#include "core/once_table.hpp"
+#include "platform/http_platform.hpp"
+#include "serve/administration.hpp"
+#include "serve/caller_server.hpp"
+#include "serve/configuration_driver.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/leaving_targets.hpp"
+#include "serve/membership_driver.hpp"
+#include "serve/peer_driver.hpp"
+#include "serve/spilling.hpp"
+#include "serve/stop.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+constexpr auto summary_interval = std::chrono::milliseconds(500);
+constexpr auto housekeeping_interval = std::chrono::milliseconds(50);
+constexpr auto host_list_interval = std::chrono::seconds(1);
+constexpr auto key_expiry_interval = std::chrono::seconds(1);
+
+/// Calls `action` again and again while the host lives.
+status add_interval(host& h, core::duration interval,
+                    std::function<void()> action)
+{
+    auto const index = h.m_timers.size();
+    auto timer =
+        net::timer::create(*h.m_loop,
+                           [&h, index, interval, action = std::move(action)]
+                           {
+                               action();
+                               h.m_timers[index]->start(interval);
+                           });
+    if (!has_value(timer))
+    {
+        return failure(timer);
+    }
+    h.m_timers.push_back(take(std::move(timer)));
+    h.m_timers.back()->start(interval);
+    return success();
+}
+
+status add_stop_signal(host& h, int number, std::string const& name)
+{
+    auto watch = net::signal_watch::create(*h.m_loop, number,
+                                           [&h, name] { begin_stop(h, name); });
+    if (!has_value(watch))
+    {
+        return failure(watch);
+    }
+    h.m_signals.push_back(take(std::move(watch)));
+    return success();
+}
+
+void list_hosts(host& h)
+{
+    h.m_platform.m_list_hosts(
+        [&h](result<std::vector<platform::listed_host>> const& listed)
+        {
+            if (!has_value(listed))
+            {
+                h.m_metrics.count_event("host_list_unavailable");
+                return;
+            }
+            on_listed_entry_hosts(h, value(listed));
+            on_listed_targets(h, value(listed));
+        });
+}
+
+status start_intervals(host& h)
+{
+    for (auto const& [interval, action] :
+         {std::pair<core::duration, std::function<void()>>{summary_interval,
+                                                           [&h]
+                                                           {
+                                                               send_summaries(
+                                                                   h);
+                                                           }},
+          {housekeeping_interval,
+           [&h]
+           {
+               expire_forwards(h);
+               check_stop(h);
+           }},
+          {key_expiry_interval,
+           [&h]
+           {
+               if (h.m_once != nullptr)
+               {
+                   core::expire(*h.m_once, now());
+                   announce_self(h);
+               }
+           }},
+          {host_list_interval, [&h]
+           {
+               list_hosts(h);
+           }}})
+    {
+        if (auto const added = add_interval(h, interval, action);
+            !has_value(added))
+        {
+            return added;
+        }
+    }
+    return success();
+}
+
+std::uint64_t draw_seed()
+{
+    std::random_device device;
+    constexpr unsigned half = 32;
+    return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
+} // namespace
+
+result<std::unique_ptr<host>> create_host(net::event_loop& loop,
+                                          config::host_settings settings)
+{
+    auto h = std::make_unique<host>();
+    h->m_settings = std::move(settings);
+    h->m_loop = &loop;
+    h->m_random.seed(draw_seed());
+    h->m_incarnation = h->m_random();
+    auto client = net::http_client::create(loop);
+    if (!has_value(client))
+    {
+        return failure(client);
+    }
+    h->m_client = take(std::move(client));
+    h->m_platform = platform::make_http_platform(
+        *h->m_client, {{h->m_settings.m_platform.m_address,
+                        h->m_settings.m_platform.m_port}});
+    for (auto* step :
+         {&open_caller_server, &open_peer_network, &open_administration,
+          &start_membership, &start_configuration, &start_intervals})
+    {
+        if (auto const done = (*step)(*h); !has_value(done))
+        {
+            return failure(done);
+        }
+    }
+    for (auto const& [number, name] :
+         {std::pair{SIGTERM, "SIGTERM"}, std::pair{SIGINT, "SIGINT"}})
+    {
+        if (auto const done = add_stop_signal(*h, number, name);
+            !has_value(done))
+        {
+            return failure(done);
+        }
+    }
+    list_hosts(*h);
+    logging::write(
+        logging::level::info, "serve.host", "host started",
+        {{"host", h->m_settings.m_name},
+         {"zone", h->m_settings.m_zone},
+         {"callers_port", std::to_string(h->m_callers->port())},
+         {"peers_port", std::to_string(h->m_peers->port())},
+         {"administration_port", std::to_string(h->m_administration->port())}});
+    return h;
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/host.hpp
@@ -0,0 +1,143 @@
+#ifndef HAWTHORNSPUR_SERVE_HOST_HPP
+#define HAWTHORNSPUR_SERVE_HOST_HPP
+
+#include "base/result.hpp"
+#include "config/settings.hpp"
+#include "core/configuration_state.hpp"
+#include "core/membership.hpp"
+#include "core/once_table.hpp"
+#include "core/pool.hpp"
+#include "core/routing.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/peer_network.hpp"
+#include "platform/platform_calls.hpp"
+#include "serve/call.hpp"
+#include "serve/metrics.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+/// A target as this host reaches it.
+struct target_address
+{
+    std::string m_service;
+    std::string m_name;
+    net::endpoint m_endpoint;
+    std::size_t m_max_connections = 0;
+};
+
+/// A pool that this host owns, or owned and still finishes.
+struct hosted_pool
+{
+    core::pool_id m_id;
+    core::pool_ptr m_pool;
+    std::unique_ptr<net::timer> m_timer;
+    /// Requests spilled from this pool that other zones have not answered.
+    std::map<core::request_id, core::arrival> m_spilled;
+    bool m_is_owned = true;
+    core::time_point m_last_summary_reply{};
+};
+
+enum class stop_stage : std::uint8_t
+{
+    running,
+    /// Left the address answers; callers that hold an old answer are served.
+    leaving,
+    /// The old answers have expired; only calls in flight remain.
+    finishing,
+    /// Nothing is left; the loop stops after the last bytes have gone out.
+    finished,
+};
+
+/// A request forwarded to this host whose body is still arriving.
+struct incoming_forward
+{
+    net::forward_request m_head;
+    std::string m_body;
+};
+
+/// Identifies a forwarded request: the sending host and its id.
+using incoming_id = std::pair<std::string, net::forward_id>;
+
+/// An answer on its way to the host that forwarded the request.
+struct outgoing_answer
+{
+    core::request_id m_call;
+    std::string m_pending;
+    std::uint32_t m_credit = 0;
+    bool m_ended = false;
+};
+
+/// The state of one entry host. It lives as long as the process; all
+/// functions of the pipeline work on it from the one loop.
+struct host
+{
+    config::host_settings m_settings;
+    std::uint64_t m_incarnation = 0;
+    std::mt19937_64 m_random;
+    net::event_loop* m_loop = nullptr;
+
+    metrics m_metrics;
+    core::configuration_state m_configuration;
+    core::routing_table m_routing;
+    core::membership_ptr m_membership;
+    core::once_table_ptr m_once;
+    bool m_is_isolated = false;
+
+    std::unordered_map<core::request_id, std::unique_ptr<call>> m_calls;
+    core::request_id m_next_request{1};
+    std::map<core::pool_id, std::unique_ptr<hosted_pool>> m_pools;
+    std::map<std::string, core::service_budgets> m_budgets;
+
+    std::map<std::pair<std::string, std::string>, core::target_id> m_target_ids;
+    std::unordered_map<core::target_id, target_address> m_targets;
+    /// Targets that announced that they are leaving, and when.
+    std::map<std::pair<std::string, std::string>, core::time_point>
+        m_leaving_targets;
+
+    std::map<incoming_id, incoming_forward> m_incoming;
+    std::map<incoming_id, outgoing_answer> m_outgoing;
+    std::map<net::forward_id, core::request_id> m_forwards;
+    net::forward_id m_next_forward = 1;
+
+    stop_stage m_stop = stop_stage::running;
+    core::time_point m_stop_deadline{};
+    core::time_point m_answers_expire{};
+
+    platform::platform_calls m_platform;
+    std::unique_ptr<net::http_client> m_client;
+    std::unique_ptr<net::peer_network> m_peers;
+    std::unique_ptr<net::http_server> m_callers;
+    std::unique_ptr<net::http_server> m_administration;
+    std::unique_ptr<net::timer> m_membership_timer;
+    std::vector<std::unique_ptr<net::timer>> m_timers;
+    std::vector<std::unique_ptr<net::signal_watch>> m_signals;
+};
+
+/// Creates the host and opens its addresses. The loop must outlive it.
+result<std::unique_ptr<host>> create_host(net::event_loop& loop,
+                                          config::host_settings settings);
+
+/// The call with this id, or null when it has ended.
+call* find_call(host& h, core::request_id id) noexcept;
+
+inline core::time_point now()
+{
+    return net::event_loop::now();
+}
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/leaving_targets.hpp
@@ -0,0 +1,30 @@
+#ifndef HAWTHORNSPUR_SERVE_LEAVING_TARGETS_HPP
+#define HAWTHORNSPUR_SERVE_LEAVING_TARGETS_HPP
+
+#include "core/ids.hpp"
+#include "net/peer_messages.hpp"
+#include "platform/platform_calls.hpp"
+
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// A target announced in an answer that it is leaving: its pools stop using
+/// it and all peers are told, so that no host gives it new work.
+void announce_leaving_target(host& h, core::target_id target);
+
+/// A peer heard that a target is leaving.
+void on_target_leaving(host& h, net::target_leaving const& message);
+
+/// The platform's list: listed as leaving is believed at once; listed as live
+/// clears a mark only after the target has not announced itself for a while,
+/// since the list lags.
+void on_listed_targets(host& h,
+                       std::vector<platform::listed_host> const& listed);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/membership_driver.cpp
@@ -0,0 +1,217 @@
+#include "serve/membership_driver.hpp"
+
+#include "base/logging.hpp"
+#include "core/once_table.hpp"
+#include "serve/configuration_driver.hpp"
+#include "serve/host.hpp"
+#include "serve/pools.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+void connect_peers(host& h)
+{
+    std::vector<net::peer_address> peers;
+    for (auto const& record : core::hosts(*h.m_membership))
+    {
+        if (record.m_state != core::host_state::dead)
+        {
+            peers.push_back(
+                {record.m_name, record.m_address, record.m_peer_port});
+        }
+    }
+    h.m_peers->set_peers(std::move(peers));
+}
+
+void set_isolated(host& h, bool is_isolated)
+{
+    h.m_is_isolated = is_isolated;
+    h.m_metrics.count_event(is_isolated ? "isolated" : "isolation_ended");
+    logging::write(logging::level::warn, "serve.membership",
+                   is_isolated ? "no peer heard since a pause"
+                               : "peers heard again");
+}
+
+struct effect_visitor
+{
+    host& m_host;
+    bool& m_is_changed;
+
+    void operator()(core::send_effect const& e) const
+    {
+        m_host.m_peers->send_datagram(e.m_address, e.m_port, e.m_message);
+    }
+
+    void operator()(core::host_changed_effect const& e) const
+    {
+        m_is_changed = true;
+        logging::write(logging::level::info, "serve.membership", "host changed",
+                       {{"host", e.m_record.m_name},
+                        {"state", std::string(to_string(e.m_record.m_state))}});
+    }
+
+    void operator()(core::isolation_effect const& e) const
+    {
+        set_isolated(m_host, e.m_isolated);
+    }
+
+    void operator()(core::newer_generation_effect const& e) const
+    {
+        on_newer_generation(m_host, e.m_host, e.m_generation);
+    }
+};
+
+void restart_timer(host& h)
+{
+    auto const next = core::next_timer(*h.m_membership);
+    if (next)
+    {
+        h.m_membership_timer->start(*next - now());
+    }
+}
+
+/// Carries out what membership asked for. Changes of the view are applied
+/// once, after all effects.
+void apply(host& h, core::membership_effects const& effects)
+{
+    bool is_changed = false;
+    for (auto const& effect : effects)
+    {
+        std::visit(effect_visitor{h, is_changed}, effect);
+    }
+    if (is_changed)
+    {
+        connect_peers(h);
+        update_routing(h);
+    }
+    restart_timer(h);
+}
+
+void on_membership_timer(host& h)
+{
+    core::membership_effects effects;
+    core::on_timer(*h.m_membership, now(), effects);
+    apply(h, effects);
+}
+
+core::host_record make_self(host const& h)
+{
+    core::host_record self;
+    self.m_name = h.m_settings.m_name;
+    self.m_zone = h.m_settings.m_zone;
+    self.m_address = h.m_settings.m_peers.m_address;
+    self.m_caller_port = h.m_callers->port();
+    self.m_peer_port = h.m_peers->port();
+    self.m_incarnation = h.m_incarnation;
+    self.m_state = core::host_state::joining;
+    return self;
+}
+
+} // namespace
+
+std::string_view to_string(core::host_state state) noexcept
+{
+    switch (state)
+    {
+    case core::host_state::joining:
+        return "joining";
+    case core::host_state::live:
+        return "live";
+    case core::host_state::suspected:
+        return "suspected";
+    case core::host_state::leaving:
+        return "leaving";
+    case core::host_state::dead:
+        break;
+    }
+    return "dead";
+}
+
+status start_membership(host& h)
+{
+    auto timer =
+        net::timer::create(*h.m_loop, [&h] { on_membership_timer(h); });
+    if (!has_value(timer))
+    {
+        return failure(timer);
+    }
+    h.m_membership_timer = take(std::move(timer));
+    h.m_membership =
+        core::make_membership({}, make_self(h), h.m_random(), now());
+    restart_timer(h);
+    return success();
+}
+
+void on_datagram(host& h, core::membership_message const& message)
+{
+    core::membership_effects effects;
+    core::on_message(*h.m_membership, message, now(), effects);
+    apply(h, effects);
+}
+
+void on_peer_link_lost(host& h, std::string const& peer)
+{
+    core::membership_effects effects;
+    core::on_link_lost(*h.m_membership, peer, now(), effects);
+    apply(h, effects);
+}
+
+void on_listed_entry_hosts(host& h,
+                           std::vector<platform::listed_host> const& listed)
+{
+    std::vector<core::listed_host> seeds;
+    for (auto const& entry : listed)
+    {
+        if (entry.m_role == platform::listed_role::entry &&
+            entry.m_name != h.m_settings.m_name)
+        {
+            seeds.push_back({entry.m_name, entry.m_zone, entry.m_address,
+                             entry.m_port, entry.m_peer_port, entry.m_leaving});
+        }
+    }
+    core::membership_effects effects;
+    core::on_host_list(*h.m_membership, seeds, now(), effects);
+    apply(h, effects);
+}
+
+bool is_ready(host const& h) noexcept
+{
+    return h.m_configuration.m_in_force != nullptr;
+}
+
+void announce_self(host& h)
+{
+    auto state = core::host_state::joining;
+    if (h.m_stop != stop_stage::running)
+    {
+        state = core::host_state::leaving;
+    }
+    else if (is_ready(h))
+    {
+        state = core::host_state::live;
+    }
+    core::membership_effects effects;
+    core::set_self(*h.m_membership, state,
+                   is_ready(h) ? h.m_configuration.m_in_force->m_generation : 0,
+                   h.m_once == nullptr ? 0
+                                       : core::current_epoch(*h.m_once, now()),
+                   now(), effects);
+    apply(h, effects);
+    update_routing(h);
+}
+
+void update_routing(host& h)
+{
+    auto records = core::hosts(*h.m_membership);
+    records.push_back(core::self(*h.m_membership));
+    core::reset(h.m_routing, std::move(records));
+    update_pools(h);
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/membership_driver.hpp
@@ -0,0 +1,43 @@
+#ifndef HAWTHORNSPUR_SERVE_MEMBERSHIP_DRIVER_HPP
+#define HAWTHORNSPUR_SERVE_MEMBERSHIP_DRIVER_HPP
+
+#include "base/result.hpp"
+#include "core/membership.hpp"
+#include "platform/platform_calls.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Connects core::membership with the datagram socket, the links and the
+/// routing table.
+status start_membership(host& h);
+
+void on_datagram(host& h, core::membership_message const& message);
+void on_peer_link_lost(host& h, std::string const& peer);
+
+/// The platform's list of entry hosts, used as a seed.
+void on_listed_entry_hosts(host& h,
+                           std::vector<platform::listed_host> const& listed);
+
+/// Announces this host's state, generation and epoch to its peers.
+void announce_self(host& h);
+
+/// Rebuilds the routing table and the pools after a change of membership or
+/// configuration.
+void update_routing(host& h);
+
+/// The state as it stands in logs and in /status.
+std::string_view to_string(core::host_state state) noexcept;
+
+/// Whether this host has a configuration and takes part.
+bool is_ready(host const& h) noexcept;
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/peer_driver.cpp
@@ -0,0 +1,158 @@
+#include "serve/peer_driver.hpp"
+
+#include "base/logging.hpp"
+#include "base/text.hpp"
+#include "serve/configuration_driver.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/host.hpp"
+#include "serve/incoming.hpp"
+#include "serve/leaving_targets.hpp"
+#include "serve/membership_driver.hpp"
+#include "serve/spilling.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// Passes one message to the part that it belongs to.
+struct message_visitor
+{
+    host& m_host;
+    std::string const& m_from;
+
+    void operator()(net::forward_request& m) const
+    {
+        on_forward_request(m_host, m_from, std::move(m));
+    }
+    void operator()(net::body_chunk const& m) const
+    {
+        on_body_chunk(m_host, m_from, m);
+    }
+    void operator()(net::answer_head& m) const
+    {
+        on_answer_head(m_host, m_from, std::move(m));
+    }
+    void operator()(net::answer_chunk const& m) const
+    {
+        on_answer_chunk(m_host, m_from, m);
+    }
+    void operator()(net::answer_end const& m) const
+    {
+        on_answer_end(m_host, m_from, m);
+    }
+    void operator()(net::refusal const& m) const
+    {
+        on_refusal(m_host, m_from, m);
+    }
+    void operator()(net::cancel_request const& m) const
+    {
+        on_cancel_request(m_host, m_from, m);
+    }
+    void operator()(net::window_update const& m) const
+    {
+        on_window_update(m_host, m_from, m);
+    }
+    void operator()(net::summary_message const& m) const
+    {
+        on_summary_message(m_host, m_from, m);
+    }
+    void operator()(net::configuration_request const& m) const
+    {
+        on_configuration_request(m_host, m_from, m);
+    }
+    void operator()(net::configuration_reply const& m) const
+    {
+        on_configuration_reply(m_host, m);
+    }
+    void operator()(net::handover_message const& m) const
+    {
+        on_handover(m_host, m);
+    }
+    void operator()(net::target_leaving const& m) const
+    {
+        on_target_leaving(m_host, m);
+    }
+};
+
+result<std::string> read_key(std::string const& path)
+{
+    if (path.empty())
+    {
+        return std::string();
+    }
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+    {
+        return make_error(result_code::file_unreadable,
+                          "cannot read the peer key file " + path);
+    }
+    std::string const text{std::istreambuf_iterator<char>(file), {}};
+    std::string key(trim(text));
+    if (key.empty())
+    {
+        return make_error(result_code::settings_invalid,
+                          "the peer key file " + path + " is empty");
+    }
+    return key;
+}
+
+net::peer_handlers make_handlers(host& h)
+{
+    return {.m_on_message =
+                [&h](std::string const& from, net::peer_message message) {
+                    std::visit(message_visitor{h, from}, message);
+                },
+            .m_on_link_up =
+                [](std::string const& peer)
+            {
+                logging::write(logging::level::info, "serve.peers", "link up",
+                               {{"host", peer}});
+            },
+            .m_on_link_down =
+                [&h](std::string const& peer)
+            {
+                logging::write(logging::level::warn, "serve.peers", "link down",
+                               {{"host", peer}});
+                on_forward_link_down(h, peer);
+                on_incoming_link_down(h, peer);
+                on_peer_link_lost(h, peer);
+            },
+            .m_on_datagram =
+                [&h](core::membership_message const& message)
+            {
+                on_datagram(h, message);
+            }};
+}
+
+} // namespace
+
+status open_peer_network(host& h)
+{
+    auto key = read_key(h.m_settings.m_peer_key_file);
+    if (!has_value(key))
+    {
+        return failure(key);
+    }
+    net::peer_network_settings settings;
+    settings.m_host = h.m_settings.m_name;
+    settings.m_incarnation = h.m_incarnation;
+    settings.m_address = h.m_settings.m_peers.m_address;
+    settings.m_port = h.m_settings.m_peers.m_port;
+    settings.m_key = take(std::move(key));
+    auto network =
+        net::peer_network::create(*h.m_loop, settings, make_handlers(h));
+    if (!has_value(network))
+    {
+        return failure(network);
+    }
+    h.m_peers = take(std::move(network));
+    return success();
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/peer_driver.hpp
@@ -0,0 +1,17 @@
+#ifndef HAWTHORNSPUR_SERVE_PEER_DRIVER_HPP
+#define HAWTHORNSPUR_SERVE_PEER_DRIVER_HPP
+
+#include "base/result.hpp"
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Opens the address for other entry hosts and passes their messages to the
+/// parts of the pipeline that they belong to.
+status open_peer_network(host& h);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/pools.cpp
@@ -0,0 +1,463 @@
+#include "serve/pools.hpp"
+
+#include "base/logging.hpp"
+#include "core/ownership.hpp"
+#include "serve/dispatch.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/host.hpp"
+#include "serve/pipeline.hpp"
+#include "serve/probing.hpp"
+#include "serve/relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+core::pool_rules rules_of(core::service_config const& service)
+{
+    core::pool_rules rules;
+    rules.m_kinds = service.m_kinds;
+    rules.m_max_queue = service.m_max_queue;
+    rules.m_probe_cost = service.m_probe_budget.m_probe_cost;
+    rules.m_connection_cost = service.m_probe_budget.m_connection_cost;
+    return rules;
+}
+
+std::vector<core::pool_target> targets_of(host& h, core::pool_id const& id)
+{
+    std::vector<core::pool_target> targets;
+    auto const* service =
+        core::find_service(*h.m_configuration.m_in_force, id.m_service);
+    if (service == nullptr)
+    {
+        return targets;
+    }
+    for (auto const& target : service->m_targets)
+    {
+        if (target.m_zone != id.m_zone)
+        {
+            continue;
+        }
+        bool const is_leaving =
+            target.m_state == core::target_state::draining ||
+            h.m_leaving_targets.contains({id.m_service, target.m_name});
+        targets.push_back({intern_target(h, id.m_service, target),
+                           target.m_slots, is_leaving});
+    }
+    return targets;
+}
+
+void restart_timer(hosted_pool& hosted)
+{
+    auto const next = core::next_timer(*hosted.m_pool);
+    if (next)
+    {
+        hosted.m_timer->start(*next - now());
+    }
+    else
+    {
+        hosted.m_timer->stop();
+    }
+}
+
+void on_pool_timer(host& h, core::pool_id const& id)
+{
+    auto* hosted = find_pool(h, id);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    core::pool_effects effects;
+    core::on_timer(*hosted->m_pool, now(), budgets_of(h, id.m_service),
+                   effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void spill_call(host& h, hosted_pool& hosted, core::spill_effect const& spill)
+{
+    auto* c = find_call(h, spill.m_request);
+    if (c == nullptr)
+    {
+        return;
+    }
+    c->m_is_queued = false;
+    hosted.m_spilled[c->m_id] = {c->m_id, c->m_classified.m_kind_id,
+                                 c->m_classified.m_deadline,
+                                 c->m_accepted.m_earlier_attempts, false};
+    auto const& order =
+        core::owners(h.m_routing, *c->m_classified.m_configuration,
+                     {hosted.m_id.m_service, spill.m_zone});
+    if (order.empty() || order.front() == h.m_settings.m_name ||
+        !forward_call(h, *c, order.front(), net::forward_purpose::spill,
+                      spill.m_zone))
+    {
+        return_spilled_call(h, *c);
+    }
+}
+
+/// One effect of a pool on the host. Follow-up effects are appended.
+struct effect_visitor
+{
+    host& m_host;
+    hosted_pool& m_hosted;
+    core::pool_effects& m_more;
+
+    void operator()(core::dispatch_effect const& e) const
+    {
+        if (auto* c = find_call(m_host, e.m_request))
+        {
+            c->m_is_queued = false;
+            dispatch_attempt(m_host, *c, e);
+        }
+    }
+
+    void operator()(core::refuse_effect const& e) const
+    {
+        if (auto* c = find_call(m_host, e.m_request))
+        {
+            c->m_is_queued = false;
+            bool const is_late = e.m_code == result_code::target_silent &&
+                                 now() >= c->m_classified.m_deadline;
+            fail_call(m_host, *c,
+                      is_late ? result_code::deadline_passed_after_dispatch
+                              : e.m_code);
+        }
+    }
+
+    void operator()(core::relay_effect const& e) const
+    {
+        if (auto* c = find_call(m_host, e.m_request))
+        {
+            start_relay(m_host, *c, e.m_attempt);
+        }
+    }
+
+    void operator()(core::cancel_attempt_effect const& e) const
+    {
+        if (auto* c = find_call(m_host, e.m_request))
+        {
+            cancel_attempt(m_host, *c, e.m_attempt);
+        }
+        core::on_attempt_ended(
+            *m_hosted.m_pool,
+            {e.m_request,
+             e.m_attempt,
+             core::attempt_outcome::cancelled,
+             {},
+             false},
+            now(), budgets_of(m_host, m_hosted.m_id.m_service), m_more);
+    }
+
+    void operator()(core::spill_effect const& e) const
+    {
+        spill_call(m_host, m_hosted, e);
+    }
+
+    void operator()(core::probe_effect const& e) const
+    {
+        send_probe(m_host, m_hosted.m_id, e.m_target);
+    }
+};
+
+bool is_owner(host& h, core::pool_id const& id)
+{
+    auto const& order =
+        core::owners(h.m_routing, *h.m_configuration.m_in_force, id);
+    return !order.empty() && order.front() == h.m_settings.m_name;
+}
+
+/// A pool that appears because its former owner died starts with reduced
+/// limits; the calls in flight there are not known.
+core::pool_start start_of(host const& h, core::pool_id const& id)
+{
+    auto const is_lost = [](core::host_record const& other)
+    {
+        return other.m_state == core::host_state::dead ||
+               other.m_state == core::host_state::suspected;
+    };
+    std::vector<core::owner_candidate> candidates;
+    for (auto const& other : h.m_routing.m_hosts)
+    {
+        if (other.m_state == core::host_state::live || is_lost(other))
+        {
+            candidates.push_back({other.m_name, other.m_zone});
+        }
+    }
+    auto const order =
+        core::owner_order(id, candidates, *h.m_configuration.m_in_force);
+    if (order.empty() || order.front() == h.m_settings.m_name)
+    {
+        return core::pool_start::fresh;
+    }
+    auto const* first = core::find_host(h.m_routing, order.front());
+    return first != nullptr && is_lost(*first) ? core::pool_start::after_crash
+                                               : core::pool_start::fresh;
+}
+
+void hand_pool_over(host& h, hosted_pool& hosted)
+{
+    hosted.m_is_owned = false;
+    auto const& order =
+        core::owners(h.m_routing, *h.m_configuration.m_in_force, hosted.m_id);
+    if (order.empty())
+    {
+        return;
+    }
+    net::handover_message message{
+        hosted.m_id.m_service, hosted.m_id.m_zone, {}};
+    for (auto const& target : core::hand_over(*hosted.m_pool))
+    {
+        auto const known = h.m_targets.find(target.m_id);
+        if (known != h.m_targets.end())
+        {
+            message.m_targets.push_back(
+                {known->second.m_name, target.m_in_flight, target.m_limit});
+        }
+    }
+    auto const sent = h.m_peers->send(order.front(), message);
+    h.m_metrics.count_event(has_value(sent) ? "pool_handed_over"
+                                            : "pool_hand_over_failed");
+    logging::write(logging::level::info, "serve.pools", "pool handed over",
+                   {{"service", hosted.m_id.m_service},
+                    {"zone", hosted.m_id.m_zone},
+                    {"owner", order.front()}});
+}
+
+} // namespace
+
+core::target_id intern_target(host& h, std::string const& service,
+                              core::target_config const& target)
+{
+    auto const address = target.m_name + "@" + target.m_address + ":" +
+                         std::to_string(target.m_port);
+    auto const next =
+        core::target_id{static_cast<std::uint32_t>(h.m_target_ids.size() + 1)};
+    auto const [entry, is_new] =
+        h.m_target_ids.try_emplace({service, address}, next);
+    auto& known = h.m_targets[entry->second];
+    if (is_new)
+    {
+        known.m_service = service;
+        known.m_name = target.m_name;
+        known.m_endpoint = {target.m_address, target.m_port};
+    }
+    known.m_max_connections =
+        static_cast<std::size_t>(target.m_max_connections);
+    return entry->second;
+}
+
+core::service_budgets& budgets_of(host& h, std::string const& service)
+{
+    auto const [entry, is_new] = h.m_budgets.try_emplace(service);
+    if (is_new)
+    {
+        auto const& document = *h.m_configuration.m_in_force;
+        auto const* config = core::find_service(document, service);
+        if (config != nullptr)
+        {
+            // Each host holds its share as if every host of the maximum
+            // probed the same target, so that the sum at one target stays
+            // within the budget whatever hosts know of each other.
+            std::chrono::duration<double> const share =
+                config->m_probe_budget.m_cost_per_second /
+                document.m_max_entry_hosts;
+            std::chrono::duration<double> const largest =
+                config->m_probe_budget.m_probe_cost +
+                config->m_probe_budget.m_connection_cost;
+            entry->second.m_probe =
+                core::make_token_bucket(share.count(), largest.count(), now());
+            entry->second.m_retry = {config->m_retry_budget.m_ratio,
+                                     config->m_retry_budget.m_burst, 0};
+        }
+    }
+    return entry->second;
+}
+
+hosted_pool* find_pool(host& h, core::pool_id const& id) noexcept
+{
+    auto const found = h.m_pools.find(id);
+    return found == h.m_pools.end() ? nullptr : found->second.get();
+}
+
+hosted_pool* get_or_create_pool(host& h, core::pool_id const& id)
+{
+    if (auto* known = find_pool(h, id))
+    {
+        return known;
+    }
+    auto const* service =
+        core::find_service(*h.m_configuration.m_in_force, id.m_service);
+    auto timer =
+        net::timer::create(*h.m_loop, [&h, id] { on_pool_timer(h, id); });
+    if (service == nullptr || !has_value(timer))
+    {
+        return nullptr;
+    }
+    auto created = std::make_unique<hosted_pool>();
+    created->m_id = id;
+    created->m_pool =
+        core::make_pool(rules_of(*service), start_of(h, id), now());
+    created->m_timer = take(std::move(timer));
+    created->m_is_owned = is_owner(h, id);
+    auto& hosted = *created;
+    h.m_pools.emplace(id, std::move(created));
+    core::pool_effects effects;
+    core::set_targets(*hosted.m_pool, targets_of(h, id), now(),
+                      budgets_of(h, id.m_service), effects);
+    apply_effects(h, hosted, std::move(effects));
+    return &hosted;
+}
+
+void apply_effects(host& h, hosted_pool& hosted, core::pool_effects effects)
+{
+    for (std::size_t i = 0; i < effects.size(); ++i)
+    {
+        auto const effect = effects[i];
+        std::visit(effect_visitor{h, hosted, effects}, effect);
+    }
+    restart_timer(hosted);
+}
+
+void enqueue_call(host& h, call& c)
+{
+    auto* hosted = get_or_create_pool(h, c.m_pool);
+    if (hosted == nullptr)
+    {
+        fail_call(h, c, result_code::unknown_service);
+        return;
+    }
+    c.m_is_queued = true;
+    core::pool_effects effects;
+    core::on_arrival(
+        *hosted->m_pool,
+        {c.m_id, c.m_classified.m_kind_id, c.m_classified.m_deadline,
+         c.m_accepted.m_earlier_attempts, c.m_origin == call_origin::spilled},
+        now(), budgets_of(h, c.m_pool.m_service), effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void cancel_in_pool(host& h, call& c)
+{
+    auto* hosted = find_pool(h, c.m_pool);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    core::pool_effects effects;
+    core::on_cancel(*hosted->m_pool, c.m_id, now(),
+                    budgets_of(h, c.m_pool.m_service), effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void finish_attempt(host& h, core::pool_id const& pool,
+                    core::attempt_end const& end)
+{
+    auto* hosted = find_pool(h, pool);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    core::pool_effects effects;
+    core::on_attempt_ended(*hosted->m_pool, end, now(),
+                           budgets_of(h, pool.m_service), effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void announce_answer(host& h, call const& c, core::attempt_number attempt)
+{
+    auto* hosted = find_pool(h, c.m_pool);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    core::pool_effects effects;
+    core::on_answer_started(*hosted->m_pool, c.m_id, attempt, now(), effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void return_spilled_call(host& h, call& c)
+{
+    auto* hosted = find_pool(h, c.m_pool);
+    if (hosted == nullptr || !hosted->m_spilled.contains(c.m_id))
+    {
+        fail_call(h, c, result_code::spill_refused);
+        return;
+    }
+    auto const arrival = hosted->m_spilled.at(c.m_id);
+    hosted->m_spilled.erase(c.m_id);
+    c.m_is_queued = true;
+    core::pool_effects effects;
+    core::on_spill_refused(*hosted->m_pool, arrival, now(),
+                           budgets_of(h, c.m_pool.m_service), effects);
+    apply_effects(h, *hosted, std::move(effects));
+}
+
+void forget_spilled_call(host& h, call const& c)
+{
+    if (auto* hosted = find_pool(h, c.m_pool))
+    {
+        hosted->m_spilled.erase(c.m_id);
+    }
+}
+
+void update_pools(host& h)
+{
+    if (h.m_configuration.m_in_force == nullptr)
+    {
+        return;
+    }
+    std::vector<core::pool_id> ids;
+    for (auto const& [id, hosted] : h.m_pools)
+    {
+        ids.push_back(id);
+    }
+    for (auto const& id : ids)
+    {
+        auto& hosted = *h.m_pools.at(id);
+        auto const* service =
+            core::find_service(*h.m_configuration.m_in_force, id.m_service);
+        if (service != nullptr)
+        {
+            core::set_rules(*hosted.m_pool, rules_of(*service));
+        }
+        core::pool_effects effects;
+        core::set_targets(*hosted.m_pool, targets_of(h, id), now(),
+                          budgets_of(h, id.m_service), effects);
+        apply_effects(h, hosted, std::move(effects));
+        bool const is_owned = is_owner(h, id);
+        if (hosted.m_is_owned && !is_owned)
+        {
+            hand_pool_over(h, hosted);
+        }
+        hosted.m_is_owned = is_owned;
+        bool const is_idle = core::queue_length(*hosted.m_pool) == 0 &&
+                             core::in_flight(*hosted.m_pool) == 0 &&
+                             hosted.m_spilled.empty();
+        if (!is_owned && is_idle)
+        {
+            h.m_pools.erase(id);
+        }
+    }
+}
+
+bool mark_target_leaving(host& h, std::string const& service,
+                         std::string const& target)
+{
+    auto const [entry, is_new] =
+        h.m_leaving_targets.try_emplace({service, target}, now());
+    entry->second = now();
+    if (is_new)
+    {
+        logging::write(logging::level::info, "serve.pools", "target leaving",
+                       {{"service", service}, {"target", target}});
+        update_pools(h);
+    }
+    return is_new;
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/pools.hpp
@@ -0,0 +1,65 @@
+#ifndef HAWTHORNSPUR_SERVE_POOLS_HPP
+#define HAWTHORNSPUR_SERVE_POOLS_HPP
+
+#include "core/ids.hpp"
+#include "core/pool.hpp"
+
+#include <string>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+struct hosted_pool;
+struct call;
+
+/// Filters queue and bind: hands the call to its pool on this host, which is
+/// created when it is first needed.
+void enqueue_call(host& h, call& c);
+
+/// Takes the call out of its pool; an attempt in flight is cancelled.
+void cancel_in_pool(host& h, call& c);
+
+/// Tells the call's pool that an attempt ended. The call may have ended on
+/// return.
+void finish_attempt(host& h, core::pool_id const& pool,
+                    core::attempt_end const& end);
+
+/// Tells the call's pool that the head of an answer arrived. The call may
+/// have ended on return.
+void announce_answer(host& h, call const& c, core::attempt_number attempt);
+
+/// The other zone refused a spilled request: it goes back into its pool.
+void return_spilled_call(host& h, call& c);
+
+/// The other zone answered a spilled request or it ended here.
+void forget_spilled_call(host& h, call const& c);
+
+/// Applies a new configuration or membership to all pools: rules, targets,
+/// and the hand-over of pools that other hosts own now.
+void update_pools(host& h);
+
+/// Marks a target as leaving in all its pools. Returns false when that was
+/// known already.
+bool mark_target_leaving(host& h, std::string const& service,
+                         std::string const& target);
+
+/// The pool on this host, or null.
+hosted_pool* find_pool(host& h, core::pool_id const& id) noexcept;
+
+/// Creates the pool if this host does not have it. Null when the
+/// configuration no longer has the service.
+hosted_pool* get_or_create_pool(host& h, core::pool_id const& id);
+
+core::service_budgets& budgets_of(host& h, std::string const& service);
+
+/// Carries out what a pool asked for, then restarts its timer.
+void apply_effects(host& h, hosted_pool& hosted, core::pool_effects effects);
+
+/// The number for a target of a service, new ones included.
+core::target_id intern_target(host& h, std::string const& service,
+                              core::target_config const& target);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/probing.cpp
@@ -0,0 +1,78 @@
+#include "serve/probing.hpp"
+
+#include "core/pool.hpp"
+#include "serve/host.hpp"
+#include "serve/leaving_targets.hpp"
+#include "serve/pools.hpp"
+#include "serve/target_signals.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+constexpr auto probe_timeout = std::chrono::seconds(1);
+constexpr std::size_t max_probe_answer_bytes = std::size_t{64} << 10U;
+constexpr int first_error_status = 400;
+
+void on_probe_ended(host& h, core::pool_id const& pool,
+                    core::probe_answer const& answer)
+{
+    auto* hosted = find_pool(h, pool);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    core::pool_effects effects;
+    core::on_probe_answer(*hosted->m_pool, answer, now(),
+                          budgets_of(h, pool.m_service), effects);
+    apply_effects(h, *hosted, std::move(effects));
+    if (answer.m_draining)
+    {
+        announce_leaving_target(h, answer.m_target);
+    }
+}
+
+} // namespace
+
+void send_probe(host& h, core::pool_id const& pool, core::target_id target)
+{
+    auto const known = h.m_targets.find(target);
+    auto const* service =
+        core::find_service(*h.m_configuration.m_in_force, pool.m_service);
+    if (known == h.m_targets.end() || service == nullptr)
+    {
+        return;
+    }
+    h.m_metrics.count_event("probe");
+    auto answer = std::make_shared<core::probe_answer>();
+    answer->m_target = target;
+    net::exchange_options options;
+    options.m_timeout = probe_timeout;
+    options.m_max_answer_bytes = max_probe_answer_bytes;
+    net::http_request const request{
+        "GET", service->m_probe_budget.m_path, {{"Host", pool.m_service}}, {}};
+    auto on_head = [answer](net::http_response_head const& head,
+                            std::optional<std::uint64_t> /*length*/)
+    {
+        answer->m_healthy = head.m_status < first_error_status;
+        answer->m_draining = is_draining(head);
+        answer->m_load = read_load(head);
+    };
+    auto on_end = [&h, pool, answer](net::exchange_outcome outcome)
+    {
+        answer->m_healthy =
+            answer->m_healthy && outcome == net::exchange_outcome::complete;
+        on_probe_ended(h, pool, *answer);
+    };
+    h.m_client->send(known->second.m_endpoint, request, options,
+                     {.m_on_head = std::move(on_head),
+                      .m_on_data = {},
+                      .m_on_end = std::move(on_end)});
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/probing.hpp
@@ -0,0 +1,16 @@
+#ifndef HAWTHORNSPUR_SERVE_PROBING_HPP
+#define HAWTHORNSPUR_SERVE_PROBING_HPP
+
+#include "core/ids.hpp"
+
+namespace hawthornspur::serve
+{
+
+struct host;
+
+/// Asks the health endpoint of a target and tells its pool the answer.
+void send_probe(host& h, core::pool_id const& pool, core::target_id target);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/relay.cpp
@@ -0,0 +1,102 @@
+#include "serve/relay.hpp"
+
+#include "serve/accept.hpp"
+#include "serve/forwarding.hpp"
+#include "serve/host.hpp"
+
+#include <cassert>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// Reading from the target stops above this many bytes that the receiver has
+/// not taken yet.
+constexpr std::size_t max_buffered_bytes = std::size_t{256} << 10U;
+
+/// Answers up to this size are kept for copies of an at-most-once request.
+constexpr std::size_t max_kept_bytes = std::size_t{64} << 10U;
+
+void remove_own_headers(net::http_headers& list)
+{
+    net::remove_hop_by_hop_headers(list);
+    net::remove_header(list, headers::load);
+    net::remove_header(list, headers::draining);
+    net::remove_header(list, "Content-Length");
+}
+
+} // namespace
+
+void keep_answer_data(call& c, std::string_view data)
+{
+    if (!c.m_keeps_answer)
+    {
+        return;
+    }
+    if (c.m_kept->m_body.size() + data.size() > max_kept_bytes)
+    {
+        c.m_keeps_answer = false;
+        c.m_kept.reset();
+        return;
+    }
+    c.m_kept->m_body += data;
+}
+
+void start_relay(host& h, call& c, core::attempt_number number)
+{
+    auto& attempt = c.m_attempts.at(number);
+    assert(attempt.m_head.has_value());
+    c.m_relayed_attempt = number;
+    c.m_is_answer_started = true;
+    auto head = *std::exchange(attempt.m_head, std::nullopt);
+    remove_own_headers(head.m_headers);
+    if (c.m_key)
+    {
+        c.m_keeps_answer = true;
+        c.m_kept = core::kept_answer{head.m_status, head.m_headers, {}};
+    }
+    h.m_metrics.count_event("answer_started");
+    if (c.m_sink.m_start)
+    {
+        c.m_sink.m_start(std::move(head), attempt.m_length);
+    }
+}
+
+void relay_data(host& h, core::request_id id, core::attempt_number number,
+                std::string_view data)
+{
+    auto* c = find_call(h, id);
+    if (c == nullptr || c->m_relayed_attempt != number)
+    {
+        return;
+    }
+    keep_answer_data(*c, data);
+    if (!c->m_sink.m_write)
+    {
+        return;
+    }
+    c->m_sink.m_write(data);
+    if (c->m_sink.m_buffered() > max_buffered_bytes)
+    {
+        h.m_client->set_reading(c->m_attempts.at(number).m_exchange, false);
+    }
+}
+
+void resume_reading(host& h, call& c)
+{
+    if (c.m_forwarded)
+    {
+        grant_window(h, c);
+        return;
+    }
+    auto const found = c.m_attempts.find(c.m_relayed_attempt);
+    if (found != c.m_attempts.end())
+    {
+        h.m_client->set_reading(found->second.m_exchange, true);
+    }
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/relay.hpp
@@ -0,0 +1,30 @@
+#ifndef HAWTHORNSPUR_SERVE_RELAY_HPP
+#define HAWTHORNSPUR_SERVE_RELAY_HPP
+
+#include "core/ids.hpp"
+
+#include <string_view>
+
+namespace hawthornspur::serve
+{
+
+struct host;
+struct call;
+
+/// Starts to relay the answer of an attempt whose head has arrived.
+void start_relay(host& h, call& c, core::attempt_number attempt);
+
+/// Relays a piece of an answer. Pieces of attempts that are not relayed are
+/// dropped.
+void relay_data(host& h, core::request_id id, core::attempt_number attempt,
+                std::string_view data);
+
+/// Keeps a piece of an at-most-once answer for later copies, up to a bound.
+void keep_answer_data(call& c, std::string_view data);
+
+/// Reads on at the target after the receiver has caught up.
+void resume_reading(host& h, call& c);
+
+} // namespace hawthornspur::serve
+
+#endif
--- /dev/null
+++ b/src/serve/spilling.cpp
@@ -0,0 +1,164 @@
+#include "serve/spilling.hpp"
+
+#include "core/routing.hpp"
+#include "serve/host.hpp"
+#include "serve/pools.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// Pools above this share of used slots exchange summaries.
+constexpr double busy_share = 0.6;
+
+constexpr std::size_t max_remote_pools = 2;
+
+/// An owner answers the summaries of others at most this often for a pool.
+constexpr auto min_reply_interval = std::chrono::milliseconds(400);
+
+/// Slots that a former owner reported as used are free at the latest after
+/// this time, when the calls there have passed their deadlines.
+constexpr auto handover_hold = std::chrono::seconds(2);
+
+bool is_busy(core::pool_summary const& summary)
+{
+    return summary.m_queued > 0 ||
+           summary.m_free_slots < (1 - busy_share) * summary.m_slots;
+}
+
+net::summary_message to_message(core::pool_id const& id,
+                                core::pool_summary const& summary)
+{
+    return {id.m_service,    id.m_zone,        summary.m_free_slots,
+            summary.m_slots, summary.m_queued, summary.m_expected_wait};
+}
+
+std::vector<core::remote_pool> neighbours(host& h, core::pool_id const& id)
+{
+    auto const& document = *h.m_configuration.m_in_force;
+    auto const* service = core::find_service(document, id.m_service);
+    if (service == nullptr)
+    {
+        return {};
+    }
+    return core::remote_pools(h.m_routing, document, *service, id.m_zone,
+                              max_remote_pools);
+}
+
+bool owns(host& h, core::pool_id const& id)
+{
+    auto const& order =
+        core::owners(h.m_routing, *h.m_configuration.m_in_force, id);
+    return !order.empty() && order.front() == h.m_settings.m_name;
+}
+
+void learn_summary(host& h, core::pool_id const& id, std::string const& from,
+                   core::pool_summary const& summary)
+{
+    auto* hosted = get_or_create_pool(h, id);
+    if (hosted == nullptr)
+    {
+        return;
+    }
+    for (auto const& remote : neighbours(h, id))
+    {
+        if (remote.m_pool.m_zone == summary.m_zone)
+        {
+            core::on_summary(*hosted->m_pool, summary, remote.m_cost, now());
+        }
+    }
+    auto const own = core::summarize(*hosted->m_pool, id.m_zone, now());
+    if (!is_busy(own) &&
+        now() - hosted->m_last_summary_reply >= min_reply_interval)
+    {
+        hosted->m_last_summary_reply = now();
+        static_cast<void>(h.m_peers->send(from, to_message(id, own)));
+    }
+}
+
+} // namespace
+
+void send_summaries(host& h)
+{
+    if (h.m_configuration.m_in_force == nullptr)
+    {
+        return;
+    }
+    for (auto const& [id, hosted] : h.m_pools)
+    {
+        auto const summary = core::summarize(*hosted->m_pool, id.m_zone, now());
+        if (!hosted->m_is_owned || !is_busy(summary))
+        {
+            continue;
+        }
+        for (auto const& remote : neighbours(h, id))
+        {
+            if (remote.m_owner != h.m_settings.m_name)
+            {
+                static_cast<void>(
+                    h.m_peers->send(remote.m_owner, to_message(id, summary)));
+            }
+        }
+    }
+}
+
+void on_summary_message(host& h, std::string const& from,
+                        net::summary_message const& message)
+{
+    if (h.m_configuration.m_in_force == nullptr)
+    {
+        return;
+    }
+    core::pool_summary summary;
+    summary.m_zone = message.m_zone;
+    summary.m_free_slots = message.m_free_slots;
+    summary.m_slots = message.m_slots;
+    summary.m_queued = message.m_queued;
+    summary.m_expected_wait = message.m_expected_wait;
+    for (auto const& zone : h.m_configuration.m_in_force->m_zones)
+    {
+        core::pool_id const id{message.m_service, zone.m_name};
+        if (zone.m_name != message.m_zone && owns(h, id))
+        {
+            learn_summary(h, id, from, summary);
+        }
+    }
+}
+
+void on_handover(host& h, net::handover_message const& message)
+{
+    if (h.m_configuration.m_in_force == nullptr)
+    {
+        return;
+    }
+    core::pool_id const id{message.m_service, message.m_zone};
+    auto* hosted = get_or_create_pool(h, id);
+    auto const* service =
+        core::find_service(*h.m_configuration.m_in_force, id.m_service);
+    if (hosted == nullptr || service == nullptr)
+    {
+        return;
+    }
+    std::vector<core::target_handover> counts;
+    for (auto const& target : service->m_targets)
+    {
+        auto const found =
+            std::find_if(message.m_targets.begin(), message.m_targets.end(),
+                         [&](net::handover_target const& entry)
+                         { return entry.m_target == target.m_name; });
+        if (target.m_zone == id.m_zone && found != message.m_targets.end())
+        {
+            counts.push_back({intern_target(h, id.m_service, target),
+                              found->m_in_flight, found->m_limit});
+        }
+    }
+    core::take_over(*hosted->m_pool, counts, now() + handover_hold, now());
+    h.m_metrics.count_event("pool_taken_over");
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/stop.cpp
@@ -0,0 +1,106 @@
+#include "serve/stop.hpp"
+
+#include "base/logging.hpp"
+#include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
+#include "serve/pipeline.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// Time for the last answers and messages to leave the socket buffers.
+constexpr auto linger = std::chrono::milliseconds(200);
+
+core::duration answer_lifetime(host const& h)
+{
+    return h.m_configuration.m_in_force == nullptr
+               ? core::duration(0)
+               : h.m_configuration.m_in_force->m_address_lifetime;
+}
+
+void cut_remaining_calls(host& h)
+{
+    std::vector<core::request_id> ids;
+    for (auto const& [id, c] : h.m_calls)
+    {
+        ids.push_back(id);
+    }
+    for (auto const id : ids)
+    {
+        if (auto* c = find_call(h, id))
+        {
+            bool const may_have_run =
+                !c->m_attempts.empty() || c->m_forwarded.has_value();
+            fail_call(h, *c,
+                      may_have_run ? result_code::stop_bound_reached
+                                   : result_code::host_leaving);
+        }
+    }
+    logging::write(logging::level::warn, "serve.stop", "stop bound reached",
+                   {{"calls_cut", std::to_string(ids.size())}});
+}
+
+void finish_stop(host& h)
+{
+    h.m_stop = stop_stage::finished;
+    h.m_stop_deadline = now() + linger;
+    logging::write(logging::level::info, "serve.stop", "no call in flight");
+}
+
+} // namespace
+
+void begin_stop(host& h, std::string const& reason)
+{
+    if (h.m_stop != stop_stage::running)
+    {
+        logging::write(logging::level::warn, "serve.stop",
+                       "stop already in progress", {{"reason", reason}});
+        return;
+    }
+    logging::write(logging::level::info, "serve.stop", "planned stop begins",
+                   {{"reason", reason}});
+    h.m_stop = stop_stage::leaving;
+    h.m_stop_deadline = now() + h.m_settings.m_stop_bound;
+    h.m_answers_expire = now() + answer_lifetime(h);
+    announce_self(h);
+}
+
+void check_stop(host& h)
+{
+    if (h.m_stop == stop_stage::running)
+    {
+        return;
+    }
+    if (h.m_stop == stop_stage::finished)
+    {
+        if (now() >= h.m_stop_deadline)
+        {
+            h.m_loop->stop();
+        }
+        return;
+    }
+    if (now() >= h.m_stop_deadline)
+    {
+        cut_remaining_calls(h);
+        finish_stop(h);
+        return;
+    }
+    if (h.m_stop == stop_stage::leaving && now() >= h.m_answers_expire)
+    {
+        h.m_stop = stop_stage::finishing;
+        h.m_callers->close_listener();
+    }
+    if (h.m_stop == stop_stage::finishing && h.m_calls.empty() &&
+        h.m_incoming.empty() && h.m_outgoing.empty())
+    {
+        finish_stop(h);
+    }
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/target_signals.cpp
@@ -0,0 +1,58 @@
+#include "serve/target_signals.hpp"
+
+#include "base/text.hpp"
+#include "serve/accept.hpp"
+
+#include <algorithm>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+bool is_set(net::http_response_head const& head, std::string_view name)
+{
+    return net::find_header(head.m_headers, name) == std::string_view("1");
+}
+
+} // namespace
+
+bool is_not_run(net::http_response_head const& head,
+                core::kind_config const& kind)
+{
+    auto const& statuses = kind.m_not_run_statuses;
+    constexpr int unavailable = 503;
+    return std::find(statuses.begin(), statuses.end(), head.m_status) !=
+               statuses.end() ||
+           (head.m_status == unavailable && is_set(head, headers::not_run));
+}
+
+bool is_draining(net::http_response_head const& head)
+{
+    return is_set(head, headers::draining);
+}
+
+std::optional<core::reported_load>
+read_load(net::http_response_head const& head)
+{
+    auto const text = net::find_header(head.m_headers, headers::load);
+    if (!text)
+    {
+        return std::nullopt;
+    }
+    auto const slash = text->find('/');
+    if (slash == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    auto const in_flight = parse_number<int>(text->substr(0, slash));
+    auto const slots = parse_number<int>(text->substr(slash + 1));
+    if (!in_flight || !slots || *in_flight < 0 || *slots <= 0)
+    {
+        return std::nullopt;
+    }
+    return core::reported_load{*in_flight, *slots};
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/target_signals.hpp
@@ -0,0 +1,27 @@
+#ifndef HAWTHORNSPUR_SERVE_TARGET_SIGNALS_HPP
+#define HAWTHORNSPUR_SERVE_TARGET_SIGNALS_HPP
+
+#include "core/configuration.hpp"
+#include "core/pool.hpp"
+#include "net/http_message.hpp"
+
+#include <optional>
+
+namespace hawthornspur::serve
+{
+
+/// Whether the target says that it refused the request without running it.
+bool is_not_run(net::http_response_head const& head,
+                core::kind_config const& kind);
+
+/// Whether the target announces that it is leaving.
+bool is_draining(net::http_response_head const& head);
+
+/// The load that the target reports, "in-flight/slots"; absent when the
+/// header is missing or malformed.
+std::optional<core::reported_load>
+read_load(net::http_response_head const& head);
+
+} // namespace hawthornspur::serve
+
+#endif
