Read and check documents and settings; call the platform over HTTP

Cause: hosts, commands and tools need configuration documents, host settings and the platform's store.

Change: a checked reader of JSON values and one file for each section of a document; durations and sizes with units; canonical printing; head and parts under their content hash; host settings; platform_calls over the HTTP client with a timeout for each call. Beyond the fields themselves the check refuses kinds that an earlier kind always matches first, hedging of at-most-once kinds, at-most-once deadlines above the key lifetime, missing delays between zones, and a target listed twice.

--- /dev/null
+++ b/src/config/base_section.cpp
@@ -0,0 +1,94 @@
+#include "config/quantity.hpp"
+#include "config/sections.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+void read_zone(object_reader& reader, core::zone_config& out)
+{
+    using std::chrono::nanoseconds;
+    using std::chrono::seconds;
+    read_text(reader, "name", need::required, name_rule, out.m_name);
+    read_text(reader, "region", need::optional, name_or_empty_rule,
+              out.m_region);
+    read_object(reader, "one_way_delay", need::optional,
+                [&](object_reader& inner)
+                {
+                    for (auto const& [zone, value] : inner.m_object->items())
+                    {
+                        core::duration delay{0};
+                        read_duration(inner, zone, need::required,
+                                      nanoseconds(0), seconds(10), delay);
+                        out.m_one_way_delay[zone] = delay;
+                    }
+                });
+    read_duration(reader, "extra_cost", need::optional, nanoseconds(0),
+                  seconds(10), out.m_extra_cost);
+}
+
+nlohmann::ordered_json print_zone(core::zone_config const& zone)
+{
+    nlohmann::ordered_json out;
+    out["name"] = zone.m_name;
+    out["region"] = zone.m_region;
+    auto delays = nlohmann::ordered_json::object();
+    for (auto const& [name, delay] : zone.m_one_way_delay)
+    {
+        delays[name] = print_duration(delay);
+    }
+    out["one_way_delay"] = std::move(delays);
+    out["extra_cost"] = print_duration(zone.m_extra_cost);
+    return out;
+}
+
+} // namespace
+
+void read_base(object_reader& reader, core::configuration& out)
+{
+    using std::chrono::hours;
+    using std::chrono::seconds;
+    constexpr std::uint64_t most_hosts = 10'000;
+    constexpr std::uint64_t deepest = 1000;
+    read_objects(reader, "zones", need::required, 1, max_zones, read_zone,
+                 out.m_zones);
+    read_integer(reader, "max_entry_hosts", need::optional, 1, most_hosts,
+                 out.m_max_entry_hosts);
+    read_duration(reader, "address_lifetime", need::optional, seconds(1),
+                  hours(1), out.m_address_lifetime);
+    read_duration(reader, "key_lifetime", need::optional, seconds(1), hours(1),
+                  out.m_key_lifetime);
+    read_integer(reader, "max_depth", need::optional, 1, deepest,
+                 out.m_max_depth);
+}
+
+nlohmann::ordered_json print_base(core::configuration const& document)
+{
+    nlohmann::ordered_json out;
+    auto zones = nlohmann::ordered_json::array();
+    for (auto const& zone : document.m_zones)
+    {
+        zones.push_back(print_zone(zone));
+    }
+    out["zones"] = std::move(zones);
+    out["max_entry_hosts"] = document.m_max_entry_hosts;
+    out["address_lifetime"] = print_duration(document.m_address_lifetime);
+    out["key_lifetime"] = print_duration(document.m_key_lifetime);
+    out["max_depth"] = document.m_max_depth;
+    return out;
+}
+
+void read_version(object_reader& reader, need wanted, std::uint64_t& generation,
+                  std::string& change_id)
+{
+    // Numbers above this are not exact in every language's JSON reader.
+    constexpr auto largest = (std::uint64_t{1} << 53U) - 1;
+    read_integer(reader, "generation", wanted, 0, largest, generation);
+    read_text(reader, "change_id", wanted, name_or_empty_rule, change_id);
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/document.cpp
@@ -0,0 +1,69 @@
+#include "config/document.hpp"
+
+#include "config/json_text.hpp"
+#include "config/sections.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace hawthornspur::config
+{
+
+checked<core::configuration> parse_document(std::string_view text)
+{
+    problems faults;
+    auto const parsed = parse_json(text, faults);
+    if (!faults.empty())
+    {
+        return faults;
+    }
+    core::configuration document;
+    auto reader = open_object(parsed, "", faults);
+    if (reader)
+    {
+        read_version(*reader, need::optional, document.m_generation,
+                     document.m_change_id);
+        read_base(*reader, document);
+        read_objects(*reader, "services", need::required, 0, max_services,
+                     read_service, document.m_services);
+        report_unknown_fields(*reader);
+        check_references(document, faults);
+    }
+    if (!faults.empty())
+    {
+        return faults;
+    }
+    return document;
+}
+
+std::string print_document(core::configuration const& document)
+{
+    constexpr int indentation = 2;
+    nlohmann::ordered_json out;
+    out["generation"] = document.m_generation;
+    out["change_id"] = document.m_change_id;
+    out.update(print_base(document));
+    auto services = nlohmann::ordered_json::array();
+    for (auto const& service : document.m_services)
+    {
+        services.push_back(print_service(service));
+    }
+    out["services"] = std::move(services);
+    return out.dump(indentation) + "\n";
+}
+
+std::string describe(problems const& list)
+{
+    std::string text;
+    for (auto const& fault : list)
+    {
+        text += fault.m_path.empty() ? "" : fault.m_path + ": ";
+        text += fault.m_message + " (" +
+                std::to_string(static_cast<unsigned>(fault.m_code)) + " " +
+                std::string(info(fault.m_code).m_name) + ")\n";
+    }
+    return text;
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/json_text.cpp
@@ -0,0 +1,125 @@
+#include "config/json_text.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string position(std::string_view text, std::size_t byte)
+{
+    auto const before = text.substr(0, std::min(byte, text.size()));
+    auto const line = std::count(before.begin(), before.end(), '\n') + 1;
+    auto const last = before.rfind('\n');
+    auto const column = last == std::string_view::npos
+                            ? before.size()
+                            : before.size() - last - 1;
+    return "line " + std::to_string(line) + ", column " +
+           std::to_string(column);
+}
+
+/// nlohmann_json keeps the last of two fields of the same name without a
+/// word, which would hide half of an operator's change.
+class duplicate_field_check
+{
+public:
+    explicit duplicate_field_check(problems& out)
+        : m_problems(&out)
+    {
+    }
+
+    bool operator()(int /*depth*/, json::parse_event_t event, json& parsed)
+    {
+        switch (event)
+        {
+        case json::parse_event_t::object_start:
+            m_open.emplace_back();
+            break;
+        case json::parse_event_t::object_end:
+            m_open.pop_back();
+            break;
+        case json::parse_event_t::key:
+        {
+            auto const name = parsed.get<std::string>();
+            if (!m_open.back().insert(name).second)
+            {
+                m_problems->push_back({result_code::duplicate_name, name,
+                                       "the field is written twice in one "
+                                       "object; each is allowed once"});
+            }
+            break;
+        }
+        default:
+            break;
+        }
+        return true;
+    }
+
+private:
+    problems* m_problems;
+    std::vector<std::set<std::string>> m_open;
+};
+
+} // namespace
+
+json parse_json(std::string_view text, problems& out)
+{
+    if (text.size() > max_text_bytes)
+    {
+        out.push_back({result_code::document_too_large, "",
+                       std::to_string(text.size()) + " bytes; at most " +
+                           std::to_string(max_text_bytes) + " are allowed"});
+        return {};
+    }
+    try
+    {
+        duplicate_field_check check(out);
+        return json::parse(
+            text.begin(), text.end(),
+            [&check](int depth, json::parse_event_t event, json& parsed)
+            { return check(depth, event, parsed); },
+            true, true);
+    }
+    catch (json::parse_error const& fault)
+    {
+        out.push_back({result_code::document_syntax, "",
+                       "not valid JSON at " + position(text, fault.byte)});
+    }
+    catch (json::exception const&)
+    {
+        out.push_back({result_code::document_syntax, "",
+                       "a number is too large to be represented"});
+    }
+    return {};
+}
+
+std::string describe_value(json const& value)
+{
+    constexpr std::size_t longest = 60;
+    // A nested value is not printed: its depth is up to whoever wrote it.
+    if (value.is_object())
+    {
+        return "an object";
+    }
+    if (value.is_array())
+    {
+        return "a list of " + std::to_string(value.size());
+    }
+    auto text = value.dump(-1, ' ', true, json::error_handler_t::replace);
+    if (text.size() > longest)
+    {
+        text.resize(longest);
+        text += "...";
+    }
+    return text;
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/kind_section.cpp
@@ -0,0 +1,106 @@
+#include "config/quantity.hpp"
+#include "config/sections.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+using core::execution_rule;
+
+void read_statuses(object_reader& reader, std::vector<int>& out)
+{
+    constexpr std::size_t most = 20;
+    constexpr int lowest = 400;
+    constexpr int highest = 599;
+    read_list(reader, "not_run_statuses", need::optional, 0, most,
+              [&](nlohmann::json const& entry, std::string path)
+              {
+                  if (!entry.is_number_integer())
+                  {
+                      reader.m_problems->push_back(
+                          {result_code::wrong_type, std::move(path),
+                           "the entry is not a whole number; allowed: a "
+                           "status, 400 to 599"});
+                      return;
+                  }
+                  auto const status = entry.is_number_unsigned()
+                                          ? entry.get<std::uint64_t>()
+                                          : std::uint64_t{0};
+                  if (status < lowest || status > highest)
+                  {
+                      reader.m_problems->push_back(
+                          {result_code::value_out_of_range, std::move(path),
+                           "found " + entry.dump() +
+                               "; allowed: a status, 400 to 599"});
+                      return;
+                  }
+                  out.push_back(static_cast<int>(status));
+              });
+}
+
+} // namespace
+
+void read_kind(object_reader& reader, core::kind_config& out)
+{
+    constexpr int least_urgent = 9;
+    // A share below this cannot hold one slot of the largest pool.
+    constexpr double lowest_share = 0.0001;
+    read_text(reader, "name", need::required, name_rule, out.m_name);
+    static std::vector<std::string_view> const methods{
+        "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+    if (auto const method =
+            read_word(reader, "method", need::required, methods))
+    {
+        out.m_method = methods[*method];
+    }
+    read_text(reader, "path_prefix", need::required, path_rule,
+              out.m_path_prefix);
+    read_choice<execution_rule>(reader, "execution", need::required,
+                                {{"at_most_once", execution_rule::at_most_once},
+                                 {"idempotent", execution_rule::idempotent}},
+                                out.m_execution);
+    read_duration(reader, "deadline", need::optional,
+                  std::chrono::milliseconds(1), std::chrono::hours(1),
+                  out.m_deadline);
+    read_integer(reader, "priority", need::optional, 0, least_urgent,
+                 out.m_priority);
+    read_number(reader, "max_share", need::optional, lowest_share, 1,
+                out.m_max_share);
+    out.m_share_declared = reader.m_object->contains("max_share");
+    read_boolean(reader, "hedge", need::optional, out.m_hedge);
+    if (out.m_hedge && out.m_execution == execution_rule::at_most_once)
+    {
+        report(reader, "hedge", result_code::value_out_of_range,
+               "found true; allowed: false for an at_most_once kind, since a "
+               "hedged request is sent twice");
+    }
+    read_statuses(reader, out.m_not_run_statuses);
+}
+
+nlohmann::ordered_json print_kind(core::kind_config const& kind)
+{
+    nlohmann::ordered_json out;
+    out["name"] = kind.m_name;
+    out["method"] = kind.m_method;
+    out["path_prefix"] = kind.m_path_prefix;
+    out["execution"] = kind.m_execution == execution_rule::at_most_once
+                           ? "at_most_once"
+                           : "idempotent";
+    out["deadline"] = print_duration(kind.m_deadline);
+    out["priority"] = kind.m_priority;
+    if (kind.m_share_declared)
+    {
+        out["max_share"] = kind.m_max_share;
+    }
+    out["hedge"] = kind.m_hedge;
+    out["not_run_statuses"] = kind.m_not_run_statuses;
+    return out;
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/reference_check.cpp
@@ -0,0 +1,188 @@
+#include "config/quantity.hpp"
+#include "config/sections.hpp"
+
+#include <map>
+#include <set>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+std::string entry_path(std::string const& list, std::size_t index)
+{
+    return list + "[" + std::to_string(index) + "]";
+}
+
+std::string joined(std::set<std::string> const& names)
+{
+    std::string text;
+    for (auto const& name : names)
+    {
+        text += (text.empty() ? "" : ", ") + name;
+    }
+    return text;
+}
+
+/// Reports each name that an earlier entry of the list has. Entries whose
+/// name is empty were reported before.
+template <class T>
+std::set<std::string> check_names(std::vector<T> const& list,
+                                  std::string const& path, problems& out)
+{
+    std::map<std::string, std::size_t> first;
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < list.size(); ++i)
+    {
+        auto const& name = list[i].m_name;
+        if (name.empty())
+        {
+            continue;
+        }
+        names.insert(name);
+        auto const [entry, added] = first.emplace(name, i);
+        if (!added)
+        {
+            out.push_back({result_code::duplicate_name,
+                           entry_path(path, i) + ".name",
+                           "found \"" + name + "\", which " +
+                               entry_path(path, entry->second) +
+                               " has; allowed: a name used once"});
+        }
+    }
+    return names;
+}
+
+void check_zones(core::configuration const& document,
+                 std::set<std::string> const& zones, problems& out)
+{
+    for (std::size_t i = 0; i < document.m_zones.size(); ++i)
+    {
+        auto const& zone = document.m_zones[i];
+        auto const path = entry_path("zones", i) + ".one_way_delay.";
+        for (auto const& [other, delay] : zone.m_one_way_delay)
+        {
+            if (other == zone.m_name || !zones.contains(other))
+            {
+                out.push_back({result_code::unknown_reference, path + other,
+                               "found \"" + other +
+                                   "\"; allowed: the other zones of " +
+                                   joined(zones)});
+            }
+        }
+        // A missing delay would make the zone the last choice for spilling
+        // and for taking over pools without anybody having said so.
+        for (auto const& other : zones)
+        {
+            if (other != zone.m_name && !zone.m_name.empty() &&
+                !zone.m_one_way_delay.contains(other))
+            {
+                out.push_back({result_code::missing_field, path + other,
+                               "not found; the delay to each other zone is "
+                               "required"});
+            }
+        }
+    }
+}
+
+void check_kinds(core::configuration const& document,
+                 core::service_config const& service, std::string const& path,
+                 problems& out)
+{
+    auto const& kinds = service.m_kinds;
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+    {
+        auto const& kind = kinds[i];
+        auto const kind_path = entry_path(path + ".kinds", i);
+        // The home forgets a key after its lifetime; a call that still runs
+        // then could run again under the same key.
+        if (kind.m_execution == core::execution_rule::at_most_once &&
+            kind.m_deadline > document.m_key_lifetime)
+        {
+            out.push_back({result_code::value_out_of_range,
+                           kind_path + ".deadline",
+                           "found \"" + print_duration(kind.m_deadline) +
+                               "\"; allowed: at most key_lifetime, " +
+                               print_duration(document.m_key_lifetime) +
+                               ", for an at_most_once kind"});
+        }
+        if (kind.m_path_prefix.empty() || kind.m_method.empty())
+        {
+            continue;
+        }
+        for (std::size_t earlier = 0; earlier < i; ++earlier)
+        {
+            auto const& other = kinds[earlier];
+            if (!other.m_path_prefix.empty() &&
+                other.m_method == kind.m_method &&
+                kind.m_path_prefix.starts_with(other.m_path_prefix))
+            {
+                out.push_back(
+                    {result_code::value_out_of_range,
+                     kind_path + ".path_prefix",
+                     "found \"" + kind.m_path_prefix + "\", which " +
+                         entry_path(path + ".kinds", earlier) +
+                         " always matches first; allowed: longer prefixes "
+                         "before shorter ones"});
+                break;
+            }
+        }
+    }
+}
+
+void check_targets(core::service_config const& service,
+                   std::set<std::string> const& zones, std::string const& path,
+                   problems& out)
+{
+    std::map<std::pair<std::string, std::uint16_t>, std::size_t> first;
+    for (std::size_t i = 0; i < service.m_targets.size(); ++i)
+    {
+        auto const& target = service.m_targets[i];
+        auto const target_path = entry_path(path + ".targets", i);
+        // Without any zone the list of zones itself was at fault.
+        if (!target.m_zone.empty() && !zones.empty() &&
+            !zones.contains(target.m_zone))
+        {
+            out.push_back(
+                {result_code::unknown_reference, target_path + ".zone",
+                 "found \"" + target.m_zone + "\"; allowed: " + joined(zones)});
+        }
+        if (target.m_port == 0 || target.m_address.empty())
+        {
+            continue;
+        }
+        auto const [entry, added] =
+            first.emplace(std::pair(target.m_address, target.m_port), i);
+        // The slots of one server listed twice would be counted twice.
+        if (!added)
+        {
+            out.push_back({result_code::duplicate_name, target_path + ".port",
+                           "found " + std::to_string(target.m_port) + " at " +
+                               target.m_address + ", which " +
+                               entry_path(path + ".targets", entry->second) +
+                               " has; allowed: an address and port used once "
+                               "in a service"});
+        }
+    }
+}
+
+} // namespace
+
+void check_references(core::configuration const& document, problems& out)
+{
+    auto const zones = check_names(document.m_zones, "zones", out);
+    check_zones(document, zones, out);
+    check_names(document.m_services, "services", out);
+    for (std::size_t i = 0; i < document.m_services.size(); ++i)
+    {
+        auto const& service = document.m_services[i];
+        auto const path = entry_path("services", i);
+        check_names(service.m_kinds, path + ".kinds", out);
+        check_names(service.m_targets, path + ".targets", out);
+        check_kinds(document, service, path, out);
+        check_targets(service, zones, path, out);
+    }
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/sections.hpp
@@ -0,0 +1,47 @@
+#ifndef HAWTHORNSPUR_CONFIG_SECTIONS_HPP
+#define HAWTHORNSPUR_CONFIG_SECTIONS_HPP
+
+#include "config/document.hpp"
+#include "config/value_reader.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+
+namespace hawthornspur::config
+{
+
+// Bounds of whole documents. They are well above the size planned for in two
+// years: 2,700 targets in 110 services and 16 zones.
+constexpr std::size_t max_zones = 64;
+constexpr std::size_t max_services = 1000;
+constexpr std::size_t max_kinds = 100;
+constexpr std::size_t max_targets = 5000;
+
+// One pair of functions for each section of a document. The printers write
+// every field in a fixed order, so that equal sections give equal text and
+// with it equal content hashes.
+void read_kind(object_reader& reader, core::kind_config& out);
+nlohmann::ordered_json print_kind(core::kind_config const& kind);
+
+void read_target(object_reader& reader, core::target_config& out);
+nlohmann::ordered_json print_target(core::target_config const& target);
+
+void read_service(object_reader& reader, core::service_config& out);
+nlohmann::ordered_json print_service(core::service_config const& service);
+
+/// Zones and the values that hold for all services.
+void read_base(object_reader& reader, core::configuration& out);
+nlohmann::ordered_json print_base(core::configuration const& document);
+
+/// Generation and change id; both are optional in a file written by hand.
+void read_version(object_reader& reader, need wanted, std::uint64_t& generation,
+                  std::string& change_id);
+
+/// Checks that need more than one field: references, names used twice, kinds
+/// that can never match.
+void check_references(core::configuration const& document, problems& out);
+
+} // namespace hawthornspur::config
+
+#endif
--- /dev/null
+++ b/src/config/service_section.cpp
@@ -0,0 +1,104 @@
+#include "config/quantity.hpp"
+#include "config/sections.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+void read_probe_budget(object_reader& reader, core::probe_budget_config& out)
+{
+    using std::chrono::nanoseconds;
+    using std::chrono::seconds;
+    read_duration(reader, "cost_per_second", need::optional, nanoseconds(0),
+                  seconds(1), out.m_cost_per_second);
+    read_duration(reader, "probe_cost", need::optional, nanoseconds(1),
+                  seconds(1), out.m_probe_cost);
+    read_duration(reader, "connection_cost", need::optional, nanoseconds(0),
+                  seconds(1), out.m_connection_cost);
+    read_text(reader, "path", need::optional, path_rule, out.m_path);
+}
+
+void read_retry_budget(object_reader& reader, core::retry_budget_config& out)
+{
+    constexpr double most_burst = 10'000;
+    read_number(reader, "ratio", need::optional, 0, 1, out.m_ratio);
+    read_number(reader, "burst", need::optional, 0, most_burst, out.m_burst);
+}
+
+nlohmann::ordered_json
+print_probe_budget(core::probe_budget_config const& budget)
+{
+    nlohmann::ordered_json out;
+    out["cost_per_second"] = print_duration(budget.m_cost_per_second);
+    out["probe_cost"] = print_duration(budget.m_probe_cost);
+    out["connection_cost"] = print_duration(budget.m_connection_cost);
+    out["path"] = budget.m_path;
+    return out;
+}
+
+nlohmann::ordered_json
+print_retry_budget(core::retry_budget_config const& budget)
+{
+    nlohmann::ordered_json out;
+    out["ratio"] = budget.m_ratio;
+    out["burst"] = budget.m_burst;
+    return out;
+}
+
+} // namespace
+
+void read_service(object_reader& reader, core::service_config& out)
+{
+    constexpr auto kibibyte = std::size_t{1} << 10U;
+    constexpr auto gibibyte = std::size_t{1} << 30U;
+    // Request bodies are buffered whole, so their cap bounds memory.
+    constexpr auto largest_body = std::size_t{64} << 20U;
+    constexpr std::uint64_t longest_queue = 1'000'000;
+    read_text(reader, "name", need::required, name_rule, out.m_name);
+    read_objects(reader, "kinds", need::required, 1, max_kinds, read_kind,
+                 out.m_kinds);
+    read_objects(reader, "targets", need::required, 0, max_targets, read_target,
+                 out.m_targets);
+    read_object(reader, "probe_budget", need::optional,
+                [&](object_reader& inner)
+                { read_probe_budget(inner, out.m_probe_budget); });
+    read_object(reader, "retry_budget", need::optional,
+                [&](object_reader& inner)
+                { read_retry_budget(inner, out.m_retry_budget); });
+    read_size(reader, "max_body", need::optional, 0, largest_body,
+              out.m_max_body_bytes);
+    read_size(reader, "max_answer", need::optional, kibibyte, gibibyte,
+              out.m_max_answer_bytes);
+    read_integer(reader, "max_queue", need::optional, 0, longest_queue,
+                 out.m_max_queue);
+}
+
+nlohmann::ordered_json print_service(core::service_config const& service)
+{
+    nlohmann::ordered_json out;
+    out["name"] = service.m_name;
+    auto kinds = nlohmann::ordered_json::array();
+    for (auto const& kind : service.m_kinds)
+    {
+        kinds.push_back(print_kind(kind));
+    }
+    out["kinds"] = std::move(kinds);
+    auto targets = nlohmann::ordered_json::array();
+    for (auto const& target : service.m_targets)
+    {
+        targets.push_back(print_target(target));
+    }
+    out["targets"] = std::move(targets);
+    out["probe_budget"] = print_probe_budget(service.m_probe_budget);
+    out["retry_budget"] = print_retry_budget(service.m_retry_budget);
+    out["max_body"] = print_size(service.m_max_body_bytes);
+    out["max_answer"] = print_size(service.m_max_answer_bytes);
+    out["max_queue"] = service.m_max_queue;
+    return out;
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/settings_test.cpp
@@ -0,0 +1,86 @@
+#include "config/settings.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+constexpr std::string_view small_settings = R"({
+  "name": "entry-1", "zone": "a",
+  "callers": {"port": 8080},
+  "peers": {"address": "127.0.0.1", "port": 8081},
+  "platform": {"port": 8500},
+  /* all other fields have defaults */
+  "stop_bound": "90s"
+})";
+
+std::string with(std::string_view from, std::string_view to)
+{
+    std::string text(small_settings);
+    auto const at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+// Guards against settings that are read into the wrong place.
+TEST_CASE("settings are read with comments and defaults")
+{
+    auto const result = parse_settings(small_settings);
+    REQUIRE(std::holds_alternative<host_settings>(result));
+    auto const& settings = std::get<host_settings>(result);
+    CHECK(settings.m_name == "entry-1");
+    CHECK(settings.m_callers.m_port == 8080);
+    CHECK(settings.m_peers.m_port == 8081);
+    CHECK(settings.m_platform.m_address == "127.0.0.1");
+    CHECK(settings.m_stop_bound == std::chrono::seconds(90));
+    CHECK(settings.m_max_once_keys == 100'000);
+}
+
+// Guards against a host that starts with settings it cannot keep to.
+TEST_CASE("each fault of the settings is reported with its code and path")
+{
+    struct fault_case
+    {
+        std::string_view m_from;
+        std::string_view m_to;
+        result_code m_code;
+        std::string_view m_path;
+    };
+    using enum result_code;
+    auto const cases = std::to_array<fault_case>({
+        {"\"entry-1\"", "\"Entry 1\"", value_out_of_range, "name"},
+        {"\"zone\": \"a\",", "", missing_field, "zone"},
+        {"{\"port\": 8080}", "8080", wrong_type, "callers"},
+        {"{\"port\": 8500}", "{\"port\": 0}", value_out_of_range,
+         "platform.port"},
+        {"127.0.0.1", "10.0.0.1", value_out_of_range, "peers.address"},
+        {"\"90s\"", "90", wrong_type, "stop_bound"},
+        {"\"stop_bound\"", "\"stop_limit\"", unknown_field, "stop_limit"},
+        {"\"90s\"", "\"90s\", \"log_level\": \"loud\"", value_out_of_range,
+         "log_level"},
+        {"\"90s\"", "\"90s\", \"platform_calls_per_second\": 0",
+         value_out_of_range, "platform_calls_per_second"},
+    });
+    for (auto const& entry : cases)
+    {
+        CAPTURE(entry.m_to);
+        auto const result = parse_settings(with(entry.m_from, entry.m_to));
+        auto const* faults = std::get_if<problems>(&result);
+        REQUIRE(faults != nullptr);
+        CAPTURE(describe(*faults));
+        CHECK(std::any_of(faults->begin(), faults->end(),
+                          [&](problem const& fault) {
+                              return fault.m_code == entry.m_code &&
+                                     fault.m_path == entry.m_path;
+                          }));
+    }
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/platform/http_platform.cpp
@@ -0,0 +1,351 @@
+#include "platform/http_platform.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace hawthornspur::platform
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_no_content = 204;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+
+/// Values have at most one megabyte; JSON escapes make them longer.
+constexpr std::size_t max_answer_bytes = std::size_t{8} << 20U;
+
+constexpr core::duration no_wait{0};
+
+struct http_answer
+{
+    int m_status = 0;
+    std::string m_body;
+};
+
+struct connection
+{
+    net::http_client* m_client = nullptr;
+    http_platform_settings m_settings;
+};
+
+std::string hex_escape(unsigned char byte)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    return {'%', digits[byte >> 4U], digits[byte & 0xFU]};
+}
+
+/// Percent-encodes everything but the unreserved characters of RFC 3986 and
+/// the slash, which separates the parts of a key.
+std::string escape(std::string_view text)
+{
+    std::string out;
+    for (auto const c : text)
+    {
+        auto const is_plain = (c >= 'a' && c <= 'z') ||
+                              (c >= 'A' && c <= 'Z') ||
+                              (c >= '0' && c <= '9') || c == '-' || c == '_' ||
+                              c == '.' || c == '~' || c == '/';
+        out += is_plain ? std::string(1, c)
+                        : hex_escape(static_cast<unsigned char>(c));
+    }
+    return out;
+}
+
+void send(connection const& c, std::string method, std::string uri,
+          std::string body, core::duration extra_wait,
+          callback<http_answer> done)
+{
+    auto const& server = c.m_settings.m_server;
+    net::http_request request{std::move(method), std::move(uri), {}, {}};
+    net::set_header(request.m_headers, "Host", server.m_address);
+    if (!body.empty())
+    {
+        net::set_header(request.m_headers, "Content-Type", "application/json");
+        request.m_body = std::move(body);
+    }
+    net::exchange_options options;
+    options.m_timeout = c.m_settings.m_timeout + extra_wait;
+    options.m_max_answer_bytes = max_answer_bytes;
+    auto answer = std::make_shared<http_answer>();
+    net::exchange_handlers handlers;
+    handlers.m_on_head =
+        [answer](net::http_response_head head, std::optional<std::uint64_t>)
+    {
+        answer->m_status = head.m_status;
+    };
+    handlers.m_on_data = [answer](std::string_view data)
+    {
+        answer->m_body += data;
+    };
+    handlers.m_on_end =
+        [answer, done = std::move(done)](net::exchange_outcome outcome)
+    {
+        if (outcome == net::exchange_outcome::complete)
+        {
+            done(std::move(*answer));
+            return;
+        }
+        done(make_error(outcome == net::exchange_outcome::too_large ||
+                                outcome == net::exchange_outcome::malformed
+                            ? result_code::store_answer_malformed
+                            : result_code::store_unavailable,
+                        "the platform did not give a whole answer"));
+    };
+    c.m_client->send(server, request, options, std::move(handlers));
+}
+
+error unexpected(http_answer const& answer)
+{
+    constexpr int first_client_error = 400;
+    constexpr int first_server_error = 500;
+    constexpr int too_many_requests = 429;
+    // Other 4xx answers mean that the two sides disagree about the protocol;
+    // trying again would not help.
+    auto const is_protocol_fault = answer.m_status < first_server_error &&
+                                   answer.m_status >= first_client_error &&
+                                   answer.m_status != too_many_requests;
+    return make_error(answer.m_status < first_client_error || is_protocol_fault
+                          ? result_code::store_answer_malformed
+                          : result_code::store_unavailable,
+                      "the platform answered with status " +
+                          std::to_string(answer.m_status));
+}
+
+error malformed(std::string_view what)
+{
+    return make_error(result_code::store_answer_malformed,
+                      "the platform's answer has no valid " +
+                          std::string(what));
+}
+
+json parse(std::string const& body)
+{
+    return json::parse(body, nullptr, false);
+}
+
+std::optional<std::string> text_field(json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    return found != object.end() && found->is_string()
+               ? std::optional(found->get<std::string>())
+               : std::nullopt;
+}
+
+std::optional<std::uint64_t> number_field(json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    return found != object.end() && found->is_number_unsigned()
+               ? std::optional(found->get<std::uint64_t>())
+               : std::nullopt;
+}
+
+result<stored_value> read_stored_value(http_answer const& answer)
+{
+    if (answer.m_status == status_not_found ||
+        answer.m_status == status_no_content)
+    {
+        return make_error(result_code::not_found, "the key has no new value");
+    }
+    if (answer.m_status != status_ok)
+    {
+        return unexpected(answer);
+    }
+    auto const body = parse(answer.m_body);
+    auto value = text_field(body, "value");
+    auto const revision = number_field(body, "revision");
+    if (!value || !revision || *revision == 0)
+    {
+        return malformed("value and revision");
+    }
+    return stored_value{std::move(*value), *revision};
+}
+
+result<std::uint64_t> read_revision(http_answer const& answer)
+{
+    if (answer.m_status == status_conflict)
+    {
+        return make_error(result_code::version_conflict,
+                          "the key has another revision");
+    }
+    if (answer.m_status != status_ok && answer.m_status != status_created)
+    {
+        return unexpected(answer);
+    }
+    auto const revision = number_field(parse(answer.m_body), "revision");
+    if (!revision || *revision == 0)
+    {
+        return malformed("revision");
+    }
+    return *revision;
+}
+
+result<std::string> read_lease(http_answer const& answer)
+{
+    if (answer.m_status != status_ok && answer.m_status != status_created)
+    {
+        return unexpected(answer);
+    }
+    auto name = text_field(parse(answer.m_body), "lease");
+    if (!name || name->empty())
+    {
+        return malformed("lease");
+    }
+    return std::move(*name);
+}
+
+result<std::monostate> read_renewal(http_answer const& answer)
+{
+    if (answer.m_status == status_not_found)
+    {
+        return make_error(result_code::not_found, "the lease has lapsed");
+    }
+    if (answer.m_status != status_ok && answer.m_status != status_no_content)
+    {
+        return unexpected(answer);
+    }
+    return std::monostate{};
+}
+
+std::optional<listed_host> read_host(json const& row)
+{
+    if (!row.is_object())
+    {
+        return std::nullopt;
+    }
+    constexpr std::uint64_t highest_port = 65'535;
+    auto const name = text_field(row, "name");
+    auto const role = text_field(row, "role");
+    auto const zone = text_field(row, "zone");
+    auto const address = text_field(row, "address");
+    auto const port = number_field(row, "port");
+    auto const peer_port = number_field(row, "peer_port").value_or(0);
+    auto const state = text_field(row, "state");
+    if (!name || !role || !zone || !address || !port || !state ||
+        *port > highest_port || peer_port > highest_port ||
+        (*role != "entry" && *role != "target") ||
+        (*state != "live" && *state != "leaving"))
+    {
+        return std::nullopt;
+    }
+    listed_host host;
+    host.m_name = *name;
+    host.m_role = *role == "entry" ? listed_role::entry : listed_role::target;
+    host.m_zone = *zone;
+    host.m_address = *address;
+    host.m_port = static_cast<std::uint16_t>(*port);
+    host.m_peer_port = static_cast<std::uint16_t>(peer_port);
+    host.m_leaving = *state == "leaving";
+    return host;
+}
+
+result<std::vector<listed_host>> read_hosts(http_answer const& answer)
+{
+    if (answer.m_status != status_ok)
+    {
+        return unexpected(answer);
+    }
+    auto const body = parse(answer.m_body);
+    auto const rows = body.find("hosts");
+    if (rows == body.end() || !rows->is_array())
+    {
+        return malformed("hosts");
+    }
+    std::vector<listed_host> hosts;
+    for (auto const& row : *rows)
+    {
+        auto host = read_host(row);
+        if (!host)
+        {
+            return malformed("row in hosts");
+        }
+        hosts.push_back(std::move(*host));
+    }
+    return hosts;
+}
+
+/// Turns a callback for a value into one for the HTTP answer.
+template <class T>
+callback<http_answer> reading(callback<T> done,
+                              result<T> (*read)(http_answer const&))
+{
+    return [done = std::move(done), read](result<http_answer> answer)
+    {
+        if (!has_value(answer))
+        {
+            done(failure(answer));
+            return;
+        }
+        done(read(value(answer)));
+    };
+}
+
+std::string milliseconds_text(core::duration time)
+{
+    using std::chrono::milliseconds;
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+} // namespace
+
+platform_calls make_http_platform(net::http_client& client,
+                                  http_platform_settings settings)
+{
+    auto const c = std::make_shared<connection const>(
+        connection{&client, std::move(settings)});
+    platform_calls calls;
+    calls.m_get = [c](std::string const& key, callback<stored_value> done)
+    {
+        send(*c, "GET", "/v1/kv/" + escape(key), {}, no_wait,
+             reading(std::move(done), read_stored_value));
+    };
+    calls.m_compare_and_swap =
+        [c](std::string const& key, std::string const& value,
+            std::uint64_t revision, callback<std::uint64_t> done)
+    {
+        // A value that is not UTF-8 cannot be sent as JSON.
+        auto body = json{{"value", value}}.dump(-1, ' ', false,
+                                                json::error_handler_t::replace);
+        send(*c, "PUT",
+             "/v1/kv/" + escape(key) + "?revision=" + std::to_string(revision),
+             std::move(body), no_wait, reading(std::move(done), read_revision));
+    };
+    calls.m_watch = [c](std::string const& key, std::uint64_t after,
+                        core::duration wait, callback<stored_value> done)
+    {
+        send(*c, "GET",
+             "/v1/watch/" + escape(key) + "?after=" + std::to_string(after) +
+                 "&wait_ms=" + milliseconds_text(wait),
+             {}, wait, reading(std::move(done), read_stored_value));
+    };
+    calls.m_create_lease =
+        [c](core::duration lifetime, callback<std::string> done)
+    {
+        send(*c, "POST", "/v1/leases",
+             "{\"lifetime_ms\":" + milliseconds_text(lifetime) + "}", no_wait,
+             reading(std::move(done), read_lease));
+    };
+    calls.m_renew_lease =
+        [c](std::string const& lease, callback<std::monostate> done)
+    {
+        send(*c, "PUT", "/v1/leases/" + escape(lease), {}, no_wait,
+             reading(std::move(done), read_renewal));
+    };
+    calls.m_list_hosts = [c](callback<std::vector<listed_host>> done)
+    {
+        send(*c, "GET", "/v1/hosts", {}, no_wait,
+             reading(std::move(done), read_hosts));
+    };
+    return calls;
+}
+
+} // namespace hawthornspur::platform
