Replace the pool's first version with the whole policy

Cause: the first version of pool.cpp only counted slots and queued in order of arrival; retries, limits, ejection, probes, spill and hand-over were missing.

Change: pool.cpp keeps the interface and delegates to modules with one job each: service_time (time per kind, automatic share of long kinds), target_limit (concurrency limit), outlier_detection (ejection), kind_queue (order of waiting requests), retry_rules, spill_choice, timer_heap, pool_binding (choice of target, hedges), pool_probing (probes, return of ejected targets) and pool_handover. Additions to the interface: on_cancel returns whether the request was dispatched, and pool_rules selects the queue order.

--- /dev/null
+++ b/src/core/kind_queue.cpp
@@ -0,0 +1,88 @@
+#include "core/kind_queue.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+constexpr duration adaptive_wait = std::chrono::milliseconds(100);
+
+bool takes_newest(queued_request const& oldest, queue_order order,
+                  time_point now)
+{
+    return order == queue_order::last_come ||
+           (order == queue_order::adaptive &&
+            now - oldest.m_arrived > adaptive_wait);
+}
+
+bool has_earlier_deadline(queued_request const& a, queued_request const& b)
+{
+    return a.m_deadline < b.m_deadline ||
+           (a.m_deadline == b.m_deadline && a.m_sequence < b.m_sequence);
+}
+
+} // namespace
+
+void push(kind_queue& queue, queued_request const& request, queue_order order)
+{
+    if (order == queue_order::earliest_deadline)
+    {
+        queue.insert(std::upper_bound(queue.begin(), queue.end(), request,
+                                      has_earlier_deadline),
+                     request);
+        return;
+    }
+    queue.push_back(request);
+}
+
+queued_request const& front(kind_queue const& queue, queue_order order,
+                            time_point now)
+{
+    assert(!queue.empty());
+    return takes_newest(queue.front(), order, now) ? queue.back()
+                                                   : queue.front();
+}
+
+void pop(kind_queue& queue, queue_order order, time_point now)
+{
+    assert(!queue.empty());
+    if (takes_newest(queue.front(), order, now))
+    {
+        queue.pop_back();
+    }
+    else
+    {
+        queue.pop_front();
+    }
+}
+
+bool remove(kind_queue& queue, request_id request)
+{
+    auto const found = std::find_if(queue.begin(), queue.end(),
+                                    [&](queued_request const& entry)
+                                    { return entry.m_request == request; });
+    if (found == queue.end())
+    {
+        return false;
+    }
+    queue.erase(found);
+    return true;
+}
+
+bool goes_before(queued_request const& a, queued_request const& b,
+                 queue_order order, time_point now)
+{
+    if (order == queue_order::earliest_deadline)
+    {
+        return has_earlier_deadline(a, b);
+    }
+    auto const& oldest = a.m_sequence < b.m_sequence ? a : b;
+    return takes_newest(oldest, order, now) ? a.m_sequence > b.m_sequence
+                                            : a.m_sequence < b.m_sequence;
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/core/outlier_detection.cpp
@@ -0,0 +1,53 @@
+#include "core/outlier_detection.hpp"
+
+#include <algorithm>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+constexpr int failures_until_ejection = 3;
+constexpr duration first_ejection = std::chrono::milliseconds(500);
+constexpr int most_doublings = 6;
+// Five times the pool's median.
+constexpr double ejecting_log_slowness = 1.6;
+
+} // namespace
+
+void note_success(outlier_state& state)
+{
+    state.m_consecutive_failures = 0;
+    state.m_ejections = 0;
+    state.m_on_trial = false;
+}
+
+bool note_failure(outlier_state& state)
+{
+    ++state.m_consecutive_failures;
+    return state.m_on_trial ||
+           state.m_consecutive_failures >= failures_until_ejection;
+}
+
+bool is_too_slow(double log_relative_slowness, double limit)
+{
+    return limit <= 1.0 && log_relative_slowness > ejecting_log_slowness;
+}
+
+void eject(outlier_state& state, time_point now)
+{
+    auto const doublings = std::min(state.m_ejections, most_doublings);
+    state.m_ejected = true;
+    state.m_ejected_until = now + first_ejection * (1 << doublings);
+    ++state.m_ejections;
+}
+
+void readmit(outlier_state& state)
+{
+    state.m_ejected = false;
+    state.m_consecutive_failures = 0;
+    state.m_on_trial = true;
+}
+
+} // namespace hawthornspur::core
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -3,6 +3,7 @@
 
 #include "core/configuration.hpp"
 #include "core/ids.hpp"
+#include "core/kind_queue.hpp"
 #include "core/pool_effects.hpp"
 #include "core/retry_budget.hpp"
 #include "core/time.hpp"
@@ -59,6 +60,7 @@
     std::size_t m_max_queue = 1000;
     duration m_probe_cost = std::chrono::milliseconds(6);
     duration m_connection_cost = std::chrono::milliseconds(1);
+    queue_order m_order = queue_order::first_come;
 };
 
 struct arrival
@@ -154,9 +156,18 @@
 void on_attempt_ended(pool& p, attempt_end const& end, time_point now,
                       service_budgets& budgets, pool_effects& out);
 
-/// The caller went away.
-void on_cancel(pool& p, request_id request, time_point now,
-               service_budgets& budgets, pool_effects& out);
+/// What a cancellation met.
+enum class cancel_result : std::uint8_t
+{
+    unknown_request,
+    before_dispatch,
+    after_dispatch,
+};
+
+/// The caller went away. The request gets no answer any more; attempts in
+/// flight are cancelled and hold their slots until on_attempt_ended.
+cancel_result on_cancel(pool& p, request_id request, time_point now,
+                        service_budgets& budgets, pool_effects& out);
 
 void on_probe_answer(pool& p, probe_answer const& answer, time_point now,
                      service_budgets& budgets, pool_effects& out);
--- /dev/null
+++ b/src/core/pool_probing.cpp
@@ -0,0 +1,128 @@
+#include "core/pool_probing.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+constexpr duration recent_answer_window = std::chrono::seconds(1);
+constexpr duration probe_check_interval = std::chrono::milliseconds(250);
+constexpr duration probe_timeout = std::chrono::seconds(1);
+
+bool try_probe(pool& p, target_entry& target, time_point now,
+               service_budgets& budgets, pool_effects& out)
+{
+    // A probe opens its own connection, and both cost the target time.
+    seconds const cost = p.m_rules.m_probe_cost + p.m_rules.m_connection_cost;
+    if (!try_take(budgets.m_probe, cost.count(), now))
+    {
+        return false;
+    }
+    target.m_probe_pending = true;
+    target.m_probed = now;
+    out.emplace_back(probe_effect{target.m_spec.m_id});
+    return true;
+}
+
+void end_ejection(pool& p, target_entry& target, time_point now,
+                  service_budgets& budgets, pool_effects& out)
+{
+    // Without budget, one live request at a time tries the target.
+    if (!target.m_probe_pending && !try_probe(p, target, now, budgets, out))
+    {
+        readmit(target.m_outlier);
+        target.m_limit.m_limit = 1;
+    }
+}
+
+/// A target may be probed when nothing else tells how it does. Targets that
+/// announced draining are probed to learn when they are back.
+bool is_probe_due(target_entry const& target, time_point now)
+{
+    return target.m_listed && !target.m_spec.m_leaving &&
+           !target.m_probe_pending && target.m_in_flight == 0 &&
+           now - std::max(target.m_heard, target.m_probed) >=
+               recent_answer_window;
+}
+
+target_entry* next_to_probe(pool& p, time_point now)
+{
+    target_entry* longest = nullptr;
+    for (auto& target : p.m_targets)
+    {
+        if (is_probe_due(target, now) &&
+            (longest == nullptr || target.m_heard < longest->m_heard))
+        {
+            longest = &target;
+        }
+    }
+    return longest;
+}
+
+} // namespace
+
+void check_targets(pool& p, time_point now, service_budgets& budgets,
+                   pool_effects& out)
+{
+    for (auto& target : p.m_targets)
+    {
+        std::erase_if(target.m_held,
+                      [&](held_slot held) { return held.m_until <= now; });
+        if (target.m_probe_pending && now - target.m_probed >= probe_timeout)
+        {
+            target.m_probe_pending = false;
+            if (target.m_outlier.m_ejected)
+            {
+                eject(target.m_outlier, now);
+            }
+            else if (note_failure(target.m_outlier))
+            {
+                eject_if_allowed(p, target, now);
+            }
+        }
+        if (target.m_outlier.m_ejected &&
+            target.m_outlier.m_ejected_until <= now)
+        {
+            end_ejection(p, target, now, budgets, out);
+        }
+    }
+    if (now < p.m_next_probe_check)
+    {
+        return;
+    }
+    p.m_next_probe_check = now + probe_check_interval;
+    while (auto* target = next_to_probe(p, now))
+    {
+        if (!try_probe(p, *target, now, budgets, out))
+        {
+            return;
+        }
+    }
+}
+
+time_point next_check(pool const& p)
+{
+    auto next = p.m_targets.empty() ? time_point::max() : p.m_next_probe_check;
+    for (auto const& target : p.m_targets)
+    {
+        for (auto const held : target.m_held)
+        {
+            next = std::min(next, held.m_until);
+        }
+        if (target.m_probe_pending)
+        {
+            next = std::min(next, target.m_probed + probe_timeout);
+        }
+        else if (target.m_outlier.m_ejected)
+        {
+            next = std::min(next, target.m_outlier.m_ejected_until);
+        }
+    }
+    return next;
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/core/quantile_estimate.hpp
@@ -0,0 +1,24 @@
+#ifndef HAWTHORNSPUR_CORE_QUANTILE_ESTIMATE_HPP
+#define HAWTHORNSPUR_CORE_QUANTILE_ESTIMATE_HPP
+
+#include <cstdint>
+
+namespace hawthornspur::core
+{
+
+/// Follows one quantile of a positive quantity with two words of state, by
+/// stochastic approximation in relative steps. It forgets old values, so that
+/// it tracks a load that changes.
+struct quantile_estimate
+{
+    double m_value = 0;
+    std::uint32_t m_count = 0;
+};
+
+/// Moves the estimate of `quantile` (0 to 1) towards `value`, which must be
+/// positive.
+void observe(quantile_estimate& estimate, double quantile, double value);
+
+} // namespace hawthornspur::core
+
+#endif
--- /dev/null
+++ b/src/core/spill_choice.cpp
@@ -0,0 +1,62 @@
+#include "core/spill_choice.hpp"
+
+#include <algorithm>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+// Summaries come twice a second; an older one means that the link is lost.
+constexpr duration summary_lifetime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+spill_option* choose_spill(std::vector<spill_option>& options,
+                           duration local_wait, time_point now)
+{
+    spill_option* best = nullptr;
+    auto best_wait = local_wait;
+    for (auto& option : options)
+    {
+        if (now - option.m_received > summary_lifetime)
+        {
+            continue;
+        }
+        std::erase_if(option.m_uses, [&](spill_option::use const& use)
+                      { return use.m_until <= now; });
+        auto const wait = option.m_cost + option.m_wait;
+        if (static_cast<int>(option.m_uses.size()) < option.m_free_slots &&
+            wait < best_wait)
+        {
+            best = &option;
+            best_wait = wait;
+        }
+    }
+    return best;
+}
+
+void use_slot(spill_option& option, request_id request, duration service,
+              time_point now)
+{
+    option.m_uses.push_back({request, now + option.m_cost + service});
+}
+
+void note_spill_refused(std::vector<spill_option>& options, request_id request)
+{
+    for (auto& option : options)
+    {
+        auto const refused =
+            std::find_if(option.m_uses.begin(), option.m_uses.end(),
+                         [&](spill_option::use const& use)
+                         { return use.m_request == request; });
+        if (refused != option.m_uses.end())
+        {
+            option.m_uses.erase(refused);
+            option.m_free_slots = 0;
+        }
+    }
+}
+
+} // namespace hawthornspur::core
