Add the at-most-once keys and the table of their states

Cause: the header existed without code, and other parts wait for it.

Keys are kept by epoch; a key's state is forgotten only when its epoch is no longer accepted and the request has ended.

Additions to the interface: set_key_lifetime(), kept_bytes().

--- a/src/core/once_table.hpp
+++ b/src/core/once_table.hpp
@@ -79,6 +79,10 @@
 /// The epoch announced to peers and put into new sessions.
 std::uint64_t current_epoch(once_table const& table, time_point now);
 
+/// Takes over a key lifetime from a new configuration. The epoch goes on from
+/// its present number, so keys in use may live longer or shorter once.
+void set_key_lifetime(once_table& table, duration lifetime, time_point now);
+
 /// Decides about a request with a key. `fingerprint` identifies method, URI
 /// and body, so that a key used for another request is refused.
 once_decision begin(once_table& table, once_key const& key,
@@ -89,23 +93,29 @@
 void mark_dispatched(once_table& table, once_key const& key);
 
 /// The request ended and may have run. Returns the copies that wait for its
-/// answer. Without an answer, later copies are told `code`.
+/// answer. Without an answer, later copies are told `code`, which must not
+/// mean "not run". A second end of the same request is ignored.
 std::vector<request_id> finish(once_table& table, once_key const& key,
                                std::optional<kept_answer> answer,
                                result_code code, time_point now);
 
-/// The request ended and certainly did not run; the key may be used again.
+/// The request ended and certainly did not run, either because it was never
+/// sent or because the target refused it as not run; the key may be used again.
 /// Returns the copies that waited for it.
 std::vector<request_id> release(once_table& table, once_key const& key);
 
 /// A copy went away before the answer.
 void leave(once_table& table, once_key const& key, request_id copy);
 
-/// Forgets keys whose epoch is no longer accepted and which are not running.
+/// Forgets keys whose epoch is no longer accepted and which are not running; a
+/// bounded number each call. To be called several times a second.
 void expire(once_table& table, time_point now);
 
 std::size_t size(once_table const& table) noexcept;
 
+/// Bytes of all kept answers.
+std::size_t kept_bytes(once_table const& table) noexcept;
+
 } // namespace hawthornspur::core
 
 #endif
