--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -78,7 +78,7 @@
 
 /// Carries out what membership asked for. Changes of the view are applied
 /// once, after all effects.
-void apply(host& h, core::membership_effects const& effects)
+void apply_membership(host& h, core::membership_effects const& effects)
 {
     bool is_changed = false;
     for (auto const& effect : effects)
@@ -97,7 +97,7 @@
 {
     core::membership_effects effects;
     core::on_timer(*h.m_membership, now(), effects);
-    apply(h, effects);
+    apply_membership(h, effects);
 }
 
 core::host_record make_self(host const& h)
@@ -152,14 +152,14 @@
 {
     core::membership_effects effects;
     core::on_message(*h.m_membership, message, now(), effects);
-    apply(h, effects);
+    apply_membership(h, effects);
 }
 
 void on_peer_link_lost(host& h, std::string const& peer)
 {
     core::membership_effects effects;
     core::on_link_lost(*h.m_membership, peer, now(), effects);
-    apply(h, effects);
+    apply_membership(h, effects);
 }
 
 void on_listed_entry_hosts(host& h,
@@ -177,7 +177,7 @@
     }
     core::membership_effects effects;
     core::on_host_list(*h.m_membership, seeds, now(), effects);
-    apply(h, effects);
+    apply_membership(h, effects);
 }
 
 bool is_ready(host const& h) noexcept
@@ -202,7 +202,7 @@
                    h.m_once == nullptr ? 0
                                        : core::current_epoch(*h.m_once, now()),
                    now(), effects);
-    apply(h, effects);
+    apply_membership(h, effects);
     update_routing(h);
 }
 
