Add the binary with its table of subcommands

Cause: several parts of the project add subcommands to the one binary.

Change: a row for each subcommand with name, operands, help and flags; flags that a command does not take are refused instead of ignored; exit codes for results. main.cpp holds the table.

Conclusion: a subcommand is a function that returns a row, and one line in main.cpp.

--- /dev/null
+++ b/src/cli/command.hpp
@@ -0,0 +1,61 @@
+#ifndef HAWTHORNSPUR_CLI_COMMAND_HPP
+#define HAWTHORNSPUR_CLI_COMMAND_HPP
+
+#include <hawthornspur/result_code.hpp>
+
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace hawthornspur::cli
+{
+
+/// Exit codes of all subcommands; docs/command-line.md lists them. Abseil
+/// ends the program with 1 on a flag value that it cannot read, so that is the
+/// code for wrong use.
+enum class exit_code : int
+{
+    success = 0,
+    usage = 1,
+    invalid_file = 2,
+    conflict = 3,
+    platform_unavailable = 4,
+    not_in_force_everywhere = 5,
+    differences_found = 6,
+    file_unreadable = 7,
+    failure = 8,
+};
+
+/// The exit code of a command that ended with this result.
+exit_code exit_code_of(result_code code) noexcept;
+
+/// One subcommand. A row of the table in main.cpp.
+struct command
+{
+    /// One or two words, for example "config check".
+    std::string m_name;
+    /// The operands after the flags, for example "FILE".
+    std::string m_operands;
+    /// One line for the list of commands.
+    std::string m_summary;
+    /// Further lines for --help.
+    std::string m_details;
+    /// Names of the Abseil flags that the command takes. Flags are global to
+    /// the program; all others are refused for this command.
+    std::vector<std::string> m_flags;
+    /// Gets the operands and returns the exit code of the process.
+    std::function<exit_code(std::vector<std::string> const&)> m_run;
+};
+
+/// Finds the subcommand, parses its flags and runs it; prints help for "help",
+/// --help, -h and wrong use. Returns the exit code of the process.
+int dispatch(std::vector<command> const& table,
+             std::vector<std::string> arguments);
+
+// One function for each file with a subcommand.
+command make_version_command();
+
+} // namespace hawthornspur::cli
+
+#endif
--- a/src/config/json_text.cpp
+++ b/src/config/json_text.cpp
@@ -27,7 +27,7 @@
 }
 
 /// nlohmann_json keeps the last of two fields of the same name without a
-/// word, which would hide half of an operator's change.
+/// report, which would hide half of an operator's change.
 class duplicate_field_check
 {
 public:
