Add emulators of the platform and of targets

Cause: the platform's store and the targets are outside systems; every part needs stand-ins with settable faults. Change: tools/platform_emulator (store, leases, watches, host list, faults, counters) and tools/target_emulator (slots, service times, costs of connections and probes, faults, record of runs).

--- /dev/null
+++ b/tools/target_emulator/connection_server.cpp
@@ -0,0 +1,161 @@
+#include "target_emulator/connection_server.hpp"
+
+#include "net/event_loop.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace hawthornspur::tools
+{
+
+namespace
+{
+
+struct named_method
+{
+    evhttp_cmd_type m_type;
+    char const* m_name;
+};
+
+constexpr auto methods = std::to_array<named_method>({
+    {EVHTTP_REQ_GET, "GET"},
+    {EVHTTP_REQ_POST, "POST"},
+    {EVHTTP_REQ_HEAD, "HEAD"},
+    {EVHTTP_REQ_PUT, "PUT"},
+    {EVHTTP_REQ_DELETE, "DELETE"},
+    {EVHTTP_REQ_OPTIONS, "OPTIONS"},
+    {EVHTTP_REQ_PATCH, "PATCH"},
+});
+
+net::http_request read_request(evhttp_request* request)
+{
+    net::http_request read;
+    for (auto const& method : methods)
+    {
+        if (method.m_type == evhttp_request_get_command(request))
+        {
+            read.m_method = method.m_name;
+        }
+    }
+    read.m_uri = evhttp_request_get_uri(request);
+    auto* headers = evhttp_request_get_input_headers(request);
+    for (auto* header = headers->tqh_first; header != nullptr;
+         header = header->next.tqe_next)
+    {
+        read.m_headers.emplace_back(header->key, header->value);
+    }
+    auto* body = evhttp_request_get_input_buffer(request);
+    read.m_body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, read.m_body.data(), read.m_body.size());
+    return read;
+}
+
+std::uint16_t bound_port(int fd)
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    return getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) == 0
+               ? ntohs(address.sin_port)
+               : std::uint16_t{0};
+}
+
+} // namespace
+
+connection_server::~connection_server()
+{
+    if (m_http != nullptr)
+    {
+        evhttp_free(m_http);
+    }
+}
+
+result<std::unique_ptr<connection_server>> connection_server::create(
+    net::event_loop& loop, net::http_server_settings const& settings,
+    handler on_request, std::function<void()> on_connection)
+{
+    std::unique_ptr<connection_server> server(new connection_server);
+    server->m_on_request = std::move(on_request);
+    server->m_on_connection = std::move(on_connection);
+    server->m_http = evhttp_new(loop.base());
+    if (server->m_http == nullptr)
+    {
+        return make_error(result_code::system_failure,
+                          "cannot create an HTTP server");
+    }
+    unsigned allowed = 0;
+    for (auto const& method : methods)
+    {
+        allowed |= method.m_type;
+    }
+    evhttp_set_allowed_methods(server->m_http,
+                               static_cast<ev_uint16_t>(allowed));
+    evhttp_set_max_headers_size(
+        server->m_http, static_cast<ev_ssize_t>(settings.m_max_headers_bytes));
+    evhttp_set_max_body_size(
+        server->m_http, static_cast<ev_ssize_t>(settings.m_max_body_bytes));
+    auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(
+        settings.m_idle_timeout);
+    evhttp_set_timeout(server->m_http, static_cast<int>(seconds.count()));
+    evhttp_set_bevcb(server->m_http, &connection_server::on_accept,
+                     server.get());
+    evhttp_set_gencb(server->m_http, &connection_server::on_request,
+                     server.get());
+    auto* socket = evhttp_bind_socket_with_handle(
+        server->m_http, settings.m_address.c_str(), settings.m_port);
+    if (socket == nullptr)
+    {
+        return make_error(result_code::address_unavailable,
+                          "cannot listen on " + settings.m_address + ":" +
+                              std::to_string(settings.m_port));
+    }
+    server->m_port = bound_port(evhttp_bound_socket_get_fd(socket));
+    return server;
+}
+
+bufferevent* connection_server::on_accept(event_base* base, void* self)
+{
+    auto* server = static_cast<connection_server*>(self);
+    auto* transport = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    server->m_records[transport] = {};
+    ++server->m_accepted;
+    server->m_on_connection();
+    return transport;
+}
+
+void connection_server::on_request(evhttp_request* request, void* self)
+{
+    auto* server = static_cast<connection_server*>(self);
+    auto* transport = evhttp_connection_get_bufferevent(
+        evhttp_request_get_connection(request));
+    auto& record = server->m_records[transport];
+    ++record.m_requests;
+    record.m_fd = bufferevent_getfd(transport);
+    auto read = read_request(request);
+    server->m_on_request(std::move(read),
+                         std::make_shared<net::http_exchange>(request), record);
+}
+
+void connection_server::silence_connections()
+{
+    for (auto& [transport, record] : m_records)
+    {
+        record.m_silent = true;
+    }
+}
+
+void write_raw(connection_record const& connection, std::string_view bytes)
+{
+    // While a request is worked on, evhttp has nothing of its own to write.
+    static_cast<void>(::send(connection.m_fd, bytes.data(), bytes.size(),
+                             MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+} // namespace hawthornspur::tools
--- /dev/null
+++ b/tools/target_emulator/run_record.hpp
@@ -0,0 +1,34 @@
+#ifndef HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_RUN_RECORD_HPP
+#define HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_RUN_RECORD_HPP
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace hawthornspur::tools
+{
+
+/// How often requests ran, by at-most-once key and by request id.
+struct run_record
+{
+    std::uint64_t m_runs = 0;
+    std::unordered_map<std::string, std::uint64_t> m_keys;
+    std::unordered_map<std::string, std::uint64_t> m_requests;
+};
+
+/// Counts one run; an empty key or id is not recorded.
+void add_run(run_record& record, std::string_view key,
+             std::string_view request_id);
+
+void merge(run_record& into, run_record const& other);
+
+/// `{runs, keys:{key:count}, requests:{id:count}, duplicate_keys:{...},
+/// duplicate_requests:{...}}`
+nlohmann::json to_json(run_record const& record);
+
+} // namespace hawthornspur::tools
+
+#endif
--- /dev/null
+++ b/tools/target_emulator/target_emulator.cpp
@@ -0,0 +1,113 @@
+#include "target_emulator/target_emulator.hpp"
+
+#include "net/event_loop.hpp"
+#include "target_emulator/target_state.hpp"
+
+#include <utility>
+
+namespace hawthornspur::tools
+{
+
+namespace
+{
+
+void on_request(target_state& s, net::http_request request,
+                std::shared_ptr<net::http_exchange> exchange,
+                connection_record& connection)
+{
+    // Control works on silent connections too, and costs the target nothing.
+    if (request.m_uri.starts_with("/control/"))
+    {
+        answer_control(s, request, *exchange);
+        return;
+    }
+    if (connection.m_requests == 1)
+    {
+        add_standstill(s, s.m_faults.m_connection_cost);
+    }
+    if (request.m_uri == s.m_settings.m_health_path && !connection.m_silent)
+    {
+        answer_probe(s, std::move(exchange));
+        return;
+    }
+    take_request(s, std::move(request), std::move(exchange), connection);
+}
+
+} // namespace
+
+target_emulator::target_emulator(std::unique_ptr<target_state> s)
+    : m_state(std::move(s))
+{
+}
+
+target_emulator::~target_emulator() = default;
+
+std::uint16_t target_emulator::port() const noexcept
+{
+    return m_state->m_server->port();
+}
+
+run_record const& target_emulator::runs() const noexcept
+{
+    return m_state->m_runs;
+}
+
+void target_emulator::forget_runs()
+{
+    m_state->m_runs = {};
+}
+
+status target_emulator::change_faults(std::string const& text)
+{
+    auto changed = tools::change_faults(m_state->m_faults, text);
+    if (has_value(changed))
+    {
+        auto const now = net::event_loop::now();
+        m_state->m_faults_set = now;
+        m_state->m_health_history.emplace_back(now,
+                                               m_state->m_faults.m_draining);
+    }
+    return changed;
+}
+
+void target_emulator::set_group(std::vector<target_emulator*> group)
+{
+    m_state->m_group = std::move(group);
+}
+
+result<std::unique_ptr<target_emulator>>
+target_emulator::create(net::event_loop& loop, target_settings const& settings)
+{
+    auto s = std::make_unique<target_state>();
+    s->m_settings = settings;
+    s->m_faults = settings.m_faults;
+    s->m_faults_set = net::event_loop::now();
+    s->m_health_history.emplace_back(core::time_point{},
+                                     settings.m_faults.m_draining);
+    s->m_random.seed(settings.m_seed);
+    auto tasks = scheduler::create(loop);
+    if (!has_value(tasks))
+    {
+        return failure(tasks);
+    }
+    s->m_tasks = take(std::move(tasks));
+    auto server = connection_server::create(
+        loop, {.m_address = settings.m_address, .m_port = settings.m_port},
+        [raw = s.get()](net::http_request request,
+                        std::shared_ptr<net::http_exchange> exchange,
+                        connection_record& connection) {
+            on_request(*raw, std::move(request), std::move(exchange),
+                       connection);
+        },
+        [raw = s.get()] { ++raw->m_counters["accepted"]; });
+    if (!has_value(server))
+    {
+        return failure(server);
+    }
+    s->m_server = take(std::move(server));
+    std::unique_ptr<target_emulator> created(new target_emulator(std::move(s)));
+    created->set_group({created.get()});
+    return created;
+}
+
+} // namespace hawthornspur::tools
