Follow the configuration and add the commands for hosts

Cause: hosts need their configuration and operators a way to see them. Change: watch, read and fetch from peers; serve, addresses, status, drain.

--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -54,6 +54,10 @@
              std::vector<std::string> arguments);
 
 // One function for each file with a subcommand.
+command make_addresses_command();
+command make_drain_command();
+command make_serve_command();
+command make_status_command();
 command make_version_command();
 
 } // namespace hawthornspur::cli
--- /dev/null
+++ b/src/cli/http_query.hpp
@@ -0,0 +1,30 @@
+#ifndef HAWTHORNSPUR_CLI_HTTP_QUERY_HPP
+#define HAWTHORNSPUR_CLI_HTTP_QUERY_HPP
+
+#include "base/result.hpp"
+#include "net/http_client.hpp"
+#include "net/http_message.hpp"
+
+#include <string>
+
+namespace hawthornspur::cli
+{
+
+/// An answer of a host to a command.
+struct http_answer
+{
+    int m_status = 0;
+    std::string m_body;
+};
+
+/// Sends one request and waits for the answer. Errors: system_failure,
+/// address_unavailable when the host does not answer.
+result<http_answer> query(net::endpoint const& server,
+                          net::http_request const& request);
+
+/// Parses "address:port". Errors: usage.
+result<net::endpoint> parse_endpoint(std::string const& text);
+
+} // namespace hawthornspur::cli
+
+#endif
--- /dev/null
+++ b/src/cli/serve_command.cpp
@@ -0,0 +1,117 @@
+#include "base/logging.hpp"
+#include "cli/command.hpp"
+#include "config/settings.hpp"
+#include "net/event_loop.hpp"
+#include "serve/host.hpp"
+
+#include <absl/flags/flag.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <string>
+#include <utility>
+
+ABSL_FLAG(std::string, settings, "", "settings file of the host");
+ABSL_FLAG(bool, check, false, "check the settings file and exit");
+
+namespace hawthornspur::cli
+{
+
+namespace
+{
+
+result<std::string> read_file(std::string const& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+    {
+        return make_error(result_code::file_unreadable, "cannot read " + path);
+    }
+    return std::string{std::istreambuf_iterator<char>(file), {}};
+}
+
+exit_code report(error const& problem)
+{
+    std::cerr << "hawthornspur serve: " << problem.m_message << " ("
+              << static_cast<unsigned>(problem.m_code) << ")\n";
+    return exit_code_of(problem.m_code);
+}
+
+logging::level log_level_of(std::string const& name)
+{
+    static std::map<std::string, logging::level> const levels{
+        {"debug", logging::level::debug},
+        {"info", logging::level::info},
+        {"warn", logging::level::warn},
+        {"error", logging::level::error}};
+    auto const found = levels.find(name);
+    return found == levels.end() ? logging::level::info : found->second;
+}
+
+exit_code run_host(config::host_settings settings)
+{
+    logging::start(log_level_of(settings.m_log_level));
+    // A caller that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto made_loop = net::event_loop::create();
+    if (!has_value(made_loop))
+    {
+        return report(failure(made_loop));
+    }
+    auto const loop = take(std::move(made_loop));
+    auto const created = serve::create_host(*loop, std::move(settings));
+    if (!has_value(created))
+    {
+        return report(failure(created));
+    }
+    loop->run();
+    logging::write(logging::level::info, "cli.serve", "host stopped");
+    return exit_code::success;
+}
+
+exit_code run_serve(std::vector<std::string> const& /*operands*/)
+{
+    auto const path = absl::GetFlag(FLAGS_settings);
+    if (path.empty())
+    {
+        return report(make_error(result_code::usage, "--settings is missing"));
+    }
+    auto const text = read_file(path);
+    if (!has_value(text))
+    {
+        return report(failure(text));
+    }
+    auto settings = config::parse_settings(value(text));
+    if (auto const* faults = std::get_if<config::problems>(&settings))
+    {
+        std::cerr << path << ":\n" << config::describe(*faults);
+        return exit_code::invalid_file;
+    }
+    if (absl::GetFlag(FLAGS_check))
+    {
+        std::cout << path << ": ok\n";
+        return exit_code::success;
+    }
+    return run_host(std::move(std::get<config::host_settings>(settings)));
+}
+
+} // namespace
+
+command make_serve_command()
+{
+    return {.m_name = "serve",
+            .m_operands = "",
+            .m_summary = "Run an entry host.",
+            .m_details =
+                "Reads the settings file (docs/settings.md), opens the "
+                "addresses for callers, peers and\nadministration, and serves "
+                "until SIGTERM or `drain`. Logs are JSON lines on standard\n"
+                "error. With --check only the settings file is checked.",
+            .m_flags = {"settings", "check"},
+            .m_run = run_serve};
+}
+
+} // namespace hawthornspur::cli
--- /dev/null
+++ b/src/serve/configuration_driver.cpp
@@ -0,0 +1,236 @@
+#include "serve/configuration_driver.hpp"
+
+#include "base/logging.hpp"
+#include "config/document.hpp"
+#include "core/ownership.hpp"
+#include "platform/call_limiter.hpp"
+#include "platform/configuration_store.hpp"
+#include "platform/scheduler.hpp"
+#include "serve/configuration_follower.hpp"
+#include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+/// A watch that went silent is noticed after this time and the limiter's
+/// bound on a call, well within the 16 s in which a change has to be in force.
+constexpr auto watch_wait = std::chrono::seconds(5);
+
+/// Hosts that do not watch read the head this often, in case that the hosts
+/// which do are all cut off from the store.
+constexpr auto read_interval = std::chrono::seconds(10);
+
+constexpr auto retry_interval = std::chrono::seconds(1);
+
+/// A peer that did not send the document within this time is asked again.
+constexpr auto fetch_timeout = std::chrono::seconds(1);
+
+std::string_view to_string(core::configuration_source source)
+{
+    return source == core::configuration_source::store ? "store" : "peer";
+}
+
+void create_once_table(host& h)
+{
+    core::once_table_settings settings;
+    settings.m_home = h.m_settings.m_name;
+    settings.m_incarnation = h.m_incarnation;
+    // The length of an epoch must not change while keys are in use, so later
+    // configurations change it only for hosts that start under them.
+    settings.m_key_lifetime = h.m_configuration.m_in_force->m_key_lifetime;
+    settings.m_max_keys = h.m_settings.m_max_once_keys;
+    h.m_once = core::make_once_table(settings, now());
+}
+
+void log_offer(core::configuration const& document,
+               core::configuration_source source, std::string_view message)
+{
+    logging::write(logging::level::info, "serve.configuration", message,
+                   {{"generation", std::to_string(document.m_generation)},
+                    {"change_id", document.m_change_id},
+                    {"source", std::string(to_string(source))}});
+}
+
+void take_document(host& h, core::configuration document,
+                   core::configuration_source source)
+{
+    auto shared =
+        std::make_shared<core::configuration const>(std::move(document));
+    switch (core::offer(h.m_configuration, shared))
+    {
+    case core::offer_result::in_force:
+        break;
+    case core::offer_result::conflicting:
+        log_offer(*shared, source, "generation with another change id");
+        h.m_metrics.count_event("configuration_conflicting");
+        return;
+    case core::offer_result::stale:
+        h.m_metrics.count_event("configuration_stale");
+        return;
+    case core::offer_result::same:
+        return;
+    }
+    log_offer(*shared, source, "configuration in force");
+    h.m_metrics.count_event("configuration_in_force");
+    if (h.m_once == nullptr)
+    {
+        create_once_table(h);
+    }
+    announce_self(h);
+}
+
+bool watches_store(host const& h)
+{
+    std::vector<core::owner_candidate> candidates;
+    for (auto const& record : h.m_routing.m_hosts)
+    {
+        if (record.m_state == core::host_state::live)
+        {
+            candidates.push_back({record.m_name, record.m_zone});
+        }
+    }
+    return core::is_watcher(h.m_settings.m_name, h.m_settings.m_zone,
+                            candidates);
+}
+
+void read_store(host& h);
+
+void read_again(host& h, core::duration delay)
+{
+    h.m_follower->m_timer->start(delay);
+}
+
+void on_loaded(host& h, result<platform::loaded_configuration> const& loaded)
+{
+    auto& follower = *h.m_follower;
+    if (has_value(loaded))
+    {
+        follower.m_head_revision = value(loaded).m_head_revision;
+        take_document(h, value(loaded).m_document,
+                      core::configuration_source::store);
+    }
+    else if (failure(loaded).m_code == result_code::store_answer_malformed)
+    {
+        core::note_rejected(h.m_configuration, 0);
+        logging::write(logging::level::error, "serve.configuration",
+                       "stored document not taken",
+                       {{"reason", failure(loaded).m_message}});
+    }
+    bool const is_quiet =
+        !has_value(loaded) && failure(loaded).m_code == result_code::not_found;
+    if (!has_value(loaded) && !is_quiet)
+    {
+        h.m_metrics.count_event("store_unavailable");
+        read_again(h, retry_interval);
+        return;
+    }
+    if (h.m_configuration.m_in_force == nullptr)
+    {
+        read_again(h, retry_interval);
+    }
+    else
+    {
+        read_again(h, watches_store(h) ? core::duration(0)
+                                       : core::duration(read_interval));
+    }
+}
+
+void read_store(host& h)
+{
+    auto done = [&h](result<platform::loaded_configuration> const& loaded)
+    {
+        on_loaded(h, loaded);
+    };
+    auto& follower = *h.m_follower;
+    if (h.m_configuration.m_in_force != nullptr && watches_store(h))
+    {
+        follower.m_store->watch(follower.m_head_revision, watch_wait, done);
+    }
+    else
+    {
+        follower.m_store->load(done);
+    }
+}
+
+} // namespace
+
+status start_configuration(host& h)
+{
+    auto timer = net::timer::create(*h.m_loop, [&h] { read_store(h); });
+    if (!has_value(timer))
+    {
+        return failure(timer);
+    }
+    platform::call_limiter_settings limits;
+    limits.m_calls_per_second = h.m_settings.m_platform_calls_per_second;
+    h.m_follower = std::make_unique<configuration_follower>();
+    auto& follower = *h.m_follower;
+    follower.m_timer = take(std::move(timer));
+    follower.m_limiter = platform::call_limiter::create(
+        std::move(h.m_platform), platform::make_loop_scheduler(*h.m_loop),
+        limits, h.m_random());
+    h.m_platform = follower.m_limiter->calls();
+    follower.m_store = platform::configuration_store::create(h.m_platform, {});
+    follower.m_timer->start(core::duration(0));
+    return success();
+}
+
+void on_newer_generation(host& h, std::string const& peer,
+                         std::uint64_t generation)
+{
+    auto& follower = *h.m_follower;
+    bool const is_fetching = now() - follower.m_fetch_started < fetch_timeout &&
+                             generation <= follower.m_fetching;
+    if (!core::note_generation(h.m_configuration, generation) || is_fetching)
+    {
+        return;
+    }
+    auto const in_force = h.m_configuration.m_in_force == nullptr
+                              ? 0
+                              : h.m_configuration.m_in_force->m_generation;
+    auto const sent =
+        h.m_peers->send(peer, net::configuration_request{in_force});
+    if (has_value(sent))
+    {
+        follower.m_fetch_started = now();
+        follower.m_fetching = generation;
+    }
+}
+
+void on_configuration_request(host& h, std::string const& from,
+                              net::configuration_request const& request)
+{
+    auto const& document = h.m_configuration.m_in_force;
+    if (document == nullptr || document->m_generation <= request.m_generation)
+    {
+        return;
+    }
+    static_cast<void>(h.m_peers->send(
+        from, net::configuration_reply{document->m_generation,
+                                       config::print_document(*document)}));
+}
+
+void on_configuration_reply(host& h, net::configuration_reply const& reply)
+{
+    auto parsed = config::parse_document(reply.m_document);
+    if (auto const* faults = std::get_if<config::problems>(&parsed))
+    {
+        core::note_rejected(h.m_configuration, reply.m_generation);
+        logging::write(logging::level::error, "serve.configuration",
+                       "document of a peer not taken",
+                       {{"reason", config::describe(*faults)}});
+        return;
+    }
+    auto& document = std::get<core::configuration>(parsed);
+    h.m_follower->m_store->remember(document);
+    take_document(h, std::move(document), core::configuration_source::peer);
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/configuration_follower.hpp
@@ -0,0 +1,29 @@
+#ifndef HAWTHORNSPUR_SERVE_CONFIGURATION_FOLLOWER_HPP
+#define HAWTHORNSPUR_SERVE_CONFIGURATION_FOLLOWER_HPP
+
+#include "core/time.hpp"
+#include "net/event_loop.hpp"
+#include "platform/call_limiter.hpp"
+#include "platform/configuration_store.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace hawthornspur::serve
+{
+
+/// How a host follows the configuration; lives as long as the host.
+struct configuration_follower
+{
+    std::unique_ptr<platform::call_limiter> m_limiter;
+    std::unique_ptr<platform::configuration_store> m_store;
+    std::unique_ptr<net::timer> m_timer;
+    std::uint64_t m_head_revision = 0;
+    /// The document asked from a peer, and since when.
+    std::uint64_t m_fetching = 0;
+    core::time_point m_fetch_started{};
+};
+
+} // namespace hawthornspur::serve
+
+#endif
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -6,6 +6,7 @@
 #include "serve/administration.hpp"
 #include "serve/caller_server.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/configuration_follower.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
@@ -122,6 +123,9 @@
 
 } // namespace
 
+host::host() = default;
+host::~host() = default;
+
 result<std::unique_ptr<host>> create_host(net::event_loop& loop,
                                           config::host_settings settings)
 {
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -29,6 +29,8 @@
 namespace hawthornspur::serve
 {
 
+struct configuration_follower;
+
 /// A target as this host reaches it.
 struct target_address
 {
@@ -84,6 +86,11 @@
 /// functions of the pipeline work on it from the one loop.
 struct host
 {
+    host();
+    ~host();
+    host(host const&) = delete;
+    host& operator=(host const&) = delete;
+
     config::host_settings m_settings;
     std::uint64_t m_incarnation = 0;
     std::mt19937_64 m_random;
@@ -121,6 +128,7 @@
     std::unique_ptr<net::peer_network> m_peers;
     std::unique_ptr<net::http_server> m_callers;
     std::unique_ptr<net::http_server> m_administration;
+    std::unique_ptr<configuration_follower> m_follower;
     std::unique_ptr<net::timer> m_membership_timer;
     std::vector<std::unique_ptr<net::timer>> m_timers;
     std::vector<std::unique_ptr<net::signal_watch>> m_signals;
