--- /dev/null
+++ b/src/serve/classify_test.cpp
@@ -0,0 +1,106 @@
+#include "serve/classify.hpp"
+
+#include <doctest/doctest.h>
+
+namespace hawthornspur::serve
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+std::shared_ptr<core::configuration const> make_configuration()
+{
+    core::configuration document;
+    core::service_config service;
+    service.m_name = "bookings";
+    service.m_max_body_bytes = 10;
+    core::kind_config read;
+    read.m_name = "read";
+    read.m_method = "GET";
+    read.m_path_prefix = "/squares";
+    read.m_execution = core::execution_rule::idempotent;
+    read.m_deadline = milliseconds(500);
+    core::kind_config claim;
+    claim.m_name = "claim";
+    claim.m_method = "POST";
+    claim.m_path_prefix = "/squares";
+    service.m_kinds = {read, claim};
+    document.m_services = {service};
+    return std::make_shared<core::configuration const>(std::move(document));
+}
+
+accepted_request request(std::string method, std::string uri,
+                         std::string body = {})
+{
+    accepted_request accepted;
+    accepted.m_service = "bookings";
+    accepted.m_request = {std::move(method), std::move(uri), {},
+                          std::move(body)};
+    return accepted;
+}
+
+} // namespace
+
+// Guards against a claim that is handled by the rules for reads, which would
+// allow it to run twice.
+TEST_CASE("classify finds the kind by method and path")
+{
+    auto const configuration = make_configuration();
+    core::time_point const now(milliseconds(1000));
+    auto const claim = take(classify_request(request("POST", "/squares/7"),
+                                             configuration, now));
+    CHECK(claim.m_kind->m_name == "claim");
+    CHECK(claim.m_kind_id.m_value == 1);
+    auto const read = take(
+        classify_request(request("GET", "/squares"), configuration, now));
+    CHECK(read.m_kind->m_name == "read");
+    CHECK(read.m_deadline == now + milliseconds(500));
+}
+
+// Guards against callers that stretch the configured deadline.
+TEST_CASE("a caller may shorten the deadline and not lengthen it")
+{
+    auto const configuration = make_configuration();
+    core::time_point const now(milliseconds(1000));
+    for (auto const& [asked, expected] :
+         {std::pair{milliseconds(100), milliseconds(100)},
+          std::pair{milliseconds(9000), milliseconds(500)}})
+    {
+        auto accepted = request("GET", "/squares");
+        accepted.m_time_left = asked;
+        auto const classified =
+            take(classify_request(accepted, configuration, now));
+        CHECK(classified.m_deadline == now + expected);
+    }
+}
+
+// Guards against requests that pass although a rule forbids them.
+TEST_CASE("classify refuses with a code")
+{
+    auto const configuration = make_configuration();
+    auto unknown = request("GET", "/squares");
+    unknown.m_service = "nothing";
+    auto deep = request("GET", "/squares");
+    deep.m_depth = 18;
+    struct row
+    {
+        accepted_request m_request;
+        result_code m_code;
+    };
+    for (auto const& [refused, code] :
+         {row{unknown, result_code::unknown_service},
+          row{request("DELETE", "/squares"), result_code::unknown_kind},
+          row{request("GET", "/other"), result_code::unknown_kind},
+          row{request("POST", "/squares", "12345678901"),
+              result_code::body_too_large},
+          row{deep, result_code::depth_limit_reached}})
+    {
+        auto const classified = classify_request(refused, configuration, {});
+        REQUIRE(!has_value(classified));
+        CHECK(failure(classified).m_code == code);
+    }
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/metrics_test.cpp
@@ -0,0 +1,33 @@
+#include "serve/metrics.hpp"
+
+#include <doctest/doctest.h>
+
+namespace hawthornspur::serve
+{
+
+// Guards against refusals and retries that leave no trace in the metrics.
+TEST_CASE("every refusal code and retry reason has a counter of its own")
+{
+    metrics m;
+    m.count_result("map", result_code::queue_full);
+    m.count_result("map", result_code::queue_full);
+    m.count_result("map", result_code::deadline_unreachable);
+    m.count_attempt("map", core::attempt_reason::retry_after_shed);
+    m.record_call("map", std::chrono::milliseconds(3));
+    auto const text =
+        m.to_text({{"hawthornspur_generation", "In force.", 7, false, {}}});
+    for (auto const* line :
+         {"hawthornspur_results_total{service=\"map\",code=\"2001\",name="
+          "\"queue_full\",execution=\"not-run\"} 2",
+          "name=\"deadline_unreachable\"",
+          "hawthornspur_attempts_total{service=\"map\",reason="
+          "\"retry_after_shed\"} 1",
+          "hawthornspur_call_milliseconds_count{service=\"map\"} 1",
+          "hawthornspur_generation 7"})
+    {
+        CAPTURE(text);
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
+
+} // namespace hawthornspur::serve
--- /dev/null
+++ b/src/serve/refusal_test.cpp
@@ -0,0 +1,36 @@
+#include "serve/refusal.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+namespace hawthornspur::serve
+{
+
+// Guards against a refusal that does not say whether the request ran.
+TEST_CASE("every code that reaches callers makes a complete refusal")
+{
+    for (auto const& row : result_code_table())
+    {
+        if (row.m_http_status == 0 || row.m_code == result_code::ok)
+        {
+            continue;
+        }
+        CAPTURE(row.m_name);
+        auto const [head, text] = make_refusal(row.m_code, "\xff detail");
+        auto const body = nlohmann::json::parse(text);
+        auto const outcome = std::string(to_string(row.m_execution));
+        CHECK(head.m_status == row.m_http_status);
+        CHECK(net::find_header(head.m_headers, "Hawthornspur-Outcome") ==
+              outcome);
+        CHECK(net::find_header(head.m_headers, "Hawthornspur-Code") ==
+              std::to_string(static_cast<unsigned>(row.m_code)));
+        CHECK(body["outcome"] == outcome);
+        CHECK(body["code"] == static_cast<unsigned>(row.m_code));
+        // "Retry-After" invites the caller to send the request again.
+        bool const invites =
+            net::find_header(head.m_headers, "Retry-After").has_value();
+        CHECK((!invites || row.m_execution == execution::not_run));
+    }
+}
+
+} // namespace hawthornspur::serve
