Add the peer codec, the links between hosts and the datagram socket

Cause: the interfaces of peer messages and the peer network had no implementation, and the host that connects the modules waits for them.

Change: msgpack codec for all peer messages and for membership datagrams; frames with a 4-byte length, a sequence number and an HMAC-SHA256 cut to 16 bytes; a handshake in which both hosts prove the key over both hellos; TCP links with heartbeats, a silence limit and reconnects with back-off and jitter; a send queue in which requests take turns by chunks of 16 KiB. Messages larger than a chunk other than bodies, such as configuration documents, are cut into fragments. Of two connections that cross, the one opened by the host with the lower name stays; a count of earlier links in the hello tells a crossed connection from a new one after a loss.

Interface: peer_network::send takes the message by value, so that a body is moved, and returns queue_full at the bound on queued bytes. New settings for the bound, the back-off and the idle limit; new counters for each refusal.

--- /dev/null
+++ b/src/net/datagram_codec.hpp
@@ -0,0 +1,34 @@
+#ifndef HAWTHORNSPUR_NET_DATAGRAM_CODEC_HPP
+#define HAWTHORNSPUR_NET_DATAGRAM_CODEC_HPP
+
+#include "base/result.hpp"
+#include "core/membership.hpp"
+#include "net/message_auth.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace hawthornspur::net
+{
+
+/// Encodes and decodes membership datagrams: a truncated HMAC, then a msgpack
+/// array [type, version, fields...]. A repeated datagram is not detected
+/// here; records carry versions and acks their sequence number.
+class datagram_codec
+{
+public:
+    explicit datagram_codec(std::string_view key);
+
+    std::string encode(core::membership_message const& message);
+
+    /// Errors: authentication_failed, frame_malformed,
+    /// protocol_version_mismatch, unexpected_message.
+    result<core::membership_message> decode(std::string_view bytes);
+
+private:
+    message_authenticator m_authenticator;
+};
+
+} // namespace hawthornspur::net
+
+#endif
--- /dev/null
+++ b/src/net/message_auth.cpp
@@ -0,0 +1,99 @@
+#include "net/message_auth.hpp"
+
+#include <openssl/core_names.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/params.h>
+#include <openssl/rand.h>
+
+#include <cstdlib>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+/// A failure of OpenSSL leaves no way to authenticate; going on without
+/// would be worse than stopping.
+void require(bool worked)
+{
+    if (!worked)
+    {
+        std::abort();
+    }
+}
+
+unsigned char const* as_bytes(std::string_view text)
+{
+    return reinterpret_cast<unsigned char const*>(text.data());
+}
+
+} // namespace
+
+void message_authenticator::context_deleter::operator()(
+    evp_mac_ctx_st* context) const noexcept
+{
+    EVP_MAC_CTX_free(context);
+}
+
+message_authenticator::message_authenticator(std::string_view key)
+{
+    auto* mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    require(mac != nullptr);
+    m_context.reset(EVP_MAC_CTX_new(mac));
+    EVP_MAC_free(mac);
+    require(m_context != nullptr);
+    std::array<char, 7> digest{"SHA256"};
+    std::array<OSSL_PARAM, 2> const parameters{
+        OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digest.data(),
+                                         0),
+        OSSL_PARAM_construct_end()};
+    // A null key means "keep the key", so an empty one needs an address.
+    static constexpr unsigned char empty = 0;
+    require(EVP_MAC_init(m_context.get(), key.empty() ? &empty : as_bytes(key),
+                         key.size(), parameters.data()) == 1);
+}
+
+message_authenticator::full_tag
+message_authenticator::tag(std::initializer_list<std::string_view> parts)
+{
+    require(EVP_MAC_init(m_context.get(), nullptr, 0, nullptr) == 1);
+    for (auto const part : parts)
+    {
+        require(EVP_MAC_update(m_context.get(), as_bytes(part), part.size()) ==
+                1);
+    }
+    full_tag made{};
+    std::size_t size = 0;
+    require(EVP_MAC_final(m_context.get(),
+                          reinterpret_cast<unsigned char*>(made.data()), &size,
+                          made.size()) == 1);
+    return made;
+}
+
+std::string_view truncated(message_authenticator::full_tag const& tag) noexcept
+{
+    return {tag.data(), message_authenticator::truncated_bytes};
+}
+
+std::string_view whole(message_authenticator::full_tag const& tag) noexcept
+{
+    return {tag.data(), tag.size()};
+}
+
+bool equals_in_constant_time(std::string_view a, std::string_view b) noexcept
+{
+    return a.size() == b.size() &&
+           CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string random_bytes(std::size_t count)
+{
+    std::string bytes(count, '\0');
+    require(RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
+                       static_cast<int>(count)) == 1);
+    return bytes;
+}
+
+} // namespace hawthornspur::net
--- /dev/null
+++ b/src/net/message_fragment.hpp
@@ -0,0 +1,50 @@
+#ifndef HAWTHORNSPUR_NET_MESSAGE_FRAGMENT_HPP
+#define HAWTHORNSPUR_NET_MESSAGE_FRAGMENT_HPP
+
+#include "base/result.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace hawthornspur::net
+{
+
+/// A part of an encoded message, such as a configuration document, that would
+/// occupy the link for too long as one frame.
+struct message_fragment
+{
+    /// Chosen by the sender, not used again on the link.
+    std::uint64_t m_message = 0;
+    bool m_is_last = false;
+    std::string_view m_data;
+};
+
+std::string encode_fragment(message_fragment const& fragment);
+
+/// The data refers to the argument. Errors: as decode().
+result<message_fragment> decode_fragment(std::string_view bytes);
+
+/// Puts the messages of one link together again.
+class fragment_assembler
+{
+public:
+    /// The bound holds for all unfinished messages together.
+    explicit fragment_assembler(std::size_t max_bytes);
+
+    /// The whole message when this was its last fragment. Errors:
+    /// frame_too_large.
+    result<std::optional<std::string>> add(message_fragment const& fragment);
+
+private:
+    std::size_t m_max_bytes;
+    std::size_t m_bytes = 0;
+    std::unordered_map<std::uint64_t, std::string> m_unfinished;
+};
+
+} // namespace hawthornspur::net
+
+#endif
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -30,7 +30,17 @@
     std::string m_key;
     core::duration m_heartbeat_interval = std::chrono::milliseconds(200);
     core::duration m_silence_limit = std::chrono::milliseconds(600);
+    /// Holds for a frame and for a message put together from fragments.
     std::size_t m_max_frame_bytes = std::size_t{2} << 20U;
+    /// Bytes that may wait for one link.
+    std::size_t m_max_queued_bytes = std::size_t{64} << 20U;
+    /// A link to a host outside set_peers() is closed after this time without
+    /// messages.
+    core::duration m_idle_limit = std::chrono::seconds(10);
+    /// Waits between attempts to connect; doubled after each failure, then
+    /// varied at random by up to half.
+    core::duration m_min_backoff = std::chrono::milliseconds(50);
+    core::duration m_max_backoff = std::chrono::seconds(2);
 };
 
 struct peer_address
@@ -59,6 +69,21 @@
     std::uint64_t m_malformed = 0;
     std::uint64_t m_authentication_failures = 0;
     std::uint64_t m_version_mismatches = 0;
+    std::uint64_t m_oversized = 0;
+    /// Messages of unknown type or out of place.
+    std::uint64_t m_unexpected = 0;
+    /// Connections refused because the two hosts have another link.
+    std::uint64_t m_duplicate_links = 0;
+    /// Connections without key from or to addresses other than loopback.
+    std::uint64_t m_refused_addresses = 0;
+    /// Connections beyond the number of handshakes at the same time.
+    std::uint64_t m_refused_connections = 0;
+    std::uint64_t m_handshake_timeouts = 0;
+    std::uint64_t m_failed_dials = 0;
+    std::uint64_t m_silent_links = 0;
+    /// Messages refused by the bound on queued bytes.
+    std::uint64_t m_queue_refusals = 0;
+    std::uint64_t m_links_opened = 0;
     std::uint64_t m_links_lost = 0;
     std::uint64_t m_datagrams_sent = 0;
     std::uint64_t m_datagrams_received = 0;
@@ -68,7 +93,8 @@
 };
 
 /// Links to the other entry hosts and the datagram socket. One link connects
-/// two hosts whichever of them opened it.
+/// two hosts whichever of them opened it. Handlers may call any member but
+/// must not destroy the network.
 class peer_network
 {
 public:
@@ -82,10 +108,14 @@
     /// Hosts to be connected to; links to others are closed when idle.
     void set_peers(std::vector<peer_address> peers);
 
-    /// Queues a message. Returns owner_unreachable without a link; then no
-    /// byte was sent. Messages of one forward_id keep their order; large
-    /// bodies are cut into chunks and sent in turns with other requests.
-    status send(std::string const& host, peer_message const& message);
+    /// Queues a message. Returns owner_unreachable without a link and
+    /// queue_full when the bound on queued bytes does not allow the message;
+    /// then no byte of it was sent. Answer ends, refusals, cancellations and
+    /// window updates are not refused by the bound. Messages of one
+    /// forward_id keep their order; large bodies are cut into chunks and sent
+    /// in turns with other requests. A cancellation removes what still waits
+    /// of the request's body.
+    status send(std::string const& host, peer_message message);
 
     bool is_linked(std::string const& host) const;
 
--- /dev/null
+++ b/src/net/peer_wire.hpp
@@ -0,0 +1,49 @@
+#ifndef HAWTHORNSPUR_NET_PEER_WIRE_HPP
+#define HAWTHORNSPUR_NET_PEER_WIRE_HPP
+
+#include "net/peer_messages.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hawthornspur::net
+{
+
+/// Type numbers of messages on links and in datagrams. A number never changes
+/// its meaning.
+enum class wire_type : std::uint8_t
+{
+    hello = 1,
+    hello_proof = 2,
+    forward_request = 3,
+    body_chunk = 4,
+    answer_head = 5,
+    answer_chunk = 6,
+    answer_end = 7,
+    refusal = 8,
+    cancel = 9,
+    window = 10,
+    heartbeat = 11,
+    pool_summary = 12,
+    configuration_request = 13,
+    configuration_reply = 14,
+    handover = 15,
+    leaving = 16,
+    /// A part of a message that is too large for one frame.
+    fragment = 17,
+    membership = 32,
+};
+
+/// Bodies and large messages are cut into pieces of this size, so that a
+/// frame occupies the link only briefly.
+inline constexpr std::size_t chunk_bytes = std::size_t{16} << 10U;
+
+/// Encode a piece of a body without a copy of it in a message.
+std::string encode_body_chunk(forward_id id, std::string_view data);
+std::string encode_answer_chunk(forward_id id, std::string_view data);
+
+} // namespace hawthornspur::net
+
+#endif
