Add the policy benchmark

Cause: nothing measures the pool policy against the goals of the design.

Change: bench/policy drives one pool per service and zone in virtual time through a thin adapter, with stand-ins for targets and links, and compares it with round robin, two random choices, the same with probes, and a central queue per zone on the same arrivals. It prints tables and the goals.

--- /dev/null
+++ b/bench/policy/central_router.cpp
@@ -0,0 +1,142 @@
+#include "routers.hpp"
+
+#include <map>
+#include <utility>
+
+namespace hawthornspur::bench
+{
+
+namespace
+{
+
+struct waiting_request
+{
+    std::uint32_t m_request = 0;
+    int m_host = 0;
+};
+
+struct central_queue
+{
+    std::vector<int> m_targets;
+    std::vector<int> m_in_flight;
+    std::deque<waiting_request> m_waiting;
+    int m_zone = 0;
+};
+
+struct central_state
+{
+    fleet* m_fleet = nullptr;
+    std::map<std::pair<int, int>, central_queue> m_queues;
+    std::uint64_t m_next_job = 1;
+};
+
+using state_ptr = std::shared_ptr<central_state>;
+
+void drain(state_ptr const& s, central_queue& queue);
+
+std::size_t free_target(fleet& f, central_queue const& queue)
+{
+    std::vector<std::size_t> free;
+    for (std::size_t i = 0; i < queue.m_targets.size(); ++i)
+    {
+        auto const target = static_cast<std::size_t>(queue.m_targets[i]);
+        if (queue.m_in_flight[i] < f.m_plan.m_slots &&
+            !f.m_targets[target].m_dead)
+        {
+            free.push_back(i);
+        }
+    }
+    if (free.empty())
+    {
+        return queue.m_targets.size();
+    }
+    std::uniform_int_distribution<std::size_t> any(0, free.size() - 1);
+    return free[any(f.m_random)];
+}
+
+void dispatch(state_ptr const& s, central_queue& queue,
+              waiting_request const& next, std::size_t index)
+{
+    auto& f = *s->m_fleet;
+    ++queue.m_in_flight[index];
+    auto const ended = [s, &queue, next, index](job_end how)
+    {
+        auto& fl = *s->m_fleet;
+        --queue.m_in_flight[index];
+        auto const back = fl.m_events.m_now +
+                          link_delay(fl, queue.m_zone, queue.m_zone) +
+                          link_delay(fl, queue.m_zone, queue.m_zone);
+        finish(fl, next.m_request,
+               how == job_end::done ? request_status::answered
+                                    : request_status::failed,
+               back);
+        drain(s, queue);
+    };
+    start_job(
+        f, queue.m_targets[index],
+        {s->m_next_job++, f.m_work->m_requests[next.m_request].m_work, ended});
+}
+
+void drain(state_ptr const& s, central_queue& queue)
+{
+    auto& f = *s->m_fleet;
+    while (!queue.m_waiting.empty())
+    {
+        auto const next = queue.m_waiting.front();
+        auto const& planned = f.m_work->m_requests[next.m_request];
+        if (planned.m_deadline - f.m_events.m_now < planned.m_work)
+        {
+            queue.m_waiting.pop_front();
+            finish(f, next.m_request, request_status::refused,
+                   f.m_events.m_now);
+            continue;
+        }
+        auto const index = free_target(f, queue);
+        if (index == queue.m_targets.size())
+        {
+            return;
+        }
+        queue.m_waiting.pop_front();
+        dispatch(s, queue, next, index);
+    }
+}
+
+} // namespace
+
+router make_central_router(fleet& f)
+{
+    auto s = std::make_shared<central_state>();
+    s->m_fleet = &f;
+    router r;
+    r.m_arrive = [s](std::uint32_t request, int host)
+    {
+        auto& fl = *s->m_fleet;
+        auto const& planned = fl.m_work->m_requests[request];
+        auto const zone = zone_of_host(fl.m_plan, host);
+        auto& queue = s->m_queues[{planned.m_service, zone}];
+        if (queue.m_targets.empty())
+        {
+            queue.m_targets = pool_targets(fl, planned.m_service, zone);
+            queue.m_in_flight.assign(queue.m_targets.size(), 0);
+            queue.m_zone = zone;
+        }
+        // Both hops of the way in, so that a free slot is used at once.
+        auto const delay =
+            link_delay(fl, zone, zone) + link_delay(fl, zone, zone);
+        schedule(fl.m_events, fl.m_events.m_now + delay,
+                 [s, &queue, request, host]
+                 {
+                     queue.m_waiting.push_back({request, host});
+                     drain(s, queue);
+                 });
+    };
+    r.m_host_killed = [](int) {
+    };
+    r.m_victim = []
+    {
+        return fault_zone;
+    };
+    return r;
+}
+
+} // namespace hawthornspur::bench
--- /dev/null
+++ b/bench/policy/event_queue.cpp
@@ -0,0 +1,26 @@
+#include "event_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornspur::bench
+{
+
+void schedule(event_queue& queue, time_point at, std::function<void()> run)
+{
+    queue.m_events.push(
+        {std::max(at, queue.m_now), queue.m_next_sequence++, std::move(run)});
+}
+
+void run_until(event_queue& queue, time_point end)
+{
+    while (!queue.m_events.empty() && queue.m_events.top().m_at <= end)
+    {
+        auto next = queue.m_events.top();
+        queue.m_events.pop();
+        queue.m_now = next.m_at;
+        next.m_run();
+    }
+}
+
+} // namespace hawthornspur::bench
--- /dev/null
+++ b/bench/policy/report.cpp
@@ -0,0 +1,231 @@
+#include "report.hpp"
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <stdexcept>
+
+namespace hawthornspur::bench
+{
+
+namespace
+{
+
+namespace histogram = boost::histogram;
+
+double to_ms(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// Bins of one percent from a microsecond to a hundred seconds.
+auto make_times()
+{
+    using log_axis =
+        histogram::axis::regular<double, histogram::axis::transform::log>;
+    return histogram::make_histogram(log_axis(1850, 1e-3, 1e5));
+}
+
+template <class Histogram>
+double percentile(Histogram const& times, double share)
+{
+    double total = 0;
+    for (auto&& bin : histogram::indexed(times, histogram::coverage::all))
+    {
+        total += *bin;
+    }
+    double seen = 0;
+    for (auto&& bin : histogram::indexed(times, histogram::coverage::all))
+    {
+        seen += *bin;
+        if (total > 0 && seen >= share * total)
+        {
+            return bin.index() < 0 ? 0 : bin.bin().upper();
+        }
+    }
+    return 0;
+}
+
+bool is_selected(planned_request const& request, selection const& which)
+{
+    auto const at = request.m_arrival.time_since_epoch();
+    return at >= which.m_from && at < which.m_to &&
+           (which.m_service < 0 || which.m_service == request.m_service) &&
+           (which.m_zone < 0 || which.m_zone == request.m_zone) &&
+           (which.m_kind < 0 ||
+            static_cast<std::uint32_t>(which.m_kind) == request.m_kind);
+}
+
+router make_router(fleet& f, policy which, core::queue_order order,
+                   std::shared_ptr<core_counts> const& counts)
+{
+    switch (which)
+    {
+    case policy::core:
+        return make_core_router(f, order, counts);
+    case policy::round_robin:
+        return make_local_router(f, local_choice::round_robin);
+    case policy::two_choices:
+        return make_local_router(f, local_choice::two_choices);
+    case policy::two_choices_probed:
+        return make_local_router(f, local_choice::two_choices_probed);
+    case policy::central:
+        return make_central_router(f);
+    }
+    throw std::invalid_argument("unknown policy");
+}
+
+} // namespace
+
+std::string to_string(policy value)
+{
+    switch (value)
+    {
+    case policy::core:
+        return "hawthornspur";
+    case policy::round_robin:
+        return "round robin";
+    case policy::two_choices:
+        return "two choices";
+    case policy::two_choices_probed:
+        return "two choices, probes";
+    case policy::central:
+        return "central queue";
+    }
+    throw std::invalid_argument("unknown policy");
+}
+
+scenario_result run_scenario(deployment const& plan, scenario const& what,
+                             std::vector<policy> const& policies,
+                             core::queue_order order, std::uint64_t seed)
+{
+    scenario_result result{
+        plan,
+        what,
+        std::make_shared<workload const>(make_workload(plan, what, seed)),
+        {}};
+    for (auto const which : policies)
+    {
+        auto f = make_fleet(plan, what, *result.m_work, seed);
+        auto const counts = std::make_shared<core_counts>();
+        run(f, make_router(f, which, order, counts));
+        run_result run{which, std::move(f.m_results), *counts, 0};
+        for (auto const& target : f.m_targets)
+        {
+            run.m_measuring_share =
+                std::max(run.m_measuring_share,
+                         to_ms(target.m_measuring) / to_ms(what.m_length));
+        }
+        result.m_runs.push_back(std::move(run));
+    }
+    return result;
+}
+
+run_result const& run_of(scenario_result const& result, policy value)
+{
+    return *std::find_if(result.m_runs.begin(), result.m_runs.end(),
+                         [&](run_result const& run)
+                         { return run.m_policy == value; });
+}
+
+statistics measure(scenario_result const& result, run_result const& run,
+                   selection const& which)
+{
+    statistics s;
+    auto beyond = make_times();
+    auto response = make_times();
+    auto refusal = make_times();
+    auto const& requests = result.m_work->m_requests;
+    for (std::size_t i = 0; i < requests.size(); ++i)
+    {
+        auto const& request = requests[i];
+        if (!is_selected(request, which))
+        {
+            continue;
+        }
+        ++s.m_total;
+        auto const& end = run.m_results[i];
+        switch (end.m_status)
+        {
+        case request_status::answered:
+            ++s.m_answered;
+            response(to_ms(end.m_at - request.m_arrival));
+            beyond(to_ms(end.m_at - request.m_arrival - request.m_work));
+            break;
+        case request_status::refused:
+            ++s.m_refused;
+            refusal(to_ms(end.m_at - request.m_arrival));
+            break;
+        default:
+            ++s.m_failed;
+            response(to_ms(request.m_deadline - request.m_arrival));
+            beyond(to_ms(request.m_deadline - request.m_arrival));
+            break;
+        }
+    }
+    s.m_p50 = percentile(beyond, 0.5);
+    s.m_p99 = percentile(beyond, 0.99);
+    s.m_p999 = percentile(beyond, 0.999);
+    s.m_response_p99 = percentile(response, 0.99);
+    s.m_refusal_p50 = percentile(refusal, 0.5);
+    s.m_refusal_p99 = percentile(refusal, 0.99);
+    return s;
+}
+
+double answers_per_second(scenario_result const& result, run_result const& run,
+                          duration from, duration to)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < run.m_results.size(); ++i)
+    {
+        auto const& end = run.m_results[i];
+        auto const at = end.m_at.time_since_epoch();
+        bool const is_counted = end.m_status == request_status::answered &&
+                                at >= from && at < to &&
+                                result.m_work->m_requests[i].m_kind == 0;
+        count += is_counted ? 1 : 0;
+    }
+    return static_cast<double>(count) /
+           std::chrono::duration<double>(to - from).count();
+}
+
+void print_table(scenario_result const& result, std::string const& title,
+                 selection const& which)
+{
+    std::printf("\n%s: %s, %s\n", result.m_plan.m_name.c_str(),
+                result.m_scenario.m_name.c_str(), title.c_str());
+    std::printf("%-20s %8s %8s %8s %8s %7s %7s %8s %8s %9s\n", "policy",
+                "p50 ms", "p99 ms", "p99.9 ms", "answer %", "refus %", "fail %",
+                "ref p50", "ref p99", "measure %");
+    for (auto const& run : result.m_runs)
+    {
+        auto const s = measure(result, run, which);
+        auto const share = [&](std::size_t count)
+        {
+            return 100.0 * static_cast<double>(count) /
+                   static_cast<double>(std::max<std::size_t>(1, s.m_total));
+        };
+        std::printf(
+            "%-20s %8.2f %8.2f %8.2f %8.2f %7.2f %7.2f %8.2f %8.2f %9.3f\n",
+            to_string(run.m_policy).c_str(), s.m_p50, s.m_p99, s.m_p999,
+            share(s.m_answered), share(s.m_refused), share(s.m_failed),
+            s.m_refusal_p50, s.m_refusal_p99, 100 * run.m_measuring_share);
+    }
+    auto const& ours = run_of(result, policy::core).m_counts;
+    std::printf(
+        "hawthornspur: %llu dispatches, hedges %llu, retries %llu, "
+        "spills %llu (refused %llu), probes %llu, core %.2f us per "
+        "dispatch\n",
+        static_cast<unsigned long long>(ours.m_dispatches),
+        static_cast<unsigned long long>(ours.m_reasons[6]),
+        static_cast<unsigned long long>(ours.m_dispatches - ours.m_reasons[0] -
+                                        ours.m_reasons[6]),
+        static_cast<unsigned long long>(ours.m_spills),
+        static_cast<unsigned long long>(ours.m_spills_refused),
+        static_cast<unsigned long long>(ours.m_probes),
+        1000 * to_ms(ours.m_core_time) /
+            static_cast<double>(std::max<std::uint64_t>(1, ours.m_dispatches)));
+}
+
+} // namespace hawthornspur::bench
