Detect slow targets by a cumulative test instead of an average

Cause: with service times of a heavy tail the moving averages of two healthy targets differ by a factor of two and more, so limits were lowered and targets ejected by chance; in pools of two targets that halves the capacity.

Change: each target keeps a one-sided CUSUM of log(time / median of the kind) beyond a factor of four, in standard deviations of the kind. A slow target is ejected only if the others can carry the load. The benchmark's central queue no longer knows service times, and goodput is compared with the capacity of the slots under the planned noise.

--- a/bench/policy/report.cpp
+++ b/bench/policy/report.cpp
@@ -190,6 +190,35 @@
            std::chrono::duration<double>(to - from).count();
 }
 
+double capacity_per_second(scenario_result const& result, duration from,
+                           duration to)
+{
+    auto const& plan = result.m_plan;
+    auto const places = place_targets(plan);
+    auto const length = to - from;
+    double capacity = 0;
+    for (std::size_t i = 0; i < places.size(); ++i)
+    {
+        // Work done per second of a slot is the inverse of the noise factor.
+        double speed = 1;
+        for (auto const& noise : result.m_work->m_noise[i])
+        {
+            auto const start = std::max(noise.m_start.time_since_epoch(), from);
+            auto const end = std::min(noise.m_end.time_since_epoch(), to);
+            if (end > start)
+            {
+                speed -= (1 - 1 / noise.m_factor) * to_ms(end - start) /
+                         to_ms(length);
+            }
+        }
+        capacity +=
+            plan.m_slots * speed /
+            mean_service_seconds(
+                plan.m_services[static_cast<std::size_t>(places[i].m_service)]);
+    }
+    return capacity;
+}
+
 void print_table(scenario_result const& result, std::string const& title,
                  selection const& which)
 {
--- a/bench/policy/report.hpp
+++ b/bench/policy/report.hpp
@@ -83,6 +83,11 @@
 double answers_per_second(scenario_result const& result, run_result const& run,
                           duration from, duration to);
 
+/// Short requests that all slots together can finish per second between two
+/// times: the mean of the planned work, slowed down by the planned noise.
+double capacity_per_second(scenario_result const& result, duration from,
+                           duration to);
+
 /// Prints one row per policy.
 void print_table(scenario_result const& result, std::string const& title,
                  selection const& which);
--- a/bench/policy/routers.hpp
+++ b/bench/policy/routers.hpp
@@ -25,9 +25,9 @@
 /// elsewhere; a request is cancelled at its deadline.
 router make_local_router(fleet& f, local_choice choice);
 
-/// A queue per zone that knows at once, and exactly, which slots are free and
-/// how long each request takes. Messages to and from it take as long as those
-/// to and from a pool owner.
+/// A queue per zone, first come first served, that knows at once and exactly
+/// which slots are free. Messages to and from it take as long as those to and
+/// from a pool owner.
 router make_central_router(fleet& f);
 
 /// Counts of the core router's effects.
--- a/src/core/outlier_detection.cpp
+++ b/src/core/outlier_detection.cpp
@@ -11,8 +11,6 @@
 constexpr int failures_until_ejection = 3;
 constexpr duration first_ejection = std::chrono::milliseconds(500);
 constexpr int most_doublings = 6;
-// Five times the pool's median.
-constexpr double ejecting_log_slowness = 1.6;
 
 } // namespace
 
@@ -30,11 +28,6 @@
            state.m_consecutive_failures >= failures_until_ejection;
 }
 
-bool is_too_slow(double log_relative_slowness, double limit)
-{
-    return limit <= 1.0 && log_relative_slowness > ejecting_log_slowness;
-}
-
 void eject(outlier_state& state, time_point now)
 {
     auto const doublings = std::min(state.m_ejections, most_doublings);
--- a/src/core/outlier_detection.hpp
+++ b/src/core/outlier_detection.hpp
@@ -18,16 +18,12 @@
     bool m_on_trial = false;
 };
 
-/// Counts a whole answer without a fault.
+/// Counts a whole answer in usual time.
 void note_success(outlier_state& state);
 
 /// Counts a failure. Returns true if the target should be ejected.
 bool note_failure(outlier_state& state);
 
-/// A target this much slower than its pool (as a logarithm) with its limit
-/// already at 1 should be ejected.
-bool is_too_slow(double log_relative_slowness, double limit);
-
 /// Ejects the target for a time that doubles with each ejection in a row.
 void eject(outlier_state& state, time_point now);
 
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 namespace hawthornspur::core
@@ -16,6 +17,7 @@
 {
 
 constexpr double crash_start_share = 0.5;
+constexpr double largest_load_without = 0.9;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
@@ -178,19 +180,33 @@
     }
 }
 
+/// Whether the other targets can carry the present load. A slow target still
+/// does some work, so it is not ejected from a pool that needs it.
+bool has_room_without(pool const& p, target_entry const& target, time_point now)
+{
+    auto const slots = count_slots(p, now);
+    auto const rest =
+        slots.m_limit - whole_limit(target.m_limit, target.m_spec.m_slots);
+    auto const load = in_flight(p) + queue_length(p);
+    return static_cast<double>(load) < largest_load_without * rest;
+}
+
 void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
                        duration elapsed, time_point now)
 {
     observe(kind.m_times, elapsed);
     observe(p.m_times, elapsed);
-    auto const ratio = std::max(1e-3, seconds(elapsed).count() /
-                                          kind.m_times.m_median.m_value);
-    observe_ratio(target.m_limit, ratio, now);
-    auto const relative =
-        log_slowness(target.m_limit, now) - median_log_slowness(p, now);
-    adjust(target.m_limit, relative, target.m_spec.m_slots, now);
-    note_success(target.m_outlier);
-    if (is_too_slow(relative, target.m_limit.m_limit))
+    auto const log_ratio = std::log(std::max(1e-6, seconds(elapsed).count()) /
+                                    kind.m_times.m_median.m_value);
+    observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
+    bool const slow = is_slow(target, find_median(p, now), now);
+    bool const was_lowest = target.m_limit.m_limit <= 1;
+    adjust(target.m_limit, slow, target.m_spec.m_slots, now);
+    if (!slow)
+    {
+        note_success(target.m_outlier);
+    }
+    else if (was_lowest && has_room_without(p, target, now))
     {
         eject_if_allowed(p, target, now);
     }
--- a/src/core/pool_binding.cpp
+++ b/src/core/pool_binding.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-// A target twice as slow as the median is used only when the queue is long
-// enough that waiting for a faster one would take longer.
-constexpr double avoided_log_slowness = 0.7;
 constexpr duration bind_again_interval = std::chrono::milliseconds(10);
 constexpr duration shortest_hedge_delay = std::chrono::milliseconds(2);
 constexpr int hedge_delay_factor = 2;
@@ -30,6 +27,7 @@
 struct candidate
 {
     target_entry* m_target = nullptr;
+    bool m_slow = false;
     double m_log_slowness = 0;
     double m_score = 0;
 };
@@ -40,6 +38,10 @@
     {
         return true;
     }
+    if (a.m_slow != b.m_slow)
+    {
+        return b.m_slow;
+    }
     if (a.m_score != b.m_score)
     {
         return a.m_score < b.m_score;
@@ -52,7 +54,7 @@
 candidate pick_target(pool& p, request_entry const& request, time_point now)
 {
     candidate best;
-    double median = 0;
+    pool_median median;
     bool median_known = false;
     for (auto& target : p.m_targets)
     {
@@ -63,14 +65,14 @@
         }
         if (!median_known)
         {
-            median = median_log_slowness(p, now);
+            median = find_median(p, now);
             median_known = true;
         }
-        auto const slowness =
-            std::max(0.0, log_slowness(target.m_limit, now) - median);
+        auto const slowness = std::max(0.0, log_slowness(target.m_limit, now) -
+                                                median.m_log_slowness);
         auto const own =
             static_cast<double>(target.m_in_flight) / target.m_spec.m_slots;
-        candidate const next{&target, slowness,
+        candidate const next{&target, is_slow(target, median, now), slowness,
                              slowness + own +
                                  0.1 * target.m_reported_utilization};
         if (is_better(next, best))
@@ -81,15 +83,15 @@
     return best;
 }
 
-/// Slots of usable targets that are not notably slower than the median.
+/// Slots of usable targets that are not slow.
 int fast_limit(pool& p, request_entry const& request, time_point now)
 {
-    auto const median = median_log_slowness(p, now);
+    auto const median = find_median(p, now);
     int limit = 0;
     for (auto const& target : p.m_targets)
     {
         if (is_usable(target) && !was_tried(request, target.m_spec.m_id) &&
-            log_slowness(target.m_limit, now) - median < avoided_log_slowness)
+            !is_slow(target, median, now))
         {
             limit += whole_limit(target.m_limit, target.m_spec.m_slots);
         }
@@ -102,7 +104,7 @@
 bool should_wait(pool& p, candidate const& best, request_entry const& request,
                  time_point now)
 {
-    if (best.m_log_slowness < avoided_log_slowness)
+    if (!best.m_slow)
     {
         return false;
     }
@@ -280,7 +282,7 @@
                            slots.m_free * spare_divisor >= slots.m_limit &&
                            !is_kind_at_cap(p, kind, slots.m_slots);
     auto const best = has_spare ? pick_target(p, request, now) : candidate{};
-    if (best.m_target == nullptr || best.m_log_slowness >= avoided_log_slowness)
+    if (best.m_target == nullptr || best.m_slow)
     {
         auto const delay = std::max(shortest_hedge_delay, p95(kind.m_times));
         push(p.m_timers, {now + delay, request.m_arrival.m_request});
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -99,14 +99,18 @@
     return std::chrono::duration_cast<duration>(seconds(wait));
 }
 
-double median_log_slowness(pool& p, time_point now)
+namespace
+{
+
+template <class Measure>
+double median_of(pool& p, Measure const& measure)
 {
     p.m_scratch.clear();
     for (auto const& target : p.m_targets)
     {
         if (!is_leaving(target))
         {
-            p.m_scratch.push_back(log_slowness(target.m_limit, now));
+            p.m_scratch.push_back(measure(target.m_limit));
         }
     }
     if (p.m_scratch.empty())
@@ -120,6 +124,22 @@
     return *middle;
 }
 
+} // namespace
+
+pool_median find_median(pool& p, time_point now)
+{
+    return {median_of(p, [&](target_limit const& limit)
+                      { return log_slowness(limit, now); }),
+            median_of(p, [&](target_limit const& limit)
+                      { return deviation(limit, now); })};
+}
+
+bool is_slow(target_entry const& target, pool_median const& median,
+             time_point now)
+{
+    return is_slow(deviation(target.m_limit, now) - median.m_deviation);
+}
+
 void refuse(pool& p, request_map::iterator request, result_code code,
             pool_effects& out)
 {
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -151,8 +151,17 @@
 /// the largest duration if the pool has no usable target.
 duration expected_wait(pool const& p, kind_entry const& kind, time_point now);
 
-/// Logarithm of the slowness of the pool's median target.
-double median_log_slowness(pool& p, time_point now);
+/// What the targets of the pool are compared with.
+struct pool_median
+{
+    double m_log_slowness = 0;
+    double m_deviation = 0;
+};
+pool_median find_median(pool& p, time_point now);
+
+/// Whether the target is slower than its pool beyond what chance explains.
+bool is_slow(target_entry const& target, pool_median const& median,
+             time_point now);
 
 /// Answers the request with a code and forgets it unless attempts are still
 /// in flight. `may_have_run` replaces a code that would deny it.
--- a/src/core/service_time.cpp
+++ b/src/core/service_time.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace hawthornspur::core
 {
@@ -12,6 +13,7 @@
 constexpr double smallest_mean_weight = 0.02;
 constexpr double long_kind_factor = 10;
 constexpr double long_kind_share = 0.5;
+constexpr double normal_quantile_95 = 1.645;
 constexpr std::uint32_t samples_for_long_kind = 3;
 
 duration to_duration(double value)
@@ -48,6 +50,14 @@
     return to_duration(times.m_p95.m_value);
 }
 
+double log_spread(service_time const& times)
+{
+    assert(times.m_samples > 0);
+    return std::max(0.0,
+                    std::log(times.m_p95.m_value / times.m_median.m_value)) /
+           normal_quantile_95;
+}
+
 double slot_share(double declared_share, bool is_declared,
                   service_time const& kind, service_time const& pool)
 {
--- a/src/core/service_time.hpp
+++ b/src/core/service_time.hpp
@@ -29,6 +29,10 @@
 duration median(service_time const& times);
 duration p95(service_time const& times);
 
+/// Standard deviation of the logarithm of the time, taken from the distance of
+/// the median to the 95th percentile.
+double log_spread(service_time const& times);
+
 /// The share of the pool's slots that a kind may hold. A kind without a
 /// declared share that takes ten times the pool's median gets half, so that
 /// long requests never hold all slots.
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -14,21 +14,32 @@
     double m_limit = 1;
     /// Moving average of log(time taken / median of the kind).
     double m_log_slowness = 0;
+    /// Sum of the answers' deviations beyond a tolerated slowness, in standard
+    /// deviations of the kind; never negative (one-sided CUSUM test).
+    double m_deviation = 0;
     time_point m_observed{};
     time_point m_lowered{};
 };
 
-/// Takes in the time of one whole answer as a multiple of its kind's median.
-void observe_ratio(target_limit& limit, double ratio, time_point now);
+/// Takes in the time of one whole answer: the logarithm of its ratio to the
+/// kind's median, and the standard deviation of that logarithm for the kind.
+void observe_answer(target_limit& limit, double log_ratio, double spread,
+                    time_point now);
 
 /// The logarithm of the target's slowness. Observations fade, since load
 /// changes within milliseconds and an avoided target yields no new ones.
 double log_slowness(target_limit const& limit, time_point now);
 
-/// Lowers the limit of a target that is slower than the pool's median and
-/// raises it slowly otherwise. Called after each whole answer.
-void adjust(target_limit& limit, double log_relative_slowness, int slots,
-            time_point now);
+/// The deviation, faded like the slowness.
+double deviation(target_limit const& limit, time_point now);
+
+/// Whether a target with this deviation above the pool's median is slow beyond
+/// what chance explains.
+bool is_slow(double relative_deviation);
+
+/// Lowers the limit of a slow target and raises it slowly otherwise. Called
+/// after each whole answer.
+void adjust(target_limit& limit, bool slow, int slots, time_point now);
 
 /// The target refused work although the owner counted a free slot.
 void lower_after_shed(target_limit& limit, time_point now);
