Add membership by probing and a cluster model in virtual time

Cause: the membership header had no code.

Change: pings in shuffled round-robin order in the own zone, two indirect probes, suspicion, death, refutation, delegates between zones, records piggybacked on messages, host list as a seed only, detection of the own pause. Each part is one file. hs_core_models holds a cluster of hosts in virtual time with loss, duplicates, delays, pauses and groups that do not reach each other; it also runs configuration_state.

Decisions the design left open: - Records are ordered by version, then incarnation, then severity of the state. The upper 32 bits of the version count the processes that used the name. A process that hears of an earlier one takes the next number, so a late record of an old incarnation loses whatever its lower bits are. - A process that was paused and finds its name taken by a later one stays isolated and silent (is_superseded()). - Isolation ends with an ack for a ping sent after the pause; acks that waited in the socket do not count. A host whose zone has no living peer and that nobody answers for 5 s serves alone, as each side of a partition does. - Hosts that only heard of a suspicion wait three times the suspicion time before they declare a death.

Additions to the interface: is_superseded(), is_delegate(), is_current(), the source of the document in force, three settings.

Conclusion: core_tests passes (23 cases, 424 assertions): agreement at 2, 5, 19 and 100 hosts without a suspicion, fewer than 25 messages a second for every host at 5, 19 and 100, agreement after partitions of 1, 10 and 200 s with and without the store.

--- a/src/core/configuration_state.cpp
+++ b/src/core/configuration_state.cpp
@@ -10,7 +10,8 @@
 {
 
 offer_result offer(configuration_state& state,
-                   std::shared_ptr<configuration const> document)
+                   std::shared_ptr<configuration const> document,
+                   configuration_source source)
 {
     assert(document != nullptr);
     state.m_newest_heard =
@@ -19,6 +20,7 @@
         document->m_generation > state.m_in_force->m_generation)
     {
         state.m_in_force = std::move(document);
+        state.m_source = source;
         return offer_result::in_force;
     }
     if (document->m_generation < state.m_in_force->m_generation)
@@ -37,15 +39,24 @@
 bool note_generation(configuration_state& state, std::uint64_t generation)
 {
     state.m_newest_heard = std::max(state.m_newest_heard, generation);
-    return state.m_in_force == nullptr ||
-           generation > state.m_in_force->m_generation;
+    // Compared for equality: a document with a wrong, very high number must not
+    // keep the host from fetching those that follow.
+    return generation != state.m_rejected_generation &&
+           (state.m_in_force == nullptr ||
+            generation > state.m_in_force->m_generation);
 }
 
 void note_rejected(configuration_state& state, std::uint64_t generation)
 {
     ++state.m_rejected_documents;
-    state.m_rejected_generation =
-        std::max(state.m_rejected_generation, generation);
+    state.m_rejected_generation = generation;
+}
+
+bool is_current(configuration_state const& state) noexcept
+{
+    return state.m_in_force != nullptr &&
+           (state.m_in_force->m_generation >= state.m_newest_heard ||
+            state.m_newest_heard == state.m_rejected_generation);
 }
 
 bool is_watcher(std::string const& host, std::string const& zone,
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -35,7 +35,9 @@
 };
 
 /// What hosts tell each other about a host. Of two records of a host, the one
-/// with the higher (incarnation start order, version) is newer.
+/// with the higher version is newer (host_record_order.hpp). The upper 32 bits
+/// of the version order the processes that used the name: a process that hears
+/// of an earlier one takes the next number.
 struct host_record
 {
     std::string m_name;
@@ -76,19 +78,21 @@
     membership_message m_message;
 };
 
-/// A host appeared, changed its state or restarted.
+/// A host appeared, restarted or changed anything but its version. A host that
+/// died is reported as dead; a record that is forgotten later is not.
 struct host_changed_effect
 {
     host_record m_record;
 };
 
-/// This host was paused or cut off (true) or has heard its peers again.
+/// This host was paused (true) or has heard a peer again.
 struct isolation_effect
 {
     bool m_isolated = false;
 };
 
-/// A peer has a newer configuration in force.
+/// A peer has a newer configuration in force. Repeated with each message until
+/// set_self() announces the generation, so that a lost fetch is tried again.
 struct newer_generation_effect
 {
     std::string m_host;
@@ -104,11 +108,20 @@
 {
     duration m_ping_interval = std::chrono::milliseconds(200);
     duration m_ack_timeout = std::chrono::milliseconds(100);
-    /// From the first missed ack of a host to its death, unless it is heard.
+    /// From the first missed ack of a host to its death, unless it refutes the
+    /// suspicion. Hosts that only heard of the suspicion wait three times as
+    /// long, for the refutation or the death to arrive.
     duration m_suspicion_timeout = std::chrono::milliseconds(600);
     /// A loop that stood still for longer counts as paused.
     duration m_pause_limit = std::chrono::milliseconds(600);
+    /// A paused host that no peer answers and whose zone has no living peer
+    /// works alone after this time: in a partition each side serves its own.
+    duration m_alone_timeout = std::chrono::seconds(5);
     duration m_dead_record_lifetime = std::chrono::seconds(60);
+    /// Hosts that are dead or only listed are tried this often.
+    duration m_reconnect_interval = std::chrono::seconds(1);
+    /// A host that appeared lately gets as many records as fit.
+    duration m_newcomer_time = std::chrono::seconds(5);
     int m_indirect_probes = 2;
     int m_delegates_per_zone = 2;
     std::size_t m_max_updates = 6;
@@ -147,9 +160,17 @@
               std::uint64_t once_epoch, time_point now,
               membership_effects& out);
 
-/// True after a pause until a peer has been heard again.
+/// True after a pause until a peer has answered a ping sent after it (or
+/// m_alone_timeout applies). An isolated host dispatches nothing.
 bool is_isolated(membership const& m) noexcept;
 
+/// True when a process that was paused finds that another one has taken its
+/// name. It stays isolated and silent; its owner should end it.
+bool is_superseded(membership const& m) noexcept;
+
+/// True while this host exchanges pings with other zones.
+bool is_delegate(membership const& m);
+
 host_record const& self(membership const& m) noexcept;
 
 /// All known hosts but this one, dead ones included for a while.
