--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -179,10 +179,15 @@
     mark_key_dispatched(h, c);
     c.m_forwarded = forwarded_call{to, id, purpose, 0};
     h.m_forwards[id] = c.m_id;
-    if (!c.m_accepted.m_request.m_body.empty())
+    auto const& body = c.m_accepted.m_request.m_body;
+    if (!body.empty() &&
+        !has_value(h.m_peers->send(to, net::body_chunk{id, body})))
     {
-        static_cast<void>(h.m_peers->send(
-            to, net::body_chunk{id, c.m_accepted.m_request.m_body}));
+        // The other host starts a request only with its whole body, so this
+        // one has not run.
+        cancel_forward(h, c);
+        fail_call(h, c, result_code::owner_unreachable);
+        return true;
     }
     return true;
 }
--- a/src/serve/incoming.cpp
+++ b/src/serve/incoming.cpp
@@ -24,6 +24,19 @@
     static_cast<void>(h.m_peers->send(id.first, net::refusal{id.second, code}));
 }
 
+/// A piece of the answer could not be queued: the answer must not look whole
+/// to the receiver. If the refusal cannot be queued either, the receiver gives
+/// up at the deadline.
+void break_answer(host& h, incoming_id const& id)
+{
+    auto const call_id = h.m_outgoing.at(id).m_call;
+    h.m_outgoing.erase(id);
+    h.m_metrics.count_event("answer_broken_by_full_link");
+    send_refusal(h, id, result_code::peer_link_lost);
+    // The call may be the one that is writing just now.
+    h.m_loop->post([&h, call_id] { on_receiver_gone(h, call_id); });
+}
+
 /// Sends as much of the pending answer as the window allows.
 void flush_answer(host& h, incoming_id const& id)
 {
@@ -37,9 +50,14 @@
         std::min<std::size_t>(answer.m_credit, answer.m_pending.size());
     if (size > 0)
     {
-        static_cast<void>(h.m_peers->send(
+        auto const sent = h.m_peers->send(
             id.first,
-            net::answer_chunk{id.second, answer.m_pending.substr(0, size)}));
+            net::answer_chunk{id.second, answer.m_pending.substr(0, size)});
+        if (!has_value(sent))
+        {
+            break_answer(h, id);
+            return;
+        }
         answer.m_pending.erase(0, size);
         answer.m_credit -= static_cast<std::uint32_t>(size);
     }
