--- a/tools/platform_emulator/platform_emulator.cpp
+++ b/tools/platform_emulator/platform_emulator.cpp
@@ -424,7 +424,7 @@
         loop,
         {.m_address = settings.m_address,
          .m_port = settings.m_port,
-         .m_max_body_bytes = 2 * max_value_bytes,
+         .m_max_body_bytes = 8 * max_value_bytes,
          .m_idle_timeout = max_wait},
         [raw = s.get()](net::http_request request, exchange_ptr exchange)
         {
