--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -4,6 +4,7 @@
 #include "base/result.hpp"
 #include "core/configuration.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -44,6 +45,9 @@
     std::map<std::string, std::string> m_parts;
 };
 
+/// xxHash64 of a part's text as 16 hex digits, the part's key in the store.
+std::string content_hash(std::string_view part);
+
 stored_document split_document(core::configuration const& document);
 
 /// The hashes of the parts that a head names, and its generation.
@@ -54,6 +58,8 @@
     std::vector<std::string> m_parts;
 };
 
+std::string print_head(document_head const& head);
+
 checked<document_head> parse_head(std::string_view text);
 
 /// Joins a head and its parts and checks the whole, also that each part has
--- a/src/config/stored_document.cpp
+++ b/src/config/stored_document.cpp
@@ -19,29 +19,18 @@
 
 constexpr std::size_t hash_digits = 16;
 
-std::string content_hash(std::string_view text)
-{
-    std::array<char, hash_digits> digits{};
-    auto const end = std::to_chars(digits.data(), digits.data() + hash_digits,
-                                   XXH64(text.data(), text.size(), 0), 16)
-                         .ptr;
-    auto const length = static_cast<std::size_t>(end - digits.data());
-    return std::string(hash_digits - length, '0') +
-           std::string(digits.data(), length);
-}
-
 bool is_hash(std::string_view text)
 {
     return text.size() == hash_digits &&
            text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
 }
 
-void add_part(stored_document& stored, nlohmann::ordered_json& names,
+void add_part(stored_document& stored, document_head& head,
               nlohmann::ordered_json const& part)
 {
     auto text = part.dump();
     auto hash = content_hash(text);
-    names.push_back(hash);
+    head.m_parts.push_back(hash);
     stored.m_parts.emplace(std::move(hash), std::move(text));
 }
 
@@ -93,23 +82,39 @@
 
 } // namespace
 
+std::string content_hash(std::string_view part)
+{
+    std::array<char, hash_digits> digits{};
+    auto const end = std::to_chars(digits.data(), digits.data() + hash_digits,
+                                   XXH64(part.data(), part.size(), 0), 16)
+                         .ptr;
+    auto const length = static_cast<std::size_t>(end - digits.data());
+    return std::string(hash_digits - length, '0') +
+           std::string(digits.data(), length);
+}
+
 stored_document split_document(core::configuration const& document)
 {
     stored_document stored;
-    auto names = nlohmann::ordered_json::array();
-    add_part(stored, names, print_base(document));
+    document_head head{document.m_generation, document.m_change_id, {}};
+    add_part(stored, head, print_base(document));
     for (auto const& service : document.m_services)
     {
-        add_part(stored, names, print_service(service));
+        add_part(stored, head, print_service(service));
     }
-    nlohmann::ordered_json head;
-    head["generation"] = document.m_generation;
-    head["change_id"] = document.m_change_id;
-    head["parts"] = std::move(names);
-    stored.m_head = head.dump();
+    stored.m_head = print_head(head);
     return stored;
 }
 
+std::string print_head(document_head const& head)
+{
+    nlohmann::ordered_json out;
+    out["generation"] = head.m_generation;
+    out["change_id"] = head.m_change_id;
+    out["parts"] = head.m_parts;
+    return out.dump();
+}
+
 checked<document_head> parse_head(std::string_view text)
 {
     problems faults;
--- /dev/null
+++ b/src/platform/fake_platform_test.hpp
@@ -0,0 +1,268 @@
+#ifndef HAWTHORNSPUR_PLATFORM_FAKE_PLATFORM_TEST_HPP
+#define HAWTHORNSPUR_PLATFORM_FAKE_PLATFORM_TEST_HPP
+
+#include "platform/platform_calls.hpp"
+#include "platform/scheduler.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hawthornspur::platform
+{
+
+enum class fault : std::uint8_t
+{
+    none,
+    /// Refused without effect.
+    down,
+    /// Answered after a second.
+    slow,
+    /// A read answers with the previous value of the key.
+    stale_read,
+    /// The effect takes place and the answer says that the store is down.
+    answer_lost,
+    /// The effect takes place and no answer ever comes.
+    silent,
+    /// A read answers with a value whose last byte is another one.
+    damaged_read,
+};
+
+/// A store in virtual time. The hook chooses the fault and the delay of each
+/// call; calls are numbered from 0. It outlives all calls.
+struct fake_platform
+{
+    struct entry
+    {
+        std::vector<stored_value> m_versions;
+    };
+
+    core::time_point m_now{};
+    std::multimap<core::time_point, std::function<void()>> m_tasks;
+    std::map<std::string, entry> m_entries;
+    std::map<std::string, core::time_point> m_leases;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_calls = 0;
+    std::vector<core::time_point> m_call_times;
+    std::function<fault(std::uint64_t call, std::string const& key)> m_fault =
+        [](std::uint64_t, std::string const&)
+    {
+        return fault::none;
+    };
+    std::function<core::duration()> m_delay = []
+    {
+        return std::chrono::milliseconds(1);
+    };
+    /// Called after each write that took effect.
+    std::function<void(std::string const& key, std::string const& value)>
+        m_on_write = [](std::string const&, std::string const&) {
+        };
+
+    scheduler make_scheduler()
+    {
+        return {[this] { return m_now; },
+                [this](core::duration delay, std::function<void()> task)
+                {
+                    m_tasks.emplace(m_now + delay, std::move(task));
+                }};
+    }
+
+    /// Runs until no task is left.
+    void run()
+    {
+        while (!m_tasks.empty())
+        {
+            auto const first = m_tasks.extract(m_tasks.begin());
+            m_now = first.key();
+            first.mapped()();
+        }
+    }
+
+    stored_value const* newest(std::string const& key) const
+    {
+        auto const found = m_entries.find(key);
+        return found == m_entries.end() ? nullptr
+                                        : &found->second.m_versions.back();
+    }
+
+    platform_calls make_calls()
+    {
+        platform_calls calls;
+        calls.m_get = [this](std::string key, callback<stored_value> done)
+        {
+            get(std::move(key), std::move(done));
+        };
+        calls.m_watch = [this](std::string key, std::uint64_t after,
+                               core::duration wait, callback<stored_value> done)
+        {
+            watch(std::move(key), after, m_now + wait, std::move(done));
+        };
+        calls.m_compare_and_swap = [this](std::string key, std::string value,
+                                          std::uint64_t revision,
+                                          callback<std::uint64_t> done)
+        {
+            swap(std::move(key), std::move(value), revision, std::move(done));
+        };
+        calls.m_create_lease =
+            [this](core::duration lifetime, callback<std::string> done)
+        {
+            auto name = "lease-" + std::to_string(m_leases.size());
+            m_leases[name] = m_now + lifetime;
+            answer<std::string>("leases", name, std::move(done));
+        };
+        calls.m_renew_lease =
+            [this](std::string const& lease, callback<std::monostate> done)
+        {
+            auto const found = m_leases.find(lease);
+            result<std::monostate> outcome = std::monostate{};
+            if (found == m_leases.end() || found->second <= m_now)
+            {
+                outcome = make_error(result_code::not_found, "lapsed");
+            }
+            answer<std::monostate>("leases", outcome, std::move(done));
+        };
+        calls.m_list_hosts = [this](callback<std::vector<listed_host>> done)
+        {
+            answer<std::vector<listed_host>>(
+                "hosts", std::vector<listed_host>{}, std::move(done));
+        };
+        return calls;
+    }
+
+private:
+    fault next_fault(std::string const& key)
+    {
+        m_call_times.push_back(m_now);
+        return m_fault(m_calls++, key);
+    }
+
+    template <class T>
+    void answer_with(fault kind, result<T> outcome, callback<T> done)
+    {
+        if (kind == fault::silent)
+        {
+            return;
+        }
+        if (kind == fault::down || kind == fault::answer_lost)
+        {
+            outcome = make_error(result_code::store_unavailable, "down");
+        }
+        auto const delay = kind == fault::slow
+                               ? core::duration(std::chrono::seconds(1))
+                               : m_delay();
+        m_tasks.emplace(m_now + delay,
+                        [done = std::move(done), outcome = std::move(outcome)]
+                        { done(outcome); });
+    }
+
+    template <class T>
+    void answer(std::string const& key, result<T> outcome, callback<T> done)
+    {
+        answer_with<T>(next_fault(key), std::move(outcome), std::move(done));
+    }
+
+    result<stored_value> read(std::string const& key, fault kind) const
+    {
+        auto const found = m_entries.find(key);
+        if (found == m_entries.end())
+        {
+            return make_error(result_code::not_found, "no key");
+        }
+        auto const& versions = found->second.m_versions;
+        if (kind == fault::stale_read)
+        {
+            if (versions.size() < 2)
+            {
+                return make_error(result_code::not_found, "no key yet");
+            }
+            return versions[versions.size() - 2];
+        }
+        auto value = versions.back();
+        if (kind == fault::damaged_read && !value.m_value.empty())
+        {
+            value.m_value.back() ^= 1;
+        }
+        return value;
+    }
+
+    void get(std::string key, callback<stored_value> done)
+    {
+        auto const kind = next_fault(key);
+        // The read takes place half-way between request and answer, so that
+        // other calls interleave with it.
+        m_tasks.emplace(
+            m_now + m_delay(),
+            [this, kind, key = std::move(key), done = std::move(done)]
+            { answer_with<stored_value>(kind, read(key, kind), done); });
+    }
+
+    void swap(std::string key, std::string value, std::uint64_t revision,
+              callback<std::uint64_t> done)
+    {
+        auto const kind = next_fault(key);
+        m_tasks.emplace(
+            m_now + m_delay(),
+            [this, kind, key = std::move(key), value = std::move(value),
+             revision, done = std::move(done)]
+            {
+                if (kind == fault::down)
+                {
+                    answer_with<std::uint64_t>(kind, std::uint64_t{0}, done);
+                    return;
+                }
+                answer_with<std::uint64_t>(kind, write(key, value, revision),
+                                           done);
+            });
+    }
+
+    result<std::uint64_t> write(std::string const& key,
+                                std::string const& value,
+                                std::uint64_t revision)
+    {
+        auto const* current = newest(key);
+        if ((current == nullptr ? 0 : current->m_revision) != revision)
+        {
+            return make_error(result_code::version_conflict, "revision");
+        }
+        m_entries[key].m_versions.push_back({value, ++m_revision});
+        m_on_write(key, value);
+        return m_revision;
+    }
+
+    void watch(std::string const& key, std::uint64_t after,
+               core::time_point until, callback<stored_value> done)
+    {
+        watch_until(key, after, until, next_fault(key), std::move(done));
+    }
+
+    void watch_until(std::string const& key, std::uint64_t after,
+                     core::time_point until, fault kind,
+                     callback<stored_value> done)
+    {
+        auto const* current = newest(key);
+        if (kind != fault::none ||
+            (current != nullptr && current->m_revision > after))
+        {
+            answer_with<stored_value>(kind, read(key, kind), std::move(done));
+            return;
+        }
+        if (m_now >= until)
+        {
+            answer_with<stored_value>(
+                kind, make_error(result_code::not_found, "no change"),
+                std::move(done));
+            return;
+        }
+        m_tasks.emplace(m_now + std::chrono::milliseconds(10),
+                        [this, key, after, until, kind, done = std::move(done)]
+                        { watch_until(key, after, until, kind, done); });
+    }
+};
+
+} // namespace hawthornspur::platform
+
+#endif
