--- a/src/platform/fake_platform_test.hpp
+++ b/src/platform/fake_platform_test.hpp
@@ -96,10 +96,10 @@
         {
             get(std::move(key), std::move(done));
         };
-        calls.m_watch = [this](std::string key, std::uint64_t after,
+        calls.m_watch = [this](std::string const& key, std::uint64_t after,
                                core::duration wait, callback<stored_value> done)
         {
-            watch(std::move(key), after, m_now + wait, std::move(done));
+            watch(key, after, m_now + wait, std::move(done));
         };
         calls.m_compare_and_swap = [this](std::string key, std::string value,
                                           std::uint64_t revision,
