--- /dev/null
+++ b/src/net/net_test_support.hpp
@@ -0,0 +1,172 @@
+#ifndef HAWTHORNSPUR_NET_NET_TEST_SUPPORT_HPP
+#define HAWTHORNSPUR_NET_NET_TEST_SUPPORT_HPP
+
+#include "net/event_loop.hpp"
+#include "net/socket_address.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+/// Only ends a test that hangs; no verdict depends on how long it takes.
+inline constexpr core::duration hang_bound = std::chrono::seconds(60);
+
+/// Runs the loop until the condition holds. False when the test hangs.
+inline bool run_until(event_loop& loop, std::function<bool()> const& condition)
+{
+    auto const end = event_loop::now() + hang_bound;
+    // Wakes the loop, so that a test without any event ends as well.
+    auto wake = take(timer::create(loop, [] {}));
+    while (!condition())
+    {
+        if (event_loop::now() > end)
+        {
+            return false;
+        }
+        wake->start(std::chrono::milliseconds(20));
+        event_base_loop(loop.base(), EVLOOP_ONCE);
+    }
+    return true;
+}
+
+/// A TCP connection of a test that sends any bytes and keeps what it gets.
+class raw_connection
+{
+public:
+    /// Connects to a loopback port.
+    raw_connection(event_loop& loop, std::uint16_t port)
+        : raw_connection(loop, -1, true)
+    {
+        auto const address = parse_address("127.0.0.1", port);
+        bufferevent_socket_connect(m_transport, address->get(),
+                                   static_cast<int>(address->m_length));
+    }
+    /// Takes over an accepted connection.
+    raw_connection(event_loop& loop, int fd, bool /*unused*/)
+        : m_transport(
+              bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE))
+    {
+        bufferevent_setcb(m_transport, on_readable, nullptr, on_event, this);
+        bufferevent_enable(m_transport, EV_READ | EV_WRITE);
+    }
+    ~raw_connection()
+    {
+        bufferevent_free(m_transport);
+    }
+    raw_connection(raw_connection const&) = delete;
+    raw_connection& operator=(raw_connection const&) = delete;
+
+    void send(std::string_view bytes)
+    {
+        bufferevent_write(m_transport, bytes.data(), bytes.size());
+    }
+    /// Ends the sending direction after everything written so far. Call it
+    /// from the loop after the bytes have left.
+    void shut_down()
+    {
+        ::shutdown(bufferevent_getfd(m_transport), SHUT_WR);
+    }
+    /// Ends the connection with a reset.
+    void reset()
+    {
+        linger const at_once{1, 0};
+        ::setsockopt(bufferevent_getfd(m_transport), SOL_SOCKET, SO_LINGER,
+                     &at_once, sizeof(at_once));
+        bufferevent_disable(m_transport, EV_READ | EV_WRITE);
+        ::shutdown(bufferevent_getfd(m_transport), SHUT_RDWR);
+    }
+    void set_reading(bool enabled)
+    {
+        enabled ? bufferevent_enable(m_transport, EV_READ)
+                : bufferevent_disable(m_transport, EV_READ);
+    }
+    std::size_t unsent() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(m_transport));
+    }
+
+    std::string m_received;
+    bool m_closed = false;
+    std::function<void()> m_on_data;
+
+private:
+    static void on_readable(bufferevent* transport, void* self)
+    {
+        auto* connection = static_cast<raw_connection*>(self);
+        auto* input = bufferevent_get_input(transport);
+        auto const size = evbuffer_get_length(input);
+        auto const* bytes = evbuffer_pullup(input, -1);
+        connection->m_received.append(reinterpret_cast<char const*>(bytes),
+                                      size);
+        evbuffer_drain(input, size);
+        if (connection->m_on_data)
+        {
+            connection->m_on_data();
+        }
+    }
+    static void on_event(bufferevent* /*transport*/, short what, void* self)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+        {
+            static_cast<raw_connection*>(self)->m_closed = true;
+        }
+    }
+
+    bufferevent* m_transport;
+};
+
+/// A listener of a test that keeps its connections.
+class raw_listener
+{
+public:
+    explicit raw_listener(event_loop& loop)
+        : m_loop(loop)
+    {
+        auto const address = parse_address("127.0.0.1", 0);
+        m_listener = evconnlistener_new_bind(
+            loop.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+            address->get(), static_cast<int>(address->m_length));
+        m_port = port_of(*local_address(evconnlistener_get_fd(m_listener)));
+    }
+    ~raw_listener()
+    {
+        evconnlistener_free(m_listener);
+    }
+    raw_listener(raw_listener const&) = delete;
+    raw_listener& operator=(raw_listener const&) = delete;
+
+    std::uint16_t m_port = 0;
+    std::vector<std::unique_ptr<raw_connection>> m_connections;
+    std::function<void(raw_connection&)> m_on_connection;
+
+private:
+    static void on_accept(evconnlistener* /*listener*/, evutil_socket_t fd,
+                          sockaddr* /*from*/, int /*length*/, void* self)
+    {
+        auto* listener = static_cast<raw_listener*>(self);
+        listener->m_connections.push_back(
+            std::make_unique<raw_connection>(listener->m_loop, fd, true));
+        if (listener->m_on_connection)
+        {
+            listener->m_on_connection(*listener->m_connections.back());
+        }
+    }
+
+    event_loop& m_loop;
+    evconnlistener* m_listener = nullptr;
+};
+
+} // namespace hawthornspur::net
+
+#endif
--- /dev/null
+++ b/src/net/send_queue_test.cpp
@@ -0,0 +1,186 @@
+#include "net/message_fragment.hpp"
+#include "net/peer_wire.hpp"
+#include "net/send_queue.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+constexpr std::size_t ample = std::size_t{1} << 30U;
+
+forward_id id_of(peer_message const& message)
+{
+    return std::visit(
+        [](auto const& m) -> forward_id
+        {
+            if constexpr (requires { m.m_id; })
+            {
+                return m.m_id;
+            }
+            else
+            {
+                return 0;
+            }
+        },
+        message);
+}
+
+} // namespace
+
+// Guards against a large body that holds up other requests: between two of
+// its chunks every waiting request gets a turn.
+TEST_CASE("requests take turns by chunks")
+{
+    send_queue queue(ample);
+    queue.push(body_chunk{1, std::string(4 * chunk_bytes, 'x')});
+    queue.push(body_chunk{2, std::string(2 * chunk_bytes, 'y')});
+    queue.push(window_update{3, 1});
+    std::vector<forward_id> order;
+    while (auto const piece = queue.pop())
+    {
+        CHECK(piece->size() < chunk_bytes + 32);
+        order.push_back(id_of(take(decode(*piece))));
+    }
+    CHECK(order == std::vector<forward_id>{1, 2, 3, 1, 2, 1, 1});
+    CHECK(queue.bytes() == 0);
+}
+
+// Guards against lost, repeated or reordered parts, and against a wrong count
+// of queued bytes, which would block a link for good.
+TEST_CASE("bodies are whole and in order whatever is queued between pops")
+{
+    rc::check(
+        []
+        {
+            send_queue queue(ample);
+            std::map<forward_id, std::string> sent;
+            std::map<forward_id, std::string> received;
+            auto const receive = [&]
+            {
+                if (auto const piece = queue.pop())
+                {
+                    auto const message = take(decode(*piece));
+                    received[id_of(message)] +=
+                        std::get<body_chunk>(message).m_data;
+                }
+            };
+            auto const steps = *rc::gen::inRange(1, 40);
+            for (int step = 0; step < steps; ++step)
+            {
+                auto const id = *rc::gen::inRange<forward_id>(1, 4);
+                auto const size =
+                    *rc::gen::inRange<std::size_t>(0, 3 * chunk_bytes);
+                auto const letter = static_cast<char>('a' + step % 26);
+                std::string const data(size, letter);
+                sent[id] += data;
+                RC_ASSERT(queue.push(body_chunk{id, data}));
+                auto const pops = *rc::gen::inRange(0, 4);
+                for (int i = 0; i < pops; ++i)
+                {
+                    receive();
+                }
+            }
+            while (!queue.is_empty())
+            {
+                receive();
+            }
+            RC_ASSERT(queue.bytes() == 0U);
+            for (auto const& [id, data] : sent)
+            {
+                RC_ASSERT(received[id] == data);
+            }
+        });
+}
+
+// Guards against a configuration document that holds up requests, or that
+// arrives damaged.
+TEST_CASE("a large message is cut into fragments and put together again")
+{
+    std::string document(10 * chunk_bytes + 1, 'd');
+    document[5 * chunk_bytes] = 'e';
+    send_queue queue(ample);
+    queue.push(configuration_reply{3, document});
+    queue.push(window_update{3, 1});
+    fragment_assembler assembler(ample);
+    std::optional<std::string> whole;
+    int others = 0;
+    while (auto const piece = queue.pop())
+    {
+        auto const fragment = decode_fragment(*piece);
+        if (!has_value(fragment))
+        {
+            CHECK(!whole);
+            ++others;
+            continue;
+        }
+        whole = take(assembler.add(value(fragment)));
+    }
+    CHECK(others == 1);
+    REQUIRE(whole);
+    auto const message = take(decode(*whole));
+    CHECK(std::get<configuration_reply>(message).m_document == document);
+}
+
+// Guards against a peer that fills the memory with unfinished messages.
+TEST_CASE("unfinished messages are bounded, also when they are empty")
+{
+    fragment_assembler assembler(1000);
+    CHECK(has_value(assembler.add({1, false, std::string(500, 'x')})));
+    CHECK(!has_value(assembler.add({2, false, std::string(500, 'x')})));
+    fragment_assembler other(1000);
+    std::uint64_t taken = 0;
+    while (taken < 1000 && has_value(other.add({taken, false, ""})))
+    {
+        ++taken;
+    }
+    CHECK(taken < 1000);
+}
+
+// Guards against a link that takes bytes without bound, and against refusing
+// the messages that release resources at the peer.
+TEST_CASE("the bound refuses bodies but not messages that end a request")
+{
+    send_queue queue(1000);
+    CHECK(queue.push(body_chunk{1, std::string(1000, 'x')}));
+    CHECK(!queue.push(body_chunk{1, "x"}));
+    CHECK(!queue.push(configuration_request{1}));
+    CHECK(queue.push(cancel_request{2}));
+    CHECK(queue.push(refusal{3, result_code::queue_full}));
+    CHECK(queue.push(answer_end{3}));
+    CHECK(queue.push(window_update{4, 1}));
+}
+
+// Guards against sending the rest of a body that nobody waits for.
+TEST_CASE("a cancellation removes the rest of the body")
+{
+    send_queue queue(ample);
+    queue.push(forward_request{.m_id = 1,
+                               .m_service = "",
+                               .m_zone = "",
+                               .m_kind = "",
+                               .m_once_key = "",
+                               .m_method = "",
+                               .m_uri = "",
+                               .m_headers = {}});
+    queue.push(body_chunk{1, std::string(10 * chunk_bytes, 'x')});
+    queue.push(answer_chunk{1, "of the peer's request with this id"});
+    queue.push(cancel_request{1});
+    std::vector<std::size_t> kinds;
+    while (auto const piece = queue.pop())
+    {
+        kinds.push_back(take(decode(*piece)).index());
+    }
+    CHECK(kinds == std::vector<std::size_t>{0, 3, 6});
+    CHECK(queue.bytes() == 0);
+}
+
+} // namespace hawthornspur::net
