Keep the place in the queue of a request that another zone refused

Cause: pools of 6 slots need the other zones' slots, but one refused spill blocked its zone until the next summary, half a second, and put the request at the end of the queue.

Change: a refused spill blocks the zone for one round trip, and the request goes back to its place in the order of arrival.

A refused spill costs nothing while the local wait is longer than the round trip.

--- a/src/core/kind_queue.cpp
+++ b/src/core/kind_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 
 namespace hawthornspur::core
 {
@@ -36,7 +37,14 @@
                      request);
         return;
     }
-    queue.push_back(request);
+    // Only a request that another zone refused comes out of order.
+    auto place = queue.end();
+    while (place != queue.begin() &&
+           std::prev(place)->m_sequence > request.m_sequence)
+    {
+        --place;
+    }
+    queue.insert(place, request);
 }
 
 queued_request const& front(kind_queue const& queue, queue_order order,
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -156,8 +156,8 @@
     return result_code::ok;
 }
 
-void admit(pool& p, arrival const& request, duration wait, time_point now,
-           pool_effects& out)
+void admit(pool& p, arrival const& request, std::uint64_t sequence,
+           duration wait, time_point now, pool_effects& out)
 {
     auto const code = check_admission(p, request, wait, now, out);
     if (code != result_code::ok)
@@ -168,7 +168,7 @@
     auto const& config = p.m_kinds[request.m_kind.m_value].m_config;
     auto& entry = p.m_requests[request.m_request];
     entry.m_arrival = request;
-    entry.m_sequence = p.m_next_sequence++;
+    entry.m_sequence = sequence;
     entry.m_idempotent = config.m_execution == execution_rule::idempotent;
     entry.m_hedge = config.m_hedge && entry.m_idempotent;
     push(p.m_timers, {request.m_deadline, request.m_request});
@@ -417,18 +417,20 @@
     }
     auto const& kind = p.m_kinds[request.m_kind.m_value];
     auto const wait = expected_wait(p, kind, now);
+    auto const sequence = p.m_next_sequence++;
     if (!request.m_spilled && wait > duration::zero())
     {
         auto* option = choose_spill(p.m_spill, wait, now);
         if (option != nullptr &&
             request.m_deadline - now > option->m_cost + option->m_wait)
         {
-            use_slot(*option, request.m_request, mean(kind.m_times), now);
+            use_slot(*option, request.m_request, sequence, mean(kind.m_times),
+                     now);
             out.emplace_back(spill_effect{request.m_request, option->m_zone});
             return;
         }
     }
-    admit(p, request, wait, now, out);
+    admit(p, request, sequence, wait, now, out);
 }
 
 void on_answer_started(pool& p, request_id request, attempt_number attempt,
@@ -579,7 +581,7 @@
 void on_spill_refused(pool& p, arrival const& request, time_point now,
                       service_budgets& /*budgets*/, pool_effects& out)
 {
-    note_spill_refused(p.m_spill, request.m_request);
+    auto const sequence = note_spill_refused(p.m_spill, request.m_request, now);
     if (p.m_requests.contains(request.m_request))
     {
         return;
@@ -587,7 +589,8 @@
     auto local = request;
     local.m_spilled = false;
     auto const& kind = p.m_kinds[request.m_kind.m_value];
-    admit(p, local, expected_wait(p, kind, now), now, out);
+    admit(p, local, sequence.value_or(p.m_next_sequence++),
+          expected_wait(p, kind, now), now, out);
 }
 
 void on_timer(pool& p, time_point now, service_budgets& budgets,
--- a/src/core/spill_choice.cpp
+++ b/src/core/spill_choice.cpp
@@ -20,7 +20,8 @@
     auto best_wait = local_wait;
     for (auto& option : options)
     {
-        if (now - option.m_received > summary_lifetime)
+        if (now - option.m_received > summary_lifetime ||
+            now < option.m_blocked_until)
         {
             continue;
         }
@@ -37,13 +38,15 @@
     return best;
 }
 
-void use_slot(spill_option& option, request_id request, duration service,
-              time_point now)
+void use_slot(spill_option& option, request_id request, std::uint64_t sequence,
+              duration service, time_point now)
 {
-    option.m_uses.push_back({request, now + option.m_cost + service});
+    option.m_uses.push_back({request, sequence, now + option.m_cost + service});
 }
 
-void note_spill_refused(std::vector<spill_option>& options, request_id request)
+std::optional<std::uint64_t>
+note_spill_refused(std::vector<spill_option>& options, request_id request,
+                   time_point now)
 {
     for (auto& option : options)
     {
@@ -53,10 +56,13 @@
                          { return use.m_request == request; });
         if (refused != option.m_uses.end())
         {
+            auto const sequence = refused->m_sequence;
             option.m_uses.erase(refused);
-            option.m_free_slots = 0;
+            option.m_blocked_until = now + option.m_cost;
+            return sequence;
         }
     }
+    return std::nullopt;
 }
 
 } // namespace hawthornspur::core
--- a/src/core/spill_choice.hpp
+++ b/src/core/spill_choice.hpp
@@ -4,6 +4,8 @@
 #include "core/ids.hpp"
 #include "core/time.hpp"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,8 @@
     struct use
     {
         request_id m_request;
+        /// The request's place in the order of arrival.
+        std::uint64_t m_sequence = 0;
         time_point m_until;
     };
 
@@ -27,6 +31,8 @@
     /// Round trip plus the extra cost of the link.
     duration m_cost{0};
     time_point m_received{};
+    /// Nothing is spilled there until this time, after a refusal.
+    time_point m_blocked_until{};
     std::vector<use> m_uses;
 };
 
@@ -36,11 +42,14 @@
                            duration local_wait, time_point now);
 
 /// Takes one free slot for about `service`.
-void use_slot(spill_option& option, request_id request, duration service,
-              time_point now);
-
-/// The zone refused the request: its summary is out of date.
-void note_spill_refused(std::vector<spill_option>& options, request_id request);
+void use_slot(spill_option& option, request_id request, std::uint64_t sequence,
+              duration service, time_point now);
+
+/// The zone refused the request since all its slots are taken for the moment.
+/// Returns the request's place in the order of arrival, if it is known.
+std::optional<std::uint64_t>
+note_spill_refused(std::vector<spill_option>& options, request_id request,
+                   time_point now);
 
 } // namespace hawthornspur::core
 
