--- a/bench/policy/goals.cpp
+++ b/bench/policy/goals.cpp
@@ -51,10 +51,11 @@
     return a / std::max(b, 1e-9);
 }
 
-void check_steady(context const& c)
+void check_steady(context const& c, bool has_noise)
 {
     scenario what;
-    what.m_name = "steady 70%";
+    what.m_name = has_noise ? "70% load" : "70% load without neighbours";
+    what.m_noise = has_noise;
     auto const result = run_all(c, what);
     print_table(result, "all requests", {});
     for (int service = 0;
@@ -71,9 +72,9 @@
     {
         return measure(result, run_of(result, which), {}).m_p99;
     };
-    add_goal(c, "70% load: p99 / two choices",
+    add_goal(c, what.m_name + ": p99 / two choices",
              ratio(p99(policy::core), p99(policy::two_choices)), 0.5);
-    add_goal(c, "70% load: p99 / central queue",
+    add_goal(c, what.m_name + ": p99 / central queue",
              ratio(p99(policy::core), p99(policy::central)), 1.3);
 }
 
@@ -240,6 +241,39 @@
              1.5);
 }
 
+void compare_orders(context const& c)
+{
+    using core::queue_order;
+    struct named_order
+    {
+        queue_order m_order;
+        char const* m_name;
+    };
+    for (auto const& order :
+         {named_order{queue_order::first_come, "first come"},
+          named_order{queue_order::last_come, "last come"},
+          named_order{queue_order::earliest_deadline, "earliest deadline"},
+          named_order{queue_order::adaptive, "adaptive"}})
+    {
+        scenario what;
+        what.m_name = std::string("peak 4x, mixed deadlines, ") + order.m_name;
+        what.m_load = 0.5;
+        what.m_peak = 4;
+        what.m_mixed_deadlines = true;
+        auto const result = run_scenario(*c.m_plan, what, {policy::core},
+                                         order.m_order, c.m_options->m_seed);
+        selection during;
+        during.m_from = what.m_event;
+        during.m_to = what.m_event_end;
+        print_table(result, "arrivals during the peak", during);
+        auto const from = what.m_event + std::chrono::seconds(1);
+        std::printf("goodput / capacity %.3f\n",
+                    ratio(answers_per_second(result, result.m_runs.front(),
+                                             from, what.m_event_end),
+                          capacity_per_second(result, from, what.m_event_end)));
+    }
+}
+
 void check_measuring(context const& c)
 {
     for (auto const share : {1.0, 0.1, 0.0})
@@ -284,7 +318,8 @@
     context const c{&plan, &options, &goals};
     if (is_wanted(c, "steady"))
     {
-        check_steady(c);
+        check_steady(c, true);
+        check_steady(c, false);
     }
     for (auto const peak : {2, 4})
     {
@@ -313,6 +348,10 @@
     {
         check_long(c);
     }
+    if (is_wanted(c, "orders"))
+    {
+        compare_orders(c);
+    }
     if (is_wanted(c, "measuring"))
     {
         check_measuring(c);
