Add property tests and fuzz_core for keys, membership and configuration

Cause: the state that hosts keep was tested by cases only.

Change: models of the at-most-once keys (two homes, callers that retry, lost, delayed and crossed messages, owner changes, pauses, restarts) and of a cluster under generated faults.

Faults found by the cluster model and fixed: - A zone whose only hosts were leaving was probed by nobody, so the end of such a host was never noticed. Leaving hosts are now delegates of last resort. - Events handled before the first membership call after a pause did not know of the pause. on_loop_pass() has to be called first in each pass of the event loop. - A late timer postponed the deadlines of probes once for each event handled before it.

--- /dev/null
+++ b/src/core/configuration_state_test.cpp
@@ -0,0 +1,156 @@
+#include "core/configuration_state.hpp"
+#include "core/models/cluster.hpp"
+#include "core/ownership.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+std::shared_ptr<configuration const> document_of(std::uint64_t generation,
+                                                 std::string change_id)
+{
+    auto document = std::make_shared<configuration>();
+    document->m_generation = generation;
+    document->m_change_id = std::move(change_id);
+    return document;
+}
+
+bool all_have_newest(models::cluster const& c)
+{
+    return std::all_of(c.m_hosts.begin(), c.m_hosts.end(),
+                       [&](models::cluster_host const& host) {
+                           return host.m_configuration.m_in_force ==
+                                  c.m_store.m_accepted.back();
+                       });
+}
+
+} // namespace
+
+// Guards against a host that goes back to an older document or exchanges the
+// one of a generation, whatever peers, a stale store and operators offer.
+TEST_CASE("the generation in force never reverts")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const range = rc::gen::inRange<std::uint64_t>(1, 8);
+            auto const offers = *rc::gen::container<
+                std::vector<std::tuple<std::uint64_t, std::uint64_t, bool>>>(
+                rc::gen::tuple(range, range, rc::gen::arbitrary<bool>()));
+            configuration_state state;
+            std::map<std::uint64_t, std::string> seen;
+            std::uint64_t highest = 0;
+            std::uint64_t highest_offered = 0;
+            for (auto const& [generation, change, is_good] : offers)
+            {
+                (void)note_generation(state, generation);
+                if (is_good)
+                {
+                    highest_offered = std::max(highest_offered, generation);
+                    offer(state,
+                          document_of(generation, std::to_string(change)));
+                }
+                else
+                {
+                    note_rejected(state, generation);
+                }
+                if (state.m_in_force == nullptr)
+                {
+                    continue;
+                }
+                auto const now = state.m_in_force->m_generation;
+                RC_ASSERT(now >= highest);
+                RC_ASSERT(now == highest_offered);
+                highest = now;
+                auto const [known, added] =
+                    seen.emplace(now, state.m_in_force->m_change_id);
+                RC_ASSERT(known->second == state.m_in_force->m_change_id);
+            }
+        }));
+}
+
+// Guards against offers that are taken or dropped without being counted.
+TEST_CASE("each offer has its result")
+{
+    configuration_state state;
+    CHECK(!is_current(state));
+    CHECK(offer(state, document_of(4, "a"), configuration_source::peer) ==
+          offer_result::in_force);
+    CHECK(state.m_source == configuration_source::peer);
+    CHECK(offer(state, document_of(4, "a")) == offer_result::same);
+    CHECK(offer(state, document_of(4, "b")) == offer_result::conflicting);
+    CHECK(offer(state, document_of(3, "c")) == offer_result::stale);
+    CHECK(state.m_in_force->m_change_id == "a");
+    CHECK(state.m_conflicting_offers == 1);
+    CHECK(state.m_stale_offers == 1);
+    CHECK(is_current(state));
+    CHECK(!note_generation(state, 4));
+    CHECK(note_generation(state, 5));
+    CHECK(!is_current(state));
+}
+
+// Guards against a rejected document that every message of every peer makes
+// the host fetch again, and against one that blocks those after it.
+TEST_CASE("a rejected generation is not fetched again but a later one is")
+{
+    configuration_state state;
+    offer(state, document_of(4, "a"));
+    CHECK(note_generation(state, 900));
+    note_rejected(state, 900);
+    CHECK(!note_generation(state, 900));
+    CHECK(is_current(state));
+    CHECK(note_generation(state, 5));
+    CHECK(offer(state, document_of(5, "b")) == offer_result::in_force);
+}
+
+// Guards against a zone in which too many hosts, or none, watch the store.
+TEST_CASE("two hosts of each zone watch the store")
+{
+    std::vector<owner_candidate> hosts;
+    for (int i = 0; i < 9; ++i)
+    {
+        hosts.push_back({"h" + std::to_string(i), i < 8 ? "a" : "b"});
+    }
+    auto const count =
+        std::count_if(hosts.begin(), hosts.end(),
+                      [&](owner_candidate const& host)
+                      { return is_watcher(host.m_name, host.m_zone, hosts); });
+    CHECK(count == 3);
+}
+
+// Guards against hosts that learn of a change only from the store, which may
+// be down. The bound is that of design section 1 for a healthy system.
+TEST_CASE("a document that one host has reaches all within 5 s")
+{
+    for (std::size_t const count : {5U, 19U, 100U})
+    {
+        CAPTURE(count);
+        auto c = models::make_cluster(
+            {.m_hosts = count, .m_zones = count == 100 ? 8U : 3U});
+        models::run(c, std::chrono::seconds(15));
+        CHECK(models::submit(c, 1, "second"));
+        // The store fails as soon as one host has read the change.
+        while (std::none_of(c.m_hosts.begin(), c.m_hosts.end(),
+                            [&](models::cluster_host const& host) {
+                                return host.m_configuration.m_in_force ==
+                                       c.m_store.m_accepted.back();
+                            }))
+        {
+            models::run(c, std::chrono::milliseconds(1));
+        }
+        c.m_store.m_is_up = false;
+        models::run(c, std::chrono::seconds(5));
+        CHECK(all_have_newest(c));
+        CHECK(c.m_violations == std::vector<std::string>{});
+    }
+}
+
+} // namespace hawthornspur::core
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -154,6 +154,11 @@
     return next;
 }
 
+void on_loop_pass(membership& m, time_point now, membership_effects& out)
+{
+    note_run(m, now, out);
+}
+
 void on_link_lost(membership& m, std::string const& host, time_point now,
                   membership_effects& out)
 {
--- a/src/core/membership_delegates.cpp
+++ b/src/core/membership_delegates.cpp
@@ -4,8 +4,8 @@
 #include "core/ownership.hpp"
 
 #include <algorithm>
+#include <compare>
 #include <functional>
-#include <utility>
 
 namespace hawthornspur::core
 {
@@ -13,23 +13,31 @@
 namespace
 {
 
-using weighted = std::pair<std::uint64_t, std::string>;
+struct candidate
+{
+    bool m_stays = true;
+    std::uint64_t m_weight = 0;
+    std::string m_name;
+    friend auto operator<=>(candidate const&, candidate const&) = default;
+};
 
-// Live and joining hosts of each zone, this one among them, by falling weight.
-std::map<std::string, std::vector<weighted>> candidates(membership const& m)
+// The delegates of each zone, this host considered too. Leaving hosts are
+// taken only when the zone has no other, so that their end is noticed as well.
+std::map<std::string, std::vector<candidate>> delegates(membership const& m)
 {
     static constexpr std::string_view key = "zone-delegate";
-    std::map<std::string, std::vector<weighted>> zones;
+    std::map<std::string, std::vector<candidate>> zones;
     auto const add = [&](host_record const& record)
     {
-        zones[record.m_zone].emplace_back(rendezvous_weight(key, record.m_name),
-                                          record.m_name);
+        zones[record.m_zone].push_back({record.m_state != host_state::leaving,
+                                        rendezvous_weight(key, record.m_name),
+                                        record.m_name});
     };
     add(m.m_self);
     for (auto const& [name, p] : m.m_peers)
     {
         auto const state = p.m_record.m_state;
-        if (state == host_state::live || state == host_state::joining)
+        if (state != host_state::suspected && state != host_state::dead)
         {
             add(p.m_record);
         }
@@ -48,17 +56,17 @@
 
 bool is_delegate(membership const& m)
 {
-    auto const zones = candidates(m);
+    auto const zones = delegates(m);
     auto const& own = zones.at(m.m_self.m_zone);
     return std::any_of(own.begin(), own.end(),
-                       [&](weighted const& each)
-                       { return each.second == m.m_self.m_name; });
+                       [&](candidate const& each)
+                       { return each.m_name == m.m_self.m_name; });
 }
 
 std::vector<std::string> other_delegates(membership const& m)
 {
     std::vector<std::string> names;
-    for (auto const& [zone, hosts] : candidates(m))
+    for (auto const& [zone, hosts] : delegates(m))
     {
         if (zone == m.m_self.m_zone)
         {
@@ -66,7 +74,7 @@
         }
         for (auto const& each : hosts)
         {
-            names.push_back(each.second);
+            names.push_back(each.m_name);
         }
     }
     return names;
--- a/src/core/membership_pause.cpp
+++ b/src/core/membership_pause.cpp
@@ -70,7 +70,8 @@
 void note_run(membership& m, time_point now, membership_effects& out)
 {
     auto const due = next_timer(m);
-    auto const stood_still = now - m.m_last_run;
+    auto const last_run = m.m_last_run;
+    auto const stood_still = now - last_run;
     m.m_last_run = std::max(m.m_last_run, now);
     if (m.m_is_superseded)
     {
@@ -80,9 +81,9 @@
     {
         isolate(m, now, out);
     }
-    else if (due && now > *due + tolerated_lateness)
+    else if (due && now > std::max(*due, last_run) + tolerated_lateness)
     {
-        postpone_deadlines(m, now - *due);
+        postpone_deadlines(m, now - std::max(*due, last_run));
     }
 }
 
--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -122,6 +122,7 @@
             CAPTURE(store);
             auto c = settled({.m_hosts = 16, .m_zones = 4});
             c.m_store.m_is_up = store;
+            c.m_store.m_is_list_up = store;
             for (std::size_t i = 0; i < 16; ++i)
             {
                 c.m_hosts[i].m_group = i % 4 < 2 ? 0 : 1;
--- a/src/core/models/cluster.cpp
+++ b/src/core/models/cluster.cpp
@@ -208,6 +208,9 @@
                  document_arrival{read.m_host, read.m_start,
                                   store.m_accepted[index],
                                   configuration_source::store});
+    }
+    if (store.m_is_list_up)
+    {
         // The list lags: it still has hosts that were killed long ago.
         std::vector<listed_host> listed;
         for (auto const& each : c.m_hosts)
@@ -272,6 +275,9 @@
         return;
     }
     ++c.m_handled_events;
+    membership_effects first;
+    on_loop_pass(*h.m_membership, c.m_now, first);
+    apply(c, host_of(event), first);
     if (auto const* message = std::get_if<arrival>(&event.m_what))
     {
         receive(c, *message);
