Add the operators' library, differences, examples and property tests

Cause: operators declare documents in code and review what a change does.

Hedging of an at-most-once kind, a target in an undeclared zone, an unknown method, a share out of range and a time without a unit do not compile.

Conclusion: documents declared in code pass the same check as files.

--- /dev/null
+++ b/examples/print_example.hpp
@@ -0,0 +1,55 @@
+#ifndef HAWTHORNSPUR_EXAMPLES_PRINT_EXAMPLE_HPP
+#define HAWTHORNSPUR_EXAMPLES_PRINT_EXAMPLE_HPP
+
+#include <hawthornspur/configuration_builder.hpp>
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hawthornspur::examples
+{
+
+/// Adds targets NAME-1 to NAME-count on 127.0.0.1 with ports from `first_port`
+/// on, spread evenly over the zones.
+inline void add_targets(service_builder& service, std::string const& name,
+                        int count, std::uint16_t first_port,
+                        std::vector<zone_name> const& zones, int slots,
+                        int max_connections)
+{
+    for (int i = 0; i < count; ++i)
+    {
+        service.add(target_declaration{
+            .m_name = name + "-" + std::to_string(i + 1),
+            .m_zone = zones[static_cast<std::size_t>(i) % zones.size()],
+            .m_address = "127.0.0.1",
+            .m_port = static_cast<std::uint16_t>(first_port + i),
+            .m_slots = slots,
+            .m_max_connections = max_connections});
+    }
+}
+
+/// Prints the document, or its faults with exit code 2 as the commands do.
+inline int print(configuration_builder const& builder)
+{
+    constexpr int invalid_document = 2;
+    auto const printed = builder.print();
+    if (auto const* text = std::get_if<std::string>(&printed))
+    {
+        std::cout << *text;
+        return 0;
+    }
+    for (auto const& fault :
+         std::get<std::vector<configuration_fault>>(printed))
+    {
+        std::cerr << fault.m_path << ": " << fault.m_message << " ("
+                  << static_cast<unsigned>(fault.m_code) << ")\n";
+    }
+    return invalid_document;
+}
+
+} // namespace hawthornspur::examples
+
+#endif
--- /dev/null
+++ b/src/config/configuration_builder_test.cpp
@@ -0,0 +1,90 @@
+#include "config/document.hpp"
+#include <hawthornspur/configuration_builder.hpp>
+
+#include <doctest/doctest.h>
+
+#include <type_traits>
+
+namespace hawthornspur
+{
+
+namespace
+{
+
+template <class T>
+concept has_hedge = requires(T kind)
+{
+    kind.m_hedge;
+};
+
+template <class T>
+concept accepts_text_as_zone = requires(T target)
+{
+    target.m_zone = "a";
+};
+
+// Guards against programs that compile although they ask for what the system
+// refuses: hedging of an at-most-once kind, a zone that was never declared, a
+// share or a time without its type.
+static_assert(has_hedge<idempotent_kind>);
+static_assert(!has_hedge<at_most_once_kind>);
+static_assert(!accepts_text_as_zone<target_declaration>);
+static_assert(!std::is_constructible_v<zone_name, char const*>);
+static_assert(!std::is_convertible_v<double, slot_share>);
+static_assert(!std::is_convertible_v<int, std::chrono::milliseconds>);
+
+void add_small_service(configuration_builder& builder, zone_name const& zone)
+{
+    builder.add_service("map")
+        .add(idempotent_kind{
+            {.m_name = "page", .m_path_prefix = "/", .m_priority = 2}, true})
+        .add(target_declaration{"map-1", zone, "127.0.0.1", 9001, 3});
+}
+
+} // namespace
+
+// Guards against declarations that are lost or changed on the way to the
+// document.
+TEST_CASE("a declared document is printed and read back")
+{
+    configuration_builder builder;
+    auto const a = builder.add_zone("a");
+    auto const b = builder.add_zone("b", "north");
+    builder.set_based_on(4).set_one_way_delay(a, b,
+                                              std::chrono::milliseconds(5));
+    add_small_service(builder, b);
+    auto const printed = builder.print();
+    REQUIRE(std::holds_alternative<std::string>(printed));
+    auto const parsed = config::parse_document(std::get<std::string>(printed));
+    auto const& document = std::get<core::configuration>(parsed);
+    CHECK(document.m_generation == 4);
+    CHECK(document.m_zones[1].m_one_way_delay.at("a") ==
+          std::chrono::milliseconds(5));
+    CHECK(document.m_services[0].m_kinds[0].m_hedge);
+    CHECK(document.m_services[0].m_targets[0].m_zone == "b");
+}
+
+// Guards against wrong values that types cannot catch and that would only be
+// refused when the document is applied.
+TEST_CASE("faults of a declared document have codes and paths")
+{
+    configuration_builder builder;
+    configuration_builder other;
+    auto const a = builder.add_zone("a");
+    auto const foreign = other.add_zone("elsewhere");
+    add_small_service(builder, foreign);
+    add_small_service(builder, a);
+    builder.set_address_lifetime(std::chrono::seconds(-1));
+    auto const printed = builder.print();
+    REQUIRE(std::holds_alternative<std::vector<configuration_fault>>(printed));
+    auto const& faults = std::get<std::vector<configuration_fault>>(printed);
+    REQUIRE(faults.size() == 3);
+    CHECK(faults[0].m_code == result_code::value_out_of_range);
+    CHECK(faults[0].m_path == "address_lifetime");
+    CHECK(faults[1].m_code == result_code::duplicate_name);
+    CHECK(faults[1].m_path == "services[1].name");
+    CHECK(faults[2].m_code == result_code::unknown_reference);
+    CHECK(faults[2].m_path == "services[0].targets[0].zone");
+}
+
+} // namespace hawthornspur
--- /dev/null
+++ b/src/config/difference.cpp
@@ -0,0 +1,177 @@
+#include "config/difference.hpp"
+
+#include "config/document.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+using nlohmann::ordered_json;
+
+std::string name_of(ordered_json const& entry)
+{
+    return entry.at("name").get<std::string>();
+}
+
+/// Canonical documents hold lists of named objects and lists of plain values.
+bool is_named_list(ordered_json const& list)
+{
+    return list.is_array() && !list.empty() && list.front().is_object();
+}
+
+ordered_json const* find_entry(ordered_json const& list,
+                               std::string const& name)
+{
+    auto const found = std::find_if(list.begin(), list.end(),
+                                    [&](ordered_json const& entry)
+                                    { return name_of(entry) == name; });
+    return found == list.end() ? nullptr : &*found;
+}
+
+std::vector<std::string> common_names(ordered_json const& list,
+                                      ordered_json const& other)
+{
+    std::vector<std::string> names;
+    for (auto const& entry : list)
+    {
+        if (find_entry(other, name_of(entry)) != nullptr)
+        {
+            names.push_back(name_of(entry));
+        }
+    }
+    return names;
+}
+
+// The depth of a canonical document is fixed, so recursion is bounded.
+void compare(ordered_json const& before, ordered_json const& after,
+             std::string const& path, std::vector<field_change>& out);
+
+void compare_fields(ordered_json const& before, ordered_json const& after,
+                    std::string const& path, std::vector<field_change>& out)
+{
+    auto const prefix = path.empty() ? std::string() : path + ".";
+    for (auto const& [name, value] : before.items())
+    {
+        auto const other = after.find(name);
+        if (other == after.end())
+        {
+            out.push_back(
+                {change_kind::removed, prefix + name, value.dump(), ""});
+            continue;
+        }
+        compare(value, *other, prefix + name, out);
+    }
+    for (auto const& [name, value] : after.items())
+    {
+        if (!before.contains(name))
+        {
+            out.push_back(
+                {change_kind::added, prefix + name, "", value.dump()});
+        }
+    }
+}
+
+void compare_entries(ordered_json const& before, ordered_json const& after,
+                     std::string const& path, std::vector<field_change>& out)
+{
+    for (auto const& entry : before)
+    {
+        auto const entry_path = path + "[" + name_of(entry) + "]";
+        auto const* other = find_entry(after, name_of(entry));
+        if (other == nullptr)
+        {
+            out.push_back({change_kind::removed, entry_path, entry.dump(), ""});
+            continue;
+        }
+        compare(entry, *other, entry_path, out);
+    }
+    for (auto const& entry : after)
+    {
+        if (find_entry(before, name_of(entry)) == nullptr)
+        {
+            out.push_back({change_kind::added,
+                           path + "[" + name_of(entry) + "]", "",
+                           entry.dump()});
+        }
+    }
+    auto const old_order = common_names(before, after);
+    auto const new_order = common_names(after, before);
+    if (old_order != new_order)
+    {
+        out.push_back({change_kind::changed, path + " (order)",
+                       ordered_json(old_order).dump(),
+                       ordered_json(new_order).dump()});
+    }
+}
+
+void compare(ordered_json const& before, ordered_json const& after,
+             std::string const& path, std::vector<field_change>& out)
+{
+    if (before == after)
+    {
+        return;
+    }
+    if (before.is_object() && after.is_object())
+    {
+        compare_fields(before, after, path, out);
+    }
+    else if (is_named_list(before) || is_named_list(after))
+    {
+        compare_entries(before, after, path, out);
+    }
+    else
+    {
+        out.push_back(
+            {change_kind::changed, path, before.dump(), after.dump()});
+    }
+}
+
+ordered_json canonical(core::configuration const& document)
+{
+    auto printed = ordered_json::parse(print_document(document));
+    printed.erase("generation");
+    printed.erase("change_id");
+    return printed;
+}
+
+} // namespace
+
+std::vector<field_change> find_differences(core::configuration const& before,
+                                           core::configuration const& after)
+{
+    std::vector<field_change> changes;
+    compare(canonical(before), canonical(after), "", changes);
+    return changes;
+}
+
+std::string describe(std::vector<field_change> const& changes)
+{
+    std::string text;
+    for (auto const& change : changes)
+    {
+        switch (change.m_kind)
+        {
+        case change_kind::added:
+            text += "+ " + change.m_path + ": " + change.m_new + "\n";
+            break;
+        case change_kind::removed:
+            text += "- " + change.m_path + ": " + change.m_old + "\n";
+            break;
+        case change_kind::changed:
+            text += "~ " + change.m_path + ": " + change.m_old + " -> " +
+                    change.m_new + "\n";
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace hawthornspur::config
--- /dev/null
+++ b/src/config/document_property_test.cpp
@@ -0,0 +1,304 @@
+#include "config/document.hpp"
+#include "config/quantity.hpp"
+#include "config/settings.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <tuple>
+
+namespace hawthornspur::config
+{
+
+namespace
+{
+
+int up_to(int highest)
+{
+    return *rc::gen::inRange(0, highest + 1);
+}
+
+core::duration any_time(core::duration lowest, core::duration highest)
+{
+    return core::duration(
+        *rc::gen::inRange<std::int64_t>(lowest.count(), highest.count() + 1));
+}
+
+core::kind_config any_kind(int index)
+{
+    using std::chrono::milliseconds;
+    core::kind_config kind;
+    kind.m_name = "kind-" + std::to_string(index);
+    kind.m_method = *rc::gen::element<std::string>("GET", "POST", "DELETE");
+    kind.m_path_prefix = "/path-" + std::to_string(index) + "/";
+    kind.m_execution = *rc::gen::element(core::execution_rule::at_most_once,
+                                         core::execution_rule::idempotent);
+    kind.m_deadline = any_time(milliseconds(1), std::chrono::seconds(60));
+    kind.m_priority = up_to(9);
+    kind.m_share_declared = *rc::gen::arbitrary<bool>();
+    if (kind.m_share_declared)
+    {
+        kind.m_max_share = (1 + up_to(9999)) / 10'000.0;
+    }
+    kind.m_hedge = kind.m_execution == core::execution_rule::idempotent &&
+                   *rc::gen::arbitrary<bool>();
+    for (int i = up_to(3); i > 0; --i)
+    {
+        kind.m_not_run_statuses.push_back(400 + up_to(199));
+    }
+    return kind;
+}
+
+core::service_config any_service(int index, int zones)
+{
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    core::service_config service;
+    service.m_name = "service-" + std::to_string(index);
+    for (int i = up_to(4); i >= 0; --i)
+    {
+        service.m_kinds.push_back(any_kind(i));
+    }
+    for (int i = up_to(5); i > 0; --i)
+    {
+        auto const slots = 1 + up_to(9);
+        service.m_targets.push_back(
+            {"target-" + std::to_string(i),
+             "zone-" + std::to_string(up_to(zones - 1)),
+             *rc::gen::element<std::string>("127.0.0.1", "::1"),
+             static_cast<std::uint16_t>(i), slots, slots + up_to(300),
+             *rc::gen::element(core::target_state::active,
+                               core::target_state::draining)});
+    }
+    service.m_probe_budget = {any_time(milliseconds(0), seconds(1)),
+                              any_time(milliseconds(1), seconds(1)),
+                              any_time(milliseconds(0), seconds(1)), "/probe"};
+    service.m_retry_budget = {up_to(1000) / 1000.0, up_to(100) / 3.0};
+    service.m_max_body_bytes = *rc::gen::inRange<std::size_t>(0, 1U << 26U);
+    service.m_max_answer_bytes =
+        *rc::gen::inRange<std::size_t>(1U << 10U, 1U << 30U);
+    service.m_max_queue = *rc::gen::inRange<std::size_t>(0, 1'000'000);
+    return service;
+}
+
+core::configuration any_document()
+{
+    using std::chrono::seconds;
+    core::configuration document;
+    document.m_generation =
+        *rc::gen::inRange<std::uint64_t>(0, std::uint64_t{1} << 53U);
+    document.m_change_id = *rc::gen::element<std::string>("", "a", "x-9");
+    auto const zones = 1 + up_to(3);
+    for (int i = 0; i < zones; ++i)
+    {
+        core::zone_config zone;
+        zone.m_name = "zone-" + std::to_string(i);
+        zone.m_region = *rc::gen::element<std::string>("", "north");
+        zone.m_extra_cost = any_time(seconds(0), seconds(10));
+        for (int other = 0; other < zones; ++other)
+        {
+            if (other != i)
+            {
+                zone.m_one_way_delay["zone-" + std::to_string(other)] =
+                    any_time(seconds(0), seconds(10));
+            }
+        }
+        document.m_zones.push_back(std::move(zone));
+    }
+    document.m_max_entry_hosts = 1 + up_to(999);
+    document.m_address_lifetime = any_time(seconds(1), seconds(3600));
+    document.m_key_lifetime = any_time(seconds(60), seconds(3600));
+    document.m_max_depth = 1 + up_to(99);
+    for (int i = up_to(4); i > 0; --i)
+    {
+        document.m_services.push_back(any_service(i, zones));
+    }
+    return document;
+}
+
+// The bindings below name every member, so that a member added later does not
+// compile until it is compared too.
+auto parts_of(core::kind_config const& kind)
+{
+    auto const& [name, method, prefix, execution, deadline, priority, share,
+                 declared, hedge, statuses] = kind;
+    return std::tie(name, method, prefix, execution, deadline, priority, share,
+                    declared, hedge, statuses);
+}
+
+auto parts_of(core::target_config const& target)
+{
+    auto const& [name, zone, address, port, slots, connections, state] = target;
+    return std::tie(name, zone, address, port, slots, connections, state);
+}
+
+auto parts_of(core::zone_config const& zone)
+{
+    auto const& [name, region, delay, cost] = zone;
+    return std::tie(name, region, delay, cost);
+}
+
+template <class T>
+bool are_equal(std::vector<T> const& a, std::vector<T> const& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](T const& x, T const& y)
+                      { return parts_of(x) == parts_of(y); });
+}
+
+bool are_same(core::service_config const& a, core::service_config const& b)
+{
+    auto const& [name, kinds, targets, probe, retry, body, answer, queue] = a;
+    auto const& [probe_cost, cost, connection, path] = probe;
+    auto const& [ratio, burst] = retry;
+    return std::tie(name, probe_cost, cost, connection, path, ratio, burst,
+                    body, answer, queue) ==
+               std::tie(b.m_name, b.m_probe_budget.m_cost_per_second,
+                        b.m_probe_budget.m_probe_cost,
+                        b.m_probe_budget.m_connection_cost,
+                        b.m_probe_budget.m_path, b.m_retry_budget.m_ratio,
+                        b.m_retry_budget.m_burst, b.m_max_body_bytes,
+                        b.m_max_answer_bytes, b.m_max_queue) &&
+           are_equal(kinds, b.m_kinds) && are_equal(targets, b.m_targets);
+}
+
+bool are_same(core::configuration const& a, core::configuration const& b)
+{
+    auto const& [generation, change, zones, hosts, addresses, keys, depth,
+                 services] = a;
+    return std::tie(generation, change, hosts, addresses, keys, depth) ==
+               std::tie(b.m_generation, b.m_change_id, b.m_max_entry_hosts,
+                        b.m_address_lifetime, b.m_key_lifetime,
+                        b.m_max_depth) &&
+           are_equal(zones, b.m_zones) &&
+           std::equal(services.begin(), services.end(), b.m_services.begin(),
+                      b.m_services.end(),
+                      [](auto const& x, auto const& y)
+                      { return are_same(x, y); });
+}
+
+core::configuration must_have(checked<core::configuration> const& result)
+{
+    if (auto const* faults = std::get_if<problems>(&result))
+    {
+        RC_FAIL(describe(*faults));
+    }
+    return std::get<core::configuration>(result);
+}
+
+/// A valid text with a few bytes changed, removed or doubled.
+std::string damaged(std::string text)
+{
+    for (int i = 1 + up_to(4); i > 0 && !text.empty(); --i)
+    {
+        auto const at = *rc::gen::inRange<std::size_t>(0, text.size());
+        switch (up_to(2))
+        {
+        case 0:
+            text[at] = *rc::gen::arbitrary<char>();
+            break;
+        case 1:
+            text.erase(at, *rc::gen::inRange<std::size_t>(1, 40));
+            break;
+        default:
+            text.insert(at, text.substr(at, 30));
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+// Guards against fields that are printed and not read, read and not printed,
+// or that lose precision on the way.
+TEST_CASE("any valid document survives printing and parsing")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const document = any_document();
+            auto const text = print_document(document);
+            auto const parsed = must_have(parse_document(text));
+            RC_ASSERT(are_same(document, parsed));
+            RC_ASSERT(print_document(parsed) == text);
+        }));
+}
+
+// Guards against parts that are joined in another order or lose a field.
+TEST_CASE("any valid document survives splitting and joining")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const document = any_document();
+            auto const stored = split_document(document);
+            RC_ASSERT(are_same(document, must_have(join_document(stored))));
+        }));
+}
+
+// Guards against input that crashes the parser, and against accepted input
+// that cannot be printed and read again.
+TEST_CASE("no damage to a document crashes the parser")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const text = damaged(print_document(any_document()));
+            auto const result = parse_document(text);
+            if (auto const* accepted =
+                    std::get_if<core::configuration>(&result))
+            {
+                auto const again =
+                    must_have(parse_document(print_document(*accepted)));
+                RC_ASSERT(are_same(*accepted, again));
+            }
+            else
+            {
+                RC_ASSERT(!std::get<problems>(result).empty());
+            }
+        }));
+}
+
+// Guards against input that crashes the parser by its depth or by being no
+// JSON at all.
+TEST_CASE("no text crashes the parsers")
+{
+    CHECK(rc::check(
+        [](std::string const& text)
+        {
+            RC_ASSERT(std::holds_alternative<problems>(parse_settings(text)));
+            RC_ASSERT(std::holds_alternative<problems>(parse_document(text)));
+            RC_ASSERT(std::holds_alternative<problems>(parse_head(text)));
+        }));
+    std::string const deep(900'000, '[');
+    CHECK(std::holds_alternative<problems>(parse_document(deep)));
+    auto const nested = "{\"zones\": " + std::string(400'000, '[') +
+                        std::string(400'000, ']') + "}";
+    CHECK(std::holds_alternative<problems>(parse_document(nested)));
+    std::string const long_text(1'000'001, ' ');
+    auto const result = parse_document(long_text);
+    REQUIRE(std::holds_alternative<problems>(result));
+    CHECK(std::get<problems>(result)[0].m_code ==
+          result_code::document_too_large);
+}
+
+// Guards against units that lose a value.
+TEST_CASE("any duration and size survives printing and parsing")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto const number = *rc::gen::inRange<std::int64_t>(
+                0, std::numeric_limits<std::int64_t>::max());
+            RC_ASSERT(parse_duration(print_duration(core::duration(number))) ==
+                      core::duration(number));
+            auto const size = static_cast<std::size_t>(number);
+            RC_ASSERT(parse_size(print_size(size)) == size);
+        }));
+}
+
+} // namespace hawthornspur::config
