--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -84,7 +84,7 @@
                 eject_if_allowed(p, target, now);
             }
         }
-        if (target.m_outlier.m_ejected &&
+        if (!is_leaving(target) && target.m_outlier.m_ejected &&
             target.m_outlier.m_ejected_until <= now)
         {
             end_ejection(p, target, now, budgets, out);
@@ -117,7 +117,7 @@
         {
             next = std::min(next, target.m_probed + probe_timeout);
         }
-        else if (target.m_outlier.m_ejected)
+        else if (!is_leaving(target) && target.m_outlier.m_ejected)
         {
             next = std::min(next, target.m_outlier.m_ejected_until);
         }
