--- a/src/core/pool_model_test.cpp
+++ b/src/core/pool_model_test.cpp
@@ -25,7 +25,6 @@
 constexpr double retry_burst = 5;
 constexpr std::uint32_t target_count = 6;
 constexpr kind_id at_most_once_kind{0};
-constexpr kind_id idempotent_kind{1};
 constexpr kind_id limited_kind{2};
 constexpr double limited_share = 0.4;
 
