--- a/tools/target_emulator/service_time.cpp
+++ b/tools/common/service_time.cpp
@@ -1,10 +1,21 @@
-#include "target_emulator/service_time.hpp"
+#include "common/service_time.hpp"
 
 #include <cmath>
 
 namespace hawthornspur::tools
 {
 
+json_fields fields_of(service_time& row)
+{
+    return {
+        {"prefix", &row.m_prefix},
+        {"median_ms", &row.m_median},
+        {"sigma", &row.m_sigma},
+        {"tail_probability", &row.m_tail_probability},
+        {"tail_factor", &row.m_tail_factor},
+    };
+}
+
 service_time const* find_row(std::vector<service_time> const& rows,
                              std::string const& path)
 {
--- a/tools/target_emulator/service_time.hpp
+++ b/tools/common/service_time.hpp
@@ -1,6 +1,7 @@
-#ifndef HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_SERVICE_TIME_HPP
-#define HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_SERVICE_TIME_HPP
+#ifndef HAWTHORNSPUR_TOOLS_COMMON_SERVICE_TIME_HPP
+#define HAWTHORNSPUR_TOOLS_COMMON_SERVICE_TIME_HPP
 
+#include "common/json_fields.hpp"
 #include "core/time.hpp"
 
 #include <random>
@@ -23,6 +24,8 @@
     double m_tail_factor = 10;
 };
 
+json_fields fields_of(service_time& row);
+
 /// The row with the longest prefix of the path, or null.
 service_time const* find_row(std::vector<service_time> const& rows,
                              std::string const& path);
--- a/tools/target_emulator/faults.cpp
+++ b/tools/target_emulator/faults.cpp
@@ -12,17 +12,6 @@
 namespace
 {
 
-json_fields fields_of(service_time& row)
-{
-    return {
-        {"prefix", &row.m_prefix},
-        {"median_ms", &row.m_median},
-        {"sigma", &row.m_sigma},
-        {"tail_probability", &row.m_tail_probability},
-        {"tail_factor", &row.m_tail_factor},
-    };
-}
-
 result<std::vector<service_time>> read_rows(nlohmann::json const& rows)
 {
     if (!rows.is_array())
--- a/tools/target_emulator/faults.hpp
+++ b/tools/target_emulator/faults.hpp
@@ -2,8 +2,8 @@
 #define HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_FAULTS_HPP
 
 #include "common/json_fields.hpp"
+#include "common/service_time.hpp"
 #include "core/time.hpp"
-#include "target_emulator/service_time.hpp"
 
 #include <string>
 #include <vector>
