Eject a target whose own work does not count

Cause: a target that is ten times slower was rarely ejected at 70% load, since the others could not carry the load with room to spare, although its own work is a thirtieth of theirs; and after each ejection it took several slow answers to eject it again.

Change: a slow target is also ejected when it adds less than 5% to the other targets' slots, and on trial one answer beyond the tolerated slowness ejects it.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -22,6 +22,8 @@
 constexpr int wait_safety = 2;
 // Above this load on the other targets, a slow target is not ejected.
 constexpr double largest_load_without = 0.9;
+// Below this share of the others' slots, its own work does not count.
+constexpr double smallest_contribution = 0.05;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
@@ -185,15 +187,18 @@
     }
 }
 
-/// Whether the other targets can carry the present load. A slow target still
-/// does some work, so it is not ejected from a pool that needs it.
-bool has_room_without(pool const& p, target_entry const& target, time_point now)
+/// Whether the pool does without the target: the others can carry the present
+/// load, or the target is so slow that it adds next to nothing.
+bool is_dispensable(pool const& p, target_entry const& target,
+                    double log_relative_slowness, time_point now)
 {
     auto const slots = count_slots(p, now);
-    auto const rest =
-        slots.m_limit - whole_limit(target.m_limit, target.m_spec.m_slots);
-    auto const load = in_flight(p) + queue_length(p);
-    return static_cast<double>(load) < largest_load_without * rest;
+    auto const limit = whole_limit(target.m_limit, target.m_spec.m_slots);
+    auto const rest = static_cast<double>(slots.m_limit - limit);
+    auto const load = static_cast<double>(in_flight(p) + queue_length(p));
+    auto const contribution = limit * std::exp(-log_relative_slowness);
+    return load < largest_load_without * rest ||
+           contribution < smallest_contribution * rest;
 }
 
 void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
@@ -204,14 +209,22 @@
     auto const log_ratio = std::log(std::max(1e-6, seconds(elapsed).count()) /
                                     kind.m_times.m_median.m_value);
     observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
-    bool const slow = is_slow(target, find_median(p, now), now);
+    auto const pool_median = find_median(p, now);
+    // A target on trial has been slow or failing before; one answer that takes
+    // too long is enough.
+    bool const slow =
+        is_slow(target, pool_median, now) ||
+        (target.m_outlier.m_on_trial && is_beyond_tolerance(log_ratio));
     bool const was_lowest = target.m_limit.m_limit <= 1;
     adjust(target.m_limit, slow, target.m_spec.m_slots, now);
     if (!slow)
     {
         note_success(target.m_outlier);
+        return;
     }
-    else if (was_lowest && has_room_without(p, target, now))
+    auto const relative =
+        log_slowness(target.m_limit, now) - pool_median.m_log_slowness;
+    if (was_lowest && is_dispensable(p, target, relative, now))
     {
         eject_if_allowed(p, target, now);
     }
--- a/src/core/target_limit.cpp
+++ b/src/core/target_limit.cpp
@@ -69,6 +69,11 @@
     return relative_deviation > slow_deviation;
 }
 
+bool is_beyond_tolerance(double log_ratio)
+{
+    return log_ratio > tolerated_log_slowness;
+}
+
 void adjust(target_limit& limit, bool slow, int slots, time_point now)
 {
     if (slow)
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -37,6 +37,9 @@
 /// what chance explains.
 bool is_slow(double relative_deviation);
 
+/// Whether one answer took longer than the slowness that is tolerated.
+bool is_beyond_tolerance(double log_ratio);
+
 /// Lowers the limit of a slow target and raises it slowly otherwise. Called
 /// after each whole answer.
 void adjust(target_limit& limit, bool slow, int slots, time_point now);
