Require four answers in usual time to end a trial

Cause: a target that is ten times slower still gives one answer in six in usual time, since some requests are short; such an answer ended its trial and reset the time of its next ejection.

Change: a trial ends after four answers in usual time, and the limit stays at 1 until then.

--- a/src/core/outlier_detection.cpp
+++ b/src/core/outlier_detection.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr int failures_until_ejection = 3;
+// Even a target that is ten times slower gives one answer in six in usual time,
+// since some requests are short.
+constexpr int answers_to_end_trial = 4;
 constexpr duration first_ejection = std::chrono::milliseconds(500);
 constexpr int most_doublings = 6;
 
@@ -17,6 +20,10 @@
 void note_success(outlier_state& state)
 {
     state.m_consecutive_failures = 0;
+    if (state.m_on_trial && ++state.m_trial_answers < answers_to_end_trial)
+    {
+        return;
+    }
     state.m_ejections = 0;
     state.m_on_trial = false;
 }
@@ -41,6 +48,7 @@
     state.m_ejected = false;
     state.m_consecutive_failures = 0;
     state.m_on_trial = true;
+    state.m_trial_answers = 0;
 }
 
 } // namespace hawthornspur::core
--- a/src/core/outlier_detection.hpp
+++ b/src/core/outlier_detection.hpp
@@ -16,6 +16,7 @@
     time_point m_ejected_until{};
     /// Back after an ejection: one failure ejects it again.
     bool m_on_trial = false;
+    int m_trial_answers = 0;
 };
 
 /// Counts a whole answer in usual time.
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -216,10 +216,16 @@
         is_slow(target, pool_median, now) ||
         (target.m_outlier.m_on_trial && is_beyond_tolerance(log_ratio));
     bool const was_lowest = target.m_limit.m_limit <= 1;
-    adjust(target.m_limit, slow, target.m_spec.m_slots, now);
     if (!slow)
     {
         note_success(target.m_outlier);
+    }
+    if (slow || !target.m_outlier.m_on_trial)
+    {
+        adjust(target.m_limit, slow, target.m_spec.m_slots, now);
+    }
+    if (!slow)
+    {
         return;
     }
     auto const relative =
