--- a/src/core/membership_probing.cpp
+++ b/src/core/membership_probing.cpp
@@ -20,6 +20,11 @@
 
 constexpr std::size_t extra_pings_when_isolated = 2;
 
+// A zone is often lost as a whole, but only its delegates are pinged from
+// other zones. With a few more probes after each miss the loss is found in
+// steps that grow, instead of two hosts at a time.
+constexpr std::size_t probes_after_miss_in_other_zone = 3;
+
 void send_ping(membership& m, host_record const& to, std::uint64_t sequence,
                time_point now, membership_effects& out)
 {
@@ -160,6 +165,31 @@
     note_ack(m, message.m_sequence, out);
 }
 
+void probe_rest_of_zone(membership& m, std::string const& missed,
+                        time_point now, membership_effects& out)
+{
+    auto const known = m.m_peers.find(missed);
+    if (known == m.m_peers.end() ||
+        known->second.m_record.m_zone == m.m_self.m_zone)
+    {
+        return;
+    }
+    auto const zone = known->second.m_record.m_zone;
+    auto rest =
+        names_where(m,
+                    [&](peer const& p)
+                    {
+                        return p.m_record.m_zone == zone && !is_dead(p) &&
+                               p.m_record.m_state != host_state::suspected;
+                    });
+    std::shuffle(rest.begin(), rest.end(), m.m_random);
+    rest.resize(std::min(rest.size(), probes_after_miss_in_other_zone));
+    for (auto const& name : rest)
+    {
+        start_probe(m, name, now, out);
+    }
+}
+
 void ping_own_suspect(membership& m, time_point now, membership_effects& out)
 {
     auto const suspects =
@@ -299,6 +329,7 @@
     for (auto const& p : missed)
     {
         suspect(m, p.m_subject, p.m_sent_at + timeout, now, out);
+        probe_rest_of_zone(m, p.m_subject, now, out);
         auto const known = m.m_peers.find(p.m_subject);
         if (known != m.m_peers.end() && known->second.m_found_here)
         {
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace hawthornspur::core
@@ -50,6 +52,106 @@
     return names;
 }
 
+namespace
+{
+
+// A bound at the mean moves pools of other hosts with each change; a quarter
+// above it moves few.
+constexpr double bound_above_mean = 1.25;
+
+std::string pool_key(std::string const& service, std::string const& zone)
+{
+    return service + "/" + zone;
+}
+
+std::size_t largest_number_of_pools(std::size_t pools, std::size_t hosts)
+{
+    auto const rounded_up = (pools + hosts - 1) / hosts;
+    auto const above_mean =
+        static_cast<std::size_t>(bound_above_mean * static_cast<double>(pools) /
+                                 static_cast<double>(hosts));
+    return std::max(rounded_up, above_mean);
+}
+
+// The hosts of the zone, or of the nearest zone that has a host.
+std::vector<std::string const*>
+hosts_near(std::string const& zone, std::span<owner_candidate const> hosts,
+           configuration const& document)
+{
+    auto const zones = nearest_zones(document, zone);
+    std::vector<std::string const*> found;
+    auto best = zones.size() + 1;
+    for (auto const& host : hosts)
+    {
+        auto const rank = static_cast<std::size_t>(
+            std::find(zones.begin(), zones.end(), host.m_zone) - zones.begin());
+        if (rank < best)
+        {
+            best = rank;
+            found.clear();
+        }
+        if (rank == best)
+        {
+            found.push_back(&host.m_name);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+std::map<std::string, std::string>
+zone_owners(std::string const& zone, std::span<owner_candidate const> hosts,
+            configuration const& document)
+{
+    struct pairing
+    {
+        std::uint64_t m_weight;
+        std::string const* m_service;
+        std::string const* m_host;
+        std::size_t m_host_index;
+    };
+    std::map<std::string, std::string> owners;
+    auto const near = hosts_near(zone, hosts, document);
+    if (near.empty())
+    {
+        return owners;
+    }
+    std::vector<pairing> pairings;
+    pairings.reserve(near.size() * document.m_services.size());
+    for (auto const& service : document.m_services)
+    {
+        auto const key = pool_key(service.m_name, zone);
+        for (std::size_t i = 0; i < near.size(); ++i)
+        {
+            pairings.push_back({rendezvous_weight(key, *near[i]),
+                                &service.m_name, near[i], i});
+        }
+    }
+    std::sort(pairings.begin(), pairings.end(),
+              [](pairing const& a, pairing const& b)
+              {
+                  if (a.m_weight != b.m_weight)
+                  {
+                      return a.m_weight > b.m_weight;
+                  }
+                  return std::tie(*a.m_service, *a.m_host) <
+                         std::tie(*b.m_service, *b.m_host);
+              });
+    auto const bound =
+        largest_number_of_pools(document.m_services.size(), near.size());
+    std::vector<std::size_t> load(near.size());
+    for (auto const& each : pairings)
+    {
+        if (load[each.m_host_index] < bound &&
+            owners.emplace(*each.m_service, *each.m_host).second)
+        {
+            ++load[each.m_host_index];
+        }
+    }
+    return owners;
+}
+
 std::vector<std::string> owner_order(pool_id const& pool,
                                      std::span<owner_candidate const> hosts,
                                      configuration const& document)
@@ -61,7 +163,7 @@
         std::string const* m_name;
     };
     auto const zones = nearest_zones(document, pool.m_zone);
-    auto const key = pool.m_service + "/" + pool.m_zone;
+    auto const key = pool_key(pool.m_service, pool.m_zone);
     std::vector<ranked> order;
     order.reserve(hosts.size());
     for (auto const& host : hosts)
@@ -90,6 +192,13 @@
     {
         names.push_back(*entry.m_name);
     }
+    auto const owners = zone_owners(pool.m_zone, hosts, document);
+    auto const owner = owners.find(pool.m_service);
+    if (owner != owners.end())
+    {
+        auto const place = std::find(names.begin(), names.end(), owner->second);
+        std::rotate(names.begin(), place, std::next(place));
+    }
     return names;
 }
 
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -3,6 +3,7 @@
 
 #include "core/ids.hpp"
 
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,9 +30,23 @@
 std::vector<std::string> nearest_zones(configuration const& document,
                                        std::string const& zone);
 
-/// All candidates in the order in which they own the pool: the hosts of the
-/// pool's zone by rendezvous weight, then those of the nearest zones. The
-/// first one is the owner, the others are its successors.
+/// The owners of all pools of a zone, by service. Pools go to the hosts of the
+/// zone, or of the nearest zone that has a host, by rendezvous weight; a host
+/// takes no more than the mean number of pools rounded up, or a quarter above
+/// the mean. Without this bound the chance distribution of few pools leaves
+/// some hosts without a pool and others with several
+/// (docs/measurements-state.md). Empty without hosts. Costs about services
+/// times hosts of a zone; a caller keeps the result until the hosts or the
+/// document change.
+std::map<std::string, std::string>
+zone_owners(std::string const& zone, std::span<owner_candidate const> hosts,
+            configuration const& document);
+
+/// All candidates in the order in which they own the pool: the one that
+/// zone_owners() names, then the other hosts of the pool's zone by rendezvous
+/// weight, then those of the nearest zones. The first one is the owner, the
+/// others are its likely successors. The pool of a service that is not in the
+/// document is owned by rendezvous weight alone.
 std::vector<std::string> owner_order(pool_id const& pool,
                                      std::span<owner_candidate const> hosts,
                                      configuration const& document);
--- a/src/core/ownership_test.cpp
+++ b/src/core/ownership_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace hawthornspur::core
 {
@@ -64,4 +65,102 @@
     CHECK(order.front() == "h2");
 }
 
+namespace
+{
+
+configuration with_services(int count)
+{
+    auto document = three_zones();
+    for (int i = 0; i < count; ++i)
+    {
+        service_config service;
+        service.m_name = "service-" + std::to_string(i);
+        document.m_services.push_back(service);
+    }
+    return document;
+}
+
+} // namespace
+
+// Guards against hosts without a pool beside hosts with several, and against
+// owners that depend on the order in which hosts or services are listed.
+TEST_CASE("the pools of a zone are spread over its hosts")
+{
+    for (int const services : {1, 4, 7, 110})
+    {
+        CAPTURE(services);
+        auto document = with_services(services);
+        std::vector<owner_candidate> hosts;
+        for (int i = 0; i < 13; ++i)
+        {
+            hosts.push_back({"host-" + std::to_string(i), "a"});
+        }
+        hosts.push_back({"elsewhere", "b"});
+        auto const owners = zone_owners("a", hosts, document);
+        CHECK(owners.size() == document.m_services.size());
+        std::map<std::string, int> load;
+        for (auto const& [service, owner] : owners)
+        {
+            ++load[owner];
+            CHECK(owner_order({service, "a"}, hosts, document).front() ==
+                  owner);
+        }
+        CHECK(load.count("elsewhere") == 0);
+        auto const most = std::max_element(load.begin(), load.end(),
+                                           [](auto const& a, auto const& b)
+                                           { return a.second < b.second; });
+        // A quarter above the mean of 110 / 13 is 10.
+        CHECK(most->second <= (services == 110 ? 10 : 1));
+
+        std::reverse(hosts.begin(), hosts.end());
+        std::reverse(document.m_services.begin(), document.m_services.end());
+        CHECK(zone_owners("a", hosts, document) == owners);
+    }
+}
+
+// Guards against a bound that moves many pools between hosts that stay when
+// one host comes or goes. Under the bound a pool can follow one that left its
+// host, so as many others may move on average as the host itself owned.
+TEST_CASE("a host that leaves moves few pools of others")
+{
+    auto const document = with_services(110);
+    int others = 0;
+    int own = 0;
+    for (int trial = 0; trial < 20; ++trial)
+    {
+        std::vector<owner_candidate> hosts;
+        for (int i = 0; i < 13; ++i)
+        {
+            hosts.push_back({std::to_string(trial * 100 + i), "a"});
+        }
+        auto const before = zone_owners("a", hosts, document);
+        auto const gone = hosts.back().m_name;
+        hosts.pop_back();
+        for (auto const& [service, owner] : zone_owners("a", hosts, document))
+        {
+            auto const& earlier = before.at(service);
+            own += earlier == gone ? 1 : 0;
+            others += earlier != gone && earlier != owner ? 1 : 0;
+        }
+    }
+    CHECK(own > 0);
+    CHECK(others <= own);
+}
+
+// Guards against a zone without hosts whose pools all go to one host.
+TEST_CASE("the pools of a zone without hosts are spread over the nearest zone")
+{
+    auto const document = with_services(4);
+    std::vector<owner_candidate> const hosts{
+        {"h1", "b"}, {"h2", "c"}, {"h3", "c"}, {"h4", "c"}, {"h5", "c"}};
+    std::map<std::string, int> load;
+    for (auto const& [service, owner] : zone_owners("a", hosts, document))
+    {
+        ++load[owner];
+    }
+    CHECK(load == std::map<std::string, int>{
+                      {"h2", 1}, {"h3", 1}, {"h4", 1}, {"h5", 1}});
+    CHECK(zone_owners("a", {}, document).empty());
+}
+
 } // namespace hawthornspur::core
