--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -67,6 +67,11 @@
     {
         return report(failure(created));
     }
+    if (auto const watched = serve::watch_stop_signals(*value(created));
+        !has_value(watched))
+    {
+        return report(failure(watched));
+    }
     loop->run();
     logging::write(logging::level::info, "cli.serve", "host stopped");
     return exit_code::success;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -76,6 +76,11 @@
     event_base_dispatch(m_base);
 }
 
+void event_loop::run_pending()
+{
+    event_base_loop(m_base, EVLOOP_NONBLOCK);
+}
+
 void event_loop::stop()
 {
     event_base_loopbreak(m_base);
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -27,6 +27,10 @@
     void run();
     void stop();
 
+    /// Handles what is due and returns, so that tests can run several loops
+    /// side by side and let one of them stand still.
+    void run_pending();
+
     /// Monotonic time.
     static core::time_point now();
 
--- a/src/serve/accept_test.cpp
+++ b/src/serve/accept_test.cpp
@@ -27,12 +27,13 @@
                                             {"Hawthornspur-Depth", "4"}}));
     CHECK(accepted.m_service == "map");
     CHECK(accepted.m_zone == "mx-a");
-    CHECK(accepted.m_time_left == core::duration(std::chrono::milliseconds(250)));
+    CHECK(accepted.m_time_left ==
+          core::duration(std::chrono::milliseconds(250)));
     CHECK(accepted.m_once_key == "k");
     CHECK(accepted.m_earlier_attempts == 2);
     CHECK(accepted.m_depth == 4);
-    auto const named = take(accept_with(
-        {{"Host", "other"}, {"Hawthornspur-Service", "bookings"}}));
+    auto const named = take(
+        accept_with({{"Host", "other"}, {"Hawthornspur-Service", "bookings"}}));
     CHECK(named.m_service == "bookings");
 }
 
@@ -70,14 +71,13 @@
 // would change how the request is framed or answered.
 TEST_CASE("accept removes hop-by-hop headers, also those that Connection names")
 {
-    auto const accepted =
-        take(accept_with({{"Connection", "close, X-Private"},
-                          {"X-Private", "1"},
-                          {"Transfer-Encoding", "chunked"},
-                          {"Keep-Alive", "5"},
-                          {"Upgrade", "h2c"},
-                          {"Content-Length", "4"},
-                          {"X-Kept", "yes"}}));
+    auto const accepted = take(accept_with({{"Connection", "close, X-Private"},
+                                            {"X-Private", "1"},
+                                            {"Transfer-Encoding", "chunked"},
+                                            {"Keep-Alive", "5"},
+                                            {"Upgrade", "h2c"},
+                                            {"Content-Length", "4"},
+                                            {"X-Kept", "yes"}}));
     auto const& list = accepted.m_request.m_headers;
     REQUIRE(list.size() == 1);
     CHECK(list[0].first == "X-Kept");
--- a/src/serve/classify_test.cpp
+++ b/src/serve/classify_test.cpp
@@ -36,8 +36,8 @@
 {
     accepted_request accepted;
     accepted.m_service = "bookings";
-    accepted.m_request = {std::move(method), std::move(uri), {},
-                          std::move(body)};
+    accepted.m_request = {
+        std::move(method), std::move(uri), {}, std::move(body)};
     return accepted;
 }
 
@@ -49,12 +49,12 @@
 {
     auto const configuration = make_configuration();
     core::time_point const now(milliseconds(1000));
-    auto const claim = take(classify_request(request("POST", "/squares/7"),
-                                             configuration, now));
+    auto const claim = take(
+        classify_request(request("POST", "/squares/7"), configuration, now));
     CHECK(claim.m_kind->m_name == "claim");
     CHECK(claim.m_kind_id.m_value == 1);
-    auto const read = take(
-        classify_request(request("GET", "/squares"), configuration, now));
+    auto const read =
+        take(classify_request(request("GET", "/squares"), configuration, now));
     CHECK(read.m_kind->m_name == "read");
     CHECK(read.m_deadline == now + milliseconds(500));
 }
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -107,6 +107,21 @@
     h.m_follower->m_timer->start(delay);
 }
 
+/// Counts and logs a stored document once, although it is read again and
+/// again until it is replaced.
+void report_rejected(host& h, std::string const& reason)
+{
+    auto& last = h.m_follower->m_last_rejection;
+    if (last == reason)
+    {
+        return;
+    }
+    last = reason;
+    core::note_rejected(h.m_configuration, 0);
+    logging::write(logging::level::error, "serve.configuration",
+                   "stored document not taken", {{"reason", reason}});
+}
+
 void on_loaded(host& h, result<platform::loaded_configuration> const& loaded)
 {
     auto& follower = *h.m_follower;
@@ -118,10 +133,7 @@
     }
     else if (failure(loaded).m_code == result_code::store_answer_malformed)
     {
-        core::note_rejected(h.m_configuration, 0);
-        logging::write(logging::level::error, "serve.configuration",
-                       "stored document not taken",
-                       {{"reason", failure(loaded).m_message}});
+        report_rejected(h, failure(loaded).m_message);
     }
     bool const is_quiet =
         !has_value(loaded) && failure(loaded).m_code == result_code::not_found;
--- a/src/serve/configuration_follower.hpp
+++ b/src/serve/configuration_follower.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace hawthornspur::serve
 {
@@ -19,6 +20,8 @@
     std::unique_ptr<platform::configuration_store> m_store;
     std::unique_ptr<net::timer> m_timer;
     std::uint64_t m_head_revision = 0;
+    /// Why the stored document was not taken, to report it only once.
+    std::string m_last_rejection;
     /// The document asked from a peer, and since when.
     std::uint64_t m_fetching = 0;
     core::time_point m_fetch_started{};
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -152,15 +152,6 @@
             return failure(done);
         }
     }
-    for (auto const& [number, name] :
-         {std::pair{SIGTERM, "SIGTERM"}, std::pair{SIGINT, "SIGINT"}})
-    {
-        if (auto const done = add_stop_signal(*h, number, name);
-            !has_value(done))
-        {
-            return failure(done);
-        }
-    }
     list_hosts(*h);
     logging::write(
         logging::level::info, "serve.host", "host started",
@@ -172,4 +163,18 @@
     return h;
 }
 
+status watch_stop_signals(host& h)
+{
+    for (auto const& [number, name] :
+         {std::pair{SIGTERM, "SIGTERM"}, std::pair{SIGINT, "SIGINT"}})
+    {
+        if (auto const done = add_stop_signal(h, number, name);
+            !has_value(done))
+        {
+            return done;
+        }
+    }
+    return success();
+}
+
 } // namespace hawthornspur::serve
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -138,6 +138,10 @@
 result<std::unique_ptr<host>> create_host(net::event_loop& loop,
                                           config::host_settings settings);
 
+/// Starts the planned stop on SIGTERM and SIGINT. Signals belong to the
+/// process, so a program with several hosts does not call this.
+status watch_stop_signals(host& h);
+
 /// The call with this id, or null when it has ended.
 call* find_call(host& h, core::request_id id) noexcept;
 
--- a/src/serve/target_signals_test.cpp
+++ b/src/serve/target_signals_test.cpp
@@ -18,11 +18,10 @@
         bool m_is_not_run;
     };
     for (auto const& [status, headers, expected] :
-         {row{503, {}, false},
-          row{503, {{"Hawthornspur-Not-Run", "1"}}, true},
+         {row{503, {}, false}, row{503, {{"Hawthornspur-Not-Run", "1"}}, true},
           row{503, {{"Hawthornspur-Not-Run", "0"}}, false},
-          row{500, {{"Hawthornspur-Not-Run", "1"}}, false},
-          row{429, {}, true}, row{200, {}, false}})
+          row{500, {{"Hawthornspur-Not-Run", "1"}}, false}, row{429, {}, true},
+          row{200, {}, false}})
     {
         CAPTURE(status);
         CHECK(is_not_run({status, headers}, kind) == expected);
@@ -39,7 +38,8 @@
     REQUIRE(load("2/3").has_value());
     CHECK(load("2/3")->m_in_flight == 2);
     CHECK(load("2/3")->m_slots == 3);
-    for (auto const* text : {"", "2", "2/", "/3", "-1/3", "2/0", "a/b", "2/3/4"})
+    for (auto const* text :
+         {"", "2", "2/", "/3", "-1/3", "2/0", "a/b", "2/3/4"})
     {
         CAPTURE(text);
         CHECK(!load(text).has_value());
