--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -54,6 +54,12 @@
              std::vector<std::string> arguments);
 
 // One function for each file with a subcommand.
+command make_config_apply_command();
+command make_config_check_command();
+command make_config_diff_command();
+command make_config_history_command();
+command make_config_show_command();
+command make_config_status_command();
 command make_version_command();
 
 } // namespace hawthornspur::cli
--- /dev/null
+++ b/src/cli/host_generations.cpp
@@ -0,0 +1,233 @@
+#include "cli/host_generations.hpp"
+
+#include "platform/pending_call.hpp"
+
+#include <absl/flags/flag.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+ABSL_FLAG(std::vector<std::string>, hosts, {},
+          "Administration addresses of the entry hosts, ADDRESS:PORT with "
+          "commas between them. Without it the platform's list of hosts is "
+          "used.");
+ABSL_FLAG(std::uint16_t, administration_port, 0,
+          "Port for administration at the hosts of the platform's list; 0 is "
+          "the listed port.");
+
+namespace hawthornspur::cli
+{
+
+namespace
+{
+
+constexpr auto poll_interval = std::chrono::milliseconds(250);
+constexpr auto answer_timeout = std::chrono::seconds(1);
+
+std::optional<std::uint64_t> read_generation(std::string const& body)
+{
+    auto const parsed = nlohmann::json::parse(body, nullptr, false);
+    auto const found = parsed.find("generation");
+    return found != parsed.end() && found->is_number_unsigned()
+               ? std::optional(found->get<std::uint64_t>())
+               : std::nullopt;
+}
+
+/// One round of questions. It ends when every host answered or timed out.
+struct poll_round
+{
+    std::size_t m_open = 0;
+    platform::callback<std::monostate> m_done;
+};
+
+void ask_one(platform_session& session, host_generation& host,
+             std::shared_ptr<poll_round> const& round)
+{
+    auto const body = std::make_shared<std::string>();
+    auto const status = std::make_shared<int>(0);
+    net::http_request request{"GET", "/status", {}, {}};
+    net::set_header(request.m_headers, "Host", host.m_administration.m_address);
+    net::exchange_options options;
+    options.m_timeout = answer_timeout;
+    net::exchange_handlers handlers;
+    handlers.m_on_head = [status](net::http_response_head const& head, auto)
+    {
+        *status = head.m_status;
+    };
+    handlers.m_on_data = [body](std::string_view data)
+    {
+        *body += data;
+    };
+    handlers.m_on_end =
+        [&host, body, status, round](net::exchange_outcome outcome)
+    {
+        constexpr int status_ok = 200;
+        if (outcome == net::exchange_outcome::complete && *status == status_ok)
+        {
+            // An answer without a generation leaves what is known.
+            if (auto const generation = read_generation(*body))
+            {
+                host.m_generation = generation;
+            }
+        }
+        if (--round->m_open == 0)
+        {
+            round->m_done(std::monostate{});
+        }
+    };
+    session.m_client->send(host.m_administration, request, options,
+                           std::move(handlers));
+}
+
+bool is_in_force(host_generation const& host, std::uint64_t generation)
+{
+    return host.m_generation && *host.m_generation >= generation;
+}
+
+/// Asks the hosts where the generation is not in force yet.
+void ask_late_hosts(platform_session& session,
+                    std::vector<host_generation>& hosts,
+                    std::uint64_t generation,
+                    platform::callback<std::monostate> done)
+{
+    auto const round = std::make_shared<poll_round>();
+    round->m_done = std::move(done);
+    round->m_open = hosts.size() - count_in_force(hosts, generation);
+    if (round->m_open == 0)
+    {
+        session.m_time.m_after(core::duration(0),
+                               [round] { round->m_done(std::monostate{}); });
+        return;
+    }
+    for (auto& host : hosts)
+    {
+        if (!is_in_force(host, generation))
+        {
+            ask_one(session, host, round);
+        }
+    }
+}
+
+platform::detached poll(platform_session& session,
+                        std::vector<host_generation>& hosts,
+                        std::uint64_t generation, core::time_point end,
+                        std::function<void(std::size_t)> const& progress,
+                        platform::callback<std::monostate> done)
+{
+    using nothing = std::monostate;
+    std::optional<std::size_t> reported;
+    while (true)
+    {
+        platform::pending_call<nothing> asking(
+            [&](platform::callback<nothing> answered) {
+                ask_late_hosts(session, hosts, generation, std::move(answered));
+            });
+        co_await asking;
+        auto const in_force = count_in_force(hosts, generation);
+        if (reported != in_force)
+        {
+            reported = in_force;
+            progress(in_force);
+        }
+        if (in_force == hosts.size() || session.m_time.m_now() >= end)
+        {
+            break;
+        }
+        platform::pending_call<nothing> sleeping(
+            [&](platform::callback<nothing> awoken)
+            {
+                session.m_time.m_after(poll_interval,
+                                       [awoken = std::move(awoken)]
+                                       { awoken(nothing{}); });
+            });
+        co_await sleeping;
+    }
+    done(nothing{});
+}
+
+} // namespace
+
+std::vector<std::string> host_flags()
+{
+    return {"hosts", "administration_port"};
+}
+
+result<std::vector<host_generation>> find_hosts(platform_session& session)
+{
+    std::vector<host_generation> hosts;
+    auto const named = absl::GetFlag(FLAGS_hosts);
+    for (auto const& text : named)
+    {
+        auto endpoint = parse_endpoint(text);
+        if (!has_value(endpoint))
+        {
+            return make_error(result_code::usage,
+                              "--hosts: " + failure(endpoint).m_message);
+        }
+        hosts.push_back({"", take(std::move(endpoint)), std::nullopt});
+    }
+    if (!named.empty())
+    {
+        return hosts;
+    }
+    using host_list = std::vector<platform::listed_host>;
+    auto const listed =
+        run_call<host_list>(session, [&](platform::callback<host_list> done)
+                            { session.m_calls.m_list_hosts(std::move(done)); });
+    if (!has_value(listed))
+    {
+        return failure(listed);
+    }
+    auto const port = absl::GetFlag(FLAGS_administration_port);
+    for (auto const& host : value(listed))
+    {
+        if (host.m_role == platform::listed_role::entry && !host.m_leaving)
+        {
+            hosts.push_back({host.m_name,
+                             {host.m_address, port == 0 ? host.m_port : port},
+                             std::nullopt});
+        }
+    }
+    return hosts;
+}
+
+void ask_hosts(platform_session& session, std::vector<host_generation>& hosts)
+{
+    constexpr auto every_host = UINT64_MAX;
+    static_cast<void>(run_call<std::monostate>(
+        session, [&](platform::callback<std::monostate> done)
+        { ask_late_hosts(session, hosts, every_host, std::move(done)); }));
+}
+
+void wait_in_force(platform_session& session,
+                   std::vector<host_generation>& hosts,
+                   std::uint64_t generation, core::duration longest,
+                   std::function<void(std::size_t)> const& progress)
+{
+    auto const end = session.m_time.m_now() + longest;
+    static_cast<void>(run_call<std::monostate>(
+        session, [&](platform::callback<std::monostate> done)
+        { poll(session, hosts, generation, end, progress, std::move(done)); }));
+}
+
+std::size_t count_in_force(std::vector<host_generation> const& hosts,
+                           std::uint64_t generation)
+{
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(),
+                      [&](host_generation const& host)
+                      { return is_in_force(host, generation); }));
+}
+
+std::string describe(host_generation const& host)
+{
+    auto const& at = host.m_administration;
+    return host.m_name + (host.m_name.empty() ? "" : " at ") + at.m_address +
+           ":" + std::to_string(at.m_port) +
+           (host.m_generation
+                ? ": generation " + std::to_string(*host.m_generation)
+                : std::string(": no answer"));
+}
+
+} // namespace hawthornspur::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -4,8 +4,13 @@
 {
     using namespace hawthornspur::cli;
     // All subcommands, in the order in which help lists them.
-    std::vector<command> const table{
-        make_version_command(),
-    };
+    std::vector<command> table;
+    table.push_back(make_config_check_command());
+    table.push_back(make_config_diff_command());
+    table.push_back(make_config_apply_command());
+    table.push_back(make_config_show_command());
+    table.push_back(make_config_history_command());
+    table.push_back(make_config_status_command());
+    table.push_back(make_version_command());
     return dispatch(table, {argv + 1, argv + argc});
 }
