--- /dev/null
+++ b/fuzz/fuzz_documents.cpp
@@ -0,0 +1,113 @@
+// Feeds damaged configuration documents, heads and histories to their parsers.
+// A crash, or an accepted document that does not survive printing, ends the
+// program with an error and the number of the case.
+#include "config/document.hpp"
+#include "mutation.hpp"
+#include "platform/document_history.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the first case.");
+ABSL_FLAG(std::uint64_t, count, 10'000, "Number of cases.");
+
+namespace
+{
+
+using namespace hawthornspur;
+
+constexpr auto words =
+    std::to_array<std::string_view>({"{",
+                                     "}",
+                                     "[",
+                                     "]",
+                                     ":",
+                                     ",",
+                                     "\"",
+                                     "null",
+                                     "true",
+                                     "-1",
+                                     "1e999",
+                                     "0.5",
+                                     "18446744073709551616",
+                                     "\"5ms\"",
+                                     "7",
+                                     "[]",
+                                     "{}",
+                                     "false",
+                                     "\"draining\"",
+                                     "\"9223372036854775807ns\"",
+                                     "\"16GiB\"",
+                                     "//",
+                                     "/*",
+                                     "\\u0000",
+                                     "\\ud800",
+                                     "[[[[[[[["});
+
+std::string read_file(char const* path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool survives(core::configuration const& document)
+{
+    auto const text = config::print_document(document);
+    auto const again = config::parse_document(text);
+    auto const* parsed = std::get_if<core::configuration>(&again);
+    return parsed != nullptr && config::print_document(*parsed) == text;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    auto const document = read_file(HAWTHORNSPUR_EXAMPLE);
+    auto const parsed = config::parse_document(document);
+    if (!std::holds_alternative<core::configuration>(parsed))
+    {
+        std::cerr << HAWTHORNSPUR_EXAMPLE << " cannot be read\n";
+        return 1;
+    }
+    auto const stored =
+        config::split_document(std::get<core::configuration>(parsed));
+    platform::document_history history;
+    history.m_heads.push_back(
+        std::get<config::document_head>(config::parse_head(stored.m_head)));
+    auto const history_text = platform::print_history(history);
+    auto const first = absl::GetFlag(FLAGS_seed);
+    auto const count = absl::GetFlag(FLAGS_count);
+    std::uint64_t accepted = 0;
+    for (auto seed = first; seed < first + count; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        auto const result =
+            config::parse_document(fuzz::mutate(document, random, words));
+        if (auto const* valid = std::get_if<core::configuration>(&result))
+        {
+            ++accepted;
+            if (!survives(*valid))
+            {
+                std::cerr << "a document changed when printed, --seed=" << seed
+                          << " --count=1\n";
+                return 1;
+            }
+        }
+        auto damaged = stored;
+        damaged.m_head = fuzz::mutate(stored.m_head, random, words);
+        auto& part = damaged.m_parts.begin()->second;
+        part = fuzz::mutate(part, random, words);
+        static_cast<void>(config::join_document(damaged));
+        static_cast<void>(
+            platform::parse_history(fuzz::mutate(history_text, random, words)));
+    }
+    std::cout << count << " cases from seed " << first << ", " << accepted
+              << " documents accepted, no fault\n";
+    return 0;
+}
