--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -58,6 +58,12 @@
 command make_drain_command();
 command make_serve_command();
 command make_status_command();
+command make_config_apply_command();
+command make_config_check_command();
+command make_config_diff_command();
+command make_config_history_command();
+command make_config_show_command();
+command make_config_status_command();
 command make_version_command();
 
 } // namespace hawthornspur::cli
