Check every request before evhttp parses it

Cause: evhttp accepts bare line feeds, repeated lengths, length together with chunked and other forms that a target may read in another way, and answers some faults itself without our headers.

Change: the server takes the bytes out of the buffer event's input as they are read, frames and checks them strictly, and puts back one whole request at a time with a Content-Length. Refusals carry the code, the outcome and the JSON body, are counted by code and end the connection after a linger of 1 s. Pipelined requests wait for the answer before them; what exceeds the limit stays in the socket. The exchange has a file of its own.

Interface: counters() of the server, limits on connections and on the time of a request, make_refusal(), result code 2018 too_many_connections.

Found by the tests: bytes left in the input buffer while an answer was sent were parsed by evhttp without a check; they are moved before evhttp looks.

--- a/include/hawthornspur/result_code.hpp
+++ b/include/hawthornspur/result_code.hpp
@@ -49,6 +49,7 @@
     host_paused = 2015,
     home_unreachable = 2016,
     not_pool_owner = 2017,
+    too_many_connections = 2018,
 
     // 3xxx: the request may have run.
     target_silent = 3001,
--- /dev/null
+++ b/src/net/caller_connection.cpp
@@ -0,0 +1,228 @@
+#include "net/caller_connection.hpp"
+
+#include "net/event_loop.hpp"
+#include "net/http_exchange.hpp"
+#include "net/http_refusal.hpp"
+#include "net/http_server.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+/// Time for a refused caller to read the answer. Closing at once while its
+/// bytes arrive would reset the connection and destroy the answer.
+constexpr timeval linger_time{1, 0};
+
+} // namespace
+
+caller_connection::caller_connection(bufferevent* transport,
+                                     http_server_settings const& settings,
+                                     caller_connection_handlers const& handlers)
+    : m_transport(transport)
+    , m_settings(settings)
+    , m_handlers(handlers)
+    , m_framer({.m_max_body_bytes = settings.m_max_body_bytes},
+               settings.m_max_headers_bytes)
+{
+    evbuffer_add_cb(bufferevent_get_input(transport), on_input, this);
+}
+
+caller_connection::~caller_connection()
+{
+    evbuffer_remove_cb(bufferevent_get_input(m_transport), on_input, this);
+}
+
+void caller_connection::adopt()
+{
+    if (m_evcon != nullptr)
+    {
+        return;
+    }
+    // evhttp passes its connection as the argument of the callbacks; before
+    // the first request its interface has no other way to it.
+    void* argument = nullptr;
+    bufferevent_getcb(m_transport, nullptr, nullptr, nullptr, &argument);
+    m_evcon = static_cast<evhttp_connection*>(argument);
+    if (m_evcon != nullptr)
+    {
+        evhttp_connection_set_closecb(m_evcon, on_evhttp_closed, this);
+        m_handlers.m_on_adopted(*this);
+    }
+}
+
+void caller_connection::on_evhttp_closed(evhttp_connection* /*evcon*/,
+                                         void* self)
+{
+    auto* connection = static_cast<caller_connection*>(self);
+    if (auto* exchange = std::exchange(connection->m_exchange, nullptr))
+    {
+        connection->m_left_early = true;
+        exchange->on_gone();
+    }
+    connection->m_handlers.m_on_closed(*connection);
+}
+
+void caller_connection::on_input(evbuffer* input,
+                                 evbuffer_cb_info const* change, void* self)
+{
+    auto* connection = static_cast<caller_connection*>(self);
+    if (connection->m_is_moving || change->n_added == 0)
+    {
+        return;
+    }
+    if (connection->m_refused)
+    {
+        connection->m_is_moving = true;
+        evbuffer_drain(input, evbuffer_get_length(input));
+        connection->m_is_moving = false;
+        return;
+    }
+    connection->adopt();
+    auto const is_busy = connection->m_framer.is_request_in_flight();
+    if (is_busy && connection->m_framer.held_bytes() >
+                       connection->m_settings.m_max_headers_bytes)
+    {
+        // The rest of the pipelined requests waits in the socket. evhttp
+        // enables reading when it writes, the watermark still stops it.
+        connection->m_paused = true;
+        bufferevent_setwatermark(connection->m_transport, EV_READ, 0, 1);
+        return;
+    }
+    connection->take_input(input);
+    if (!is_busy)
+    {
+        connection->pass_on();
+    }
+}
+
+void caller_connection::take_input(evbuffer* input)
+{
+    if (!m_framer.is_within_request())
+    {
+        m_request_start = event_loop::now();
+    }
+    auto const size = evbuffer_get_length(input);
+    auto const* bytes =
+        reinterpret_cast<char const*>(evbuffer_pullup(input, -1));
+    m_framer.add({bytes, size});
+    m_is_moving = true;
+    evbuffer_drain(input, size);
+    m_is_moving = false;
+}
+
+bool caller_connection::pass_on()
+{
+    auto const bytes = m_framer.take();
+    if (m_framer.refusal())
+    {
+        refuse(*m_framer.refusal());
+        return false;
+    }
+    if (m_framer.is_within_request() &&
+        event_loop::now() - m_request_start > m_settings.m_request_timeout)
+    {
+        refuse({result_code::malformed_request, "the request takes too long"});
+        return false;
+    }
+    if (m_framer.take_continue())
+    {
+        // The output is empty here, and evhttp must not hear of it: it would
+        // take the write for the end of the last answer.
+        static constexpr std::string_view go_on =
+            "HTTP/1.1 100 Continue\r\n\r\n";
+        ::send(bufferevent_getfd(m_transport), go_on.data(), go_on.size(),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    if (bytes.empty())
+    {
+        return false;
+    }
+    auto* input = bufferevent_get_input(m_transport);
+    m_is_moving = true;
+    // A buffer event lets only itself append to its input.
+    evbuffer_unfreeze(input, 0);
+    evbuffer_add(input, bytes.data(), bytes.size());
+    evbuffer_freeze(input, 0);
+    m_is_moving = false;
+    return true;
+}
+
+void caller_connection::on_request(evhttp_request* request)
+{
+    evhttp_request_set_on_complete_cb(request, on_answered, this);
+}
+
+void caller_connection::on_answered(evhttp_request* /*request*/, void* self)
+{
+    auto* connection = static_cast<caller_connection*>(self);
+    connection->m_framer.on_answered();
+    if (connection->m_paused)
+    {
+        // evhttp would read what is left in the buffer without a check.
+        connection->take_input(bufferevent_get_input(connection->m_transport));
+    }
+    if (connection->m_framer.held_bytes() > 0 || connection->m_paused)
+    {
+        // Not now: evhttp is about to prepare the connection for reading.
+        connection->m_handlers.m_on_resumable(*connection);
+    }
+}
+
+void caller_connection::resume()
+{
+    if (m_refused)
+    {
+        return;
+    }
+    if (std::exchange(m_paused, false))
+    {
+        bufferevent_setwatermark(m_transport, EV_READ, 0, 0);
+    }
+    m_request_start = event_loop::now();
+    if (pass_on())
+    {
+        bufferevent_trigger(m_transport, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+    }
+}
+
+void caller_connection::refuse(error const& problem)
+{
+    if (std::exchange(m_refused, true))
+    {
+        return;
+    }
+    m_handlers.m_on_refused(problem);
+    // evhttp is reading a request that never becomes whole. It hears nothing
+    // more of the connection until it is told to free it.
+    bufferevent_setcb(m_transport, nullptr, on_refusal_written,
+                      on_refusal_event, this);
+    bufferevent_set_timeouts(m_transport, &linger_time, &linger_time);
+    bufferevent_enable(m_transport, EV_READ | EV_WRITE);
+    auto const answer = to_bytes(make_refusal(problem.m_code));
+    bufferevent_write(m_transport, answer.data(), answer.size());
+}
+
+void caller_connection::on_refusal_written(bufferevent* transport,
+                                           void* /*self*/)
+{
+    ::shutdown(bufferevent_getfd(transport), SHUT_WR);
+}
+
+void caller_connection::on_refusal_event(bufferevent* /*transport*/,
+                                         short /*what*/, void* self)
+{
+    // The caller closed, or had its time to read the answer.
+    evhttp_connection_free(static_cast<caller_connection*>(self)->m_evcon);
+}
+
+} // namespace hawthornspur::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,18 +1,21 @@
 #include "net/http_server.hpp"
 
+#include "base/logging.hpp"
+#include "net/caller_connection.hpp"
 #include "net/event_loop.hpp"
+#include "net/socket_address.hpp"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <sys/socket.h>
 
-#include <cassert>
+#include <algorithm>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace hawthornspur::net
 {
@@ -58,6 +61,9 @@
     {
         read.m_headers.emplace_back(header->key, header->value);
     }
+    // Both describe how the body was sent, and the body is whole now.
+    remove_header(read.m_headers, "Transfer-Encoding");
+    remove_header(read.m_headers, "Content-Length");
     auto* body = evhttp_request_get_input_buffer(request);
     auto const size = evbuffer_get_length(body);
     read.m_body.resize(size);
@@ -68,275 +74,234 @@
     return read;
 }
 
-void add_headers(evhttp_request* request, http_headers const& headers)
-{
-    auto* output = evhttp_request_get_output_headers(request);
-    for (auto const& [name, value] : headers)
-    {
-        evhttp_add_header(output, name.c_str(), value.c_str());
-    }
-}
-
-std::uint16_t bound_port(int fd)
-{
-    sockaddr_storage storage{};
-    socklen_t length = sizeof(storage);
-    if (getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &length) != 0)
-    {
-        return 0;
-    }
-    if (storage.ss_family == AF_INET6)
-    {
-        return ntohs(reinterpret_cast<sockaddr_in6*>(&storage)->sin6_port);
-    }
-    return ntohs(reinterpret_cast<sockaddr_in*>(&storage)->sin_port);
-}
-
 } // namespace
 
-/// Sees the caller closing its side while the request is being worked on.
-/// evhttp itself reads nothing until the answer is sent and would not notice.
-struct http_exchange::watch
+struct http_server::state
 {
-    event* m_close_event = nullptr;
-    ~watch()
+    event_loop* m_loop = nullptr;
+    http_server_settings m_settings;
+    http_request_handler m_handler;
+    http_server_counters m_counters;
+    evhttp* m_http = nullptr;
+    evhttp_bound_socket* m_socket = nullptr;
+    std::uint16_t m_port = 0;
+    caller_connection_handlers m_connection_handlers;
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
+        m_connections;
+    std::unordered_map<evhttp_connection*, caller_connection*> m_by_evcon;
+    /// Accepted in this turn of the loop.
+    std::vector<caller_connection*> m_accepted;
+    /// Those of them that were above the limit.
+    std::vector<caller_connection*> m_excess;
+    std::vector<caller_connection*> m_resumable;
+    std::unique_ptr<timer> m_deferred;
+
+    ~state()
     {
-        if (m_close_event != nullptr)
+        for (auto* connection : m_accepted)
         {
-            event_free(m_close_event);
+            // So that it hears of its end.
+            connection->adopt();
         }
-    }
-};
-
-struct http_exchange_access
-{
-    static void on_connection_closed(evhttp_connection* /*connection*/,
-                                     void* self)
-    {
-        gone(static_cast<http_exchange*>(self));
-    }
-
-    static void on_caller_closed(int /*fd*/, short /*what*/, void* self)
-    {
-        auto* exchange = static_cast<http_exchange*>(self);
-        if (exchange->m_request != nullptr)
+        if (m_http != nullptr)
         {
-            // Frees the request and calls on_connection_closed.
-            evhttp_connection_free(
-                evhttp_request_get_connection(exchange->m_request));
-        }
-    }
-
-    static void on_written(evhttp_connection* /*connection*/, void* self)
-    {
-        auto* exchange = static_cast<http_exchange*>(self);
-        if (exchange->m_request != nullptr && exchange->m_on_drained)
-        {
-            exchange->m_on_drained();
-        }
-    }
-
-    static void gone(http_exchange* exchange)
-    {
-        exchange->m_request = nullptr;
-        exchange->m_watch.reset();
-        exchange->m_on_drained = nullptr;
-        if (auto action = std::exchange(exchange->m_on_closed, nullptr))
-        {
-            action();
+            evhttp_free(m_http);
         }
     }
+    state() = default;
+    state(state const&) = delete;
+    state& operator=(state const&) = delete;
+
+    bufferevent* on_accept();
+    void on_refused(error const& problem);
+    void on_closed(caller_connection& connection);
+    void run_deferred();
+    void on_request(evhttp_request* request);
 };
 
-http_exchange::http_exchange(evhttp_request* request)
-    : m_request(request)
-    , m_watch(std::make_unique<watch>())
+bufferevent* http_server::state::on_accept()
 {
-    auto* connection = evhttp_request_get_connection(request);
-    evhttp_connection_set_closecb(
-        connection, &http_exchange_access::on_connection_closed, this);
-    auto const fd =
-        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    m_watch->m_close_event =
-        event_new(evhttp_connection_get_base(connection), fd, EV_CLOSED,
-                  &http_exchange_access::on_caller_closed, this);
-    if (m_watch->m_close_event != nullptr)
+    auto* transport =
+        bufferevent_socket_new(m_loop->base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (transport == nullptr)
     {
-        event_add(m_watch->m_close_event, nullptr);
+        return nullptr;
     }
-}
-
-http_exchange::~http_exchange()
-{
-    m_on_closed = nullptr;
-    // A handler that drops the exchange without an answer must not leave the
-    // caller waiting.
-    abort();
-}
-
-void http_exchange::finish()
-{
-    evhttp_connection_set_closecb(evhttp_request_get_connection(m_request),
-                                  nullptr, nullptr);
-    m_watch.reset();
-    m_request = nullptr;
-    m_on_closed = nullptr;
-    m_on_drained = nullptr;
-}
-
-void http_exchange::reply(http_response_head const& head, std::string_view body)
-{
-    if (m_request == nullptr)
+    ++m_counters.m_connections_accepted;
+    ++m_counters.m_connections_open;
+    auto owned = std::make_unique<caller_connection>(transport, m_settings,
+                                                     m_connection_handlers);
+    m_accepted.push_back(owned.get());
+    auto* const raw = owned.get();
+    m_connections.emplace(raw, std::move(owned));
+    if (m_connections.size() > m_settings.m_max_connections)
     {
-        return;
+        m_excess.push_back(raw);
     }
-    assert(!m_started);
-    m_started = true;
-    add_headers(m_request, head.m_headers);
-    auto* buffer = evbuffer_new();
-    evbuffer_add(buffer, body.data(), body.size());
-    auto* request = m_request;
-    finish();
-    evhttp_send_reply(request, head.m_status, nullptr, buffer);
-    evbuffer_free(buffer);
+    m_deferred->start(core::duration(0));
+    return transport;
 }
 
-void http_exchange::start(http_response_head const& head,
-                          std::optional<std::uint64_t> length)
+void http_server::state::on_refused(error const& problem)
 {
-    if (m_request == nullptr)
-    {
-        return;
-    }
-    assert(!m_started);
-    m_started = true;
-    add_headers(m_request, head.m_headers);
-    if (length)
-    {
-        evhttp_add_header(evhttp_request_get_output_headers(m_request),
-                          "Content-Length", std::to_string(*length).c_str());
-    }
-    evhttp_send_reply_start(m_request, head.m_status, nullptr);
+    ++m_counters.m_refused[problem.m_code];
+    logging::write(
+        logging::level::warn, "net.http", "request refused",
+        {{"code", std::to_string(static_cast<unsigned>(problem.m_code))},
+         {"reason", problem.m_message}});
 }
 
-void http_exchange::write(std::string_view data)
+void http_server::state::on_closed(caller_connection& connection)
 {
-    if (m_request == nullptr || data.empty())
+    --m_counters.m_connections_open;
+    m_counters.m_callers_gone += connection.has_left_early() ? 1 : 0;
+    if (connection.is_within_request())
     {
-        return;
+        ++m_counters.m_requests_incomplete;
     }
-    assert(m_started);
-    auto* buffer = evbuffer_new();
-    evbuffer_add(buffer, data.data(), data.size());
-    evhttp_send_reply_chunk_with_cb(m_request, buffer,
-                                    &http_exchange_access::on_written, this);
-    evbuffer_free(buffer);
+    std::erase(m_accepted, &connection);
+    std::erase(m_excess, &connection);
+    std::erase(m_resumable, &connection);
+    m_by_evcon.erase(connection.evcon());
+    m_connections.erase(&connection);
 }
 
-void http_exchange::end()
+void http_server::state::run_deferred()
 {
-    if (m_request == nullptr)
+    // Each call may end other connections, which leave the lists then.
+    while (!m_accepted.empty())
     {
-        return;
+        auto* connection = m_accepted.back();
+        m_accepted.pop_back();
+        connection->adopt();
     }
-    auto* request = m_request;
-    finish();
-    evhttp_send_reply_end(request);
-}
-
-void http_exchange::abort()
-{
-    if (m_request == nullptr)
+    while (!m_excess.empty())
     {
-        return;
+        auto* connection = m_excess.back();
+        m_excess.pop_back();
+        connection->refuse(
+            {result_code::too_many_connections, "too many connections"});
     }
-    auto* connection = evhttp_request_get_connection(m_request);
-    finish();
-    evhttp_connection_free(connection);
-}
-
-std::size_t http_exchange::buffered_bytes() const
-{
-    if (m_request == nullptr)
+    auto const waiting = std::move(m_resumable);
+    m_resumable.clear();
+    for (auto* connection : waiting)
     {
-        return 0;
+        if (m_connections.contains(connection))
+        {
+            connection->resume();
+        }
     }
-    auto* connection = evhttp_request_get_connection(m_request);
-    auto* transport = evhttp_connection_get_bufferevent(connection);
-    return evbuffer_get_length(bufferevent_get_output(transport));
-}
-
-void http_exchange::set_on_closed(std::function<void()> action)
-{
-    m_on_closed = std::move(action);
 }
 
-void http_exchange::set_on_drained(std::function<void()> action)
+void http_server::state::on_request(evhttp_request* request)
 {
-    m_on_drained = std::move(action);
+    // A request has bytes, and the first byte makes a connection known.
+    auto* connection = m_by_evcon.at(evhttp_request_get_connection(request));
+    ++m_counters.m_requests;
+    connection->on_request(request);
+    auto read = read_request(request);
+    m_handler(std::move(read),
+              std::make_shared<http_exchange>(request, *connection));
 }
 
-http_server::http_server(http_request_handler handler)
-    : m_handler(std::move(handler))
+http_server::http_server(std::unique_ptr<state> s)
+    : m_state(std::move(s))
 {
 }
 
-http_server::~http_server()
-{
-    if (m_http != nullptr)
-    {
-        evhttp_free(m_http);
-    }
-}
+http_server::~http_server() = default;
 
 result<std::unique_ptr<http_server>>
 http_server::create(event_loop& loop, http_server_settings const& settings,
                     http_request_handler handler)
 {
-    std::unique_ptr<http_server> server(new http_server(std::move(handler)));
-    server->m_http = evhttp_new(loop.base());
-    if (server->m_http == nullptr)
+    auto made = std::make_unique<state>();
+    auto& s = *made;
+    s.m_loop = &loop;
+    s.m_settings = settings;
+    s.m_handler = std::move(handler);
+    s.m_connection_handlers.m_on_adopted = [&s](caller_connection& connection)
+    {
+        s.m_by_evcon.emplace(connection.evcon(), &connection);
+    };
+    s.m_connection_handlers.m_on_refused = [&s](error const& problem)
+    {
+        s.on_refused(problem);
+    };
+    s.m_connection_handlers.m_on_resumable = [&s](caller_connection& connection)
+    {
+        s.m_resumable.push_back(&connection);
+        s.m_deferred->start(core::duration(0));
+    };
+    s.m_connection_handlers.m_on_closed = [&s](caller_connection& connection)
+    {
+        s.on_closed(connection);
+    };
+    auto deferred = timer::create(loop, [&s] { s.run_deferred(); });
+    s.m_http = evhttp_new(loop.base());
+    if (s.m_http == nullptr || !has_value(deferred))
     {
         return make_error(result_code::system_failure,
                           "cannot create an HTTP server");
     }
-    evhttp_set_allowed_methods(server->m_http,
-                               static_cast<ev_uint16_t>(all_methods));
+    s.m_deferred = take(std::move(deferred));
+    evhttp_set_allowed_methods(s.m_http, static_cast<ev_uint16_t>(all_methods));
+    // The limits are checked before; a head that is rewritten may be longer
+    // than it came, so that evhttp gets more room.
     evhttp_set_max_headers_size(
-        server->m_http, static_cast<ev_ssize_t>(settings.m_max_headers_bytes));
+        s.m_http, static_cast<ev_ssize_t>(2 * settings.m_max_headers_bytes));
     evhttp_set_max_body_size(
-        server->m_http, static_cast<ev_ssize_t>(settings.m_max_body_bytes));
-    evhttp_set_default_content_type(server->m_http, nullptr);
-    auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(
-        settings.m_idle_timeout);
-    evhttp_set_timeout(server->m_http, static_cast<int>(seconds.count()));
-    evhttp_set_gencb(server->m_http, &http_server::on_request, server.get());
-    server->m_socket = evhttp_bind_socket_with_handle(
-        server->m_http, settings.m_address.c_str(), settings.m_port);
-    if (server->m_socket == nullptr)
+        s.m_http, static_cast<ev_ssize_t>(settings.m_max_body_bytes + 1));
+    evhttp_set_default_content_type(s.m_http, nullptr);
+    auto const microseconds =
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            settings.m_idle_timeout)
+            .count();
+    constexpr std::int64_t per_second = 1'000'000;
+    timeval const idle{microseconds / per_second, microseconds % per_second};
+    evhttp_set_timeout_tv(s.m_http, &idle);
+    evhttp_set_bevcb(
+        s.m_http,
+        [](event_base* /*base*/, void* self)
+        { return static_cast<state*>(self)->on_accept(); },
+        &s);
+    evhttp_set_gencb(
+        s.m_http,
+        [](evhttp_request* request, void* self)
+        { static_cast<state*>(self)->on_request(request); },
+        &s);
+    s.m_socket = evhttp_bind_socket_with_handle(
+        s.m_http, settings.m_address.c_str(), settings.m_port);
+    if (s.m_socket == nullptr)
     {
         return make_error(result_code::address_unavailable,
                           "cannot listen on " + settings.m_address + ":" +
                               std::to_string(settings.m_port));
     }
-    server->m_port = bound_port(evhttp_bound_socket_get_fd(server->m_socket));
-    return server;
+    if (auto const bound =
+            local_address(evhttp_bound_socket_get_fd(s.m_socket)))
+    {
+        s.m_port = port_of(*bound);
+    }
+    return std::unique_ptr<http_server>(new http_server(std::move(made)));
 }
 
-void http_server::on_request(evhttp_request* request, void* self)
+std::uint16_t http_server::port() const noexcept
 {
-    auto* server = static_cast<http_server*>(self);
-    auto read = read_request(request);
-    server->m_handler(std::move(read),
-                      std::make_shared<http_exchange>(request));
+    return m_state->m_port;
+}
+
+http_server_counters const& http_server::counters() const noexcept
+{
+    return m_state->m_counters;
 }
 
 void http_server::close_listener()
 {
-    if (m_socket != nullptr)
+    if (m_state->m_socket != nullptr)
     {
-        evhttp_del_accept_socket(m_http, m_socket);
-        m_socket = nullptr;
+        evhttp_del_accept_socket(m_state->m_http, m_state->m_socket);
+        m_state->m_socket = nullptr;
     }
 }
 
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -20,7 +20,7 @@
 {
 
 /// Only ends a test that hangs; no verdict depends on how long it takes.
-inline constexpr core::duration hang_bound = std::chrono::seconds(60);
+inline constexpr core::duration hang_bound = std::chrono::seconds(20);
 
 /// Runs the loop until the condition holds. False when the test hangs.
 inline bool run_until(event_loop& loop, std::function<bool()> const& condition)
--- /dev/null
+++ b/src/net/request_head.cpp
@@ -0,0 +1,348 @@
+#include "net/request_head.hpp"
+
+#include "base/text.hpp"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+constexpr std::string_view line_end = "\r\n";
+
+error malformed(std::string message)
+{
+    return make_error(result_code::malformed_request, std::move(message));
+}
+
+error ambiguous(std::string message)
+{
+    return make_error(result_code::ambiguous_framing, std::move(message));
+}
+
+bool is_control(char c) noexcept
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7F;
+    auto const byte = static_cast<unsigned char>(c);
+    return byte < first_printable || byte == delete_character;
+}
+
+bool is_known_method(std::string_view method)
+{
+    static constexpr auto known = std::to_array<std::string_view>(
+        {"GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH"});
+    return std::find(known.begin(), known.end(), method) != known.end();
+}
+
+/// Characters that no target has, or that parsers treat differently.
+bool is_target_character(char c)
+{
+    constexpr std::string_view excluded = "\"#<>\\^`{}";
+    constexpr unsigned char last_ascii = 0x7E;
+    return c > ' ' && static_cast<unsigned char>(c) <= last_ascii &&
+           excluded.find(c) == std::string_view::npos;
+}
+
+bool has_valid_escapes(std::string_view target)
+{
+    for (auto at = target.find('%'); at != std::string_view::npos;
+         at = target.find('%', at + 1))
+    {
+        auto const digits = target.substr(at + 1, 2);
+        if (digits.size() != 2 ||
+            !std::all_of(digits.begin(), digits.end(),
+                         [](char c) {
+                             return absl::ascii_isxdigit(
+                                 static_cast<unsigned char>(c));
+                         }))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+status check_target(std::string_view method, std::string_view target,
+                    request_head_limits const& limits)
+{
+    if (target.size() > limits.m_max_target_bytes)
+    {
+        return make_error(result_code::headers_too_large, "target too long");
+    }
+    if (target == "*" && method == "OPTIONS")
+    {
+        return success();
+    }
+    // A second slash would be read as the start of a host name by some.
+    auto const is_path = target.starts_with('/') && !target.starts_with("//");
+    if (!is_path ||
+        !std::all_of(target.begin(), target.end(), is_target_character) ||
+        !has_valid_escapes(target))
+    {
+        return malformed("the target is not a path");
+    }
+    return success();
+}
+
+status parse_request_line(std::string_view line, request_head& head,
+                          request_head_limits const& limits)
+{
+    auto const first = line.find(' ');
+    auto const last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last)
+    {
+        return malformed("the request line has no three parts");
+    }
+    auto const method = line.substr(0, first);
+    auto const target = line.substr(first + 1, last - first - 1);
+    if (!is_token(method))
+    {
+        return malformed("the method is not a token");
+    }
+    // HTTP/1.0 has no chunks: the end of a streamed answer would look like a
+    // broken connection.
+    if (line.substr(last + 1) != "HTTP/1.1")
+    {
+        return malformed("the version is not HTTP/1.1");
+    }
+    auto checked = check_target(method, target, limits);
+    if (!has_value(checked))
+    {
+        return checked;
+    }
+    if (!is_known_method(method))
+    {
+        return make_error(result_code::method_not_allowed, "unknown method");
+    }
+    head.m_method = method;
+    head.m_target = target;
+    return success();
+}
+
+status parse_header_line(std::string_view line, http_headers& headers)
+{
+    if (line.starts_with(' ') || line.starts_with('\t'))
+    {
+        return malformed("folded header line");
+    }
+    auto const colon = line.find(':');
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)))
+    {
+        return malformed("the name of a header is not a token");
+    }
+    auto const text = trim(line.substr(colon + 1));
+    if (!is_header_value(text))
+    {
+        return malformed("control character in a header");
+    }
+    headers.emplace_back(std::string(line.substr(0, colon)), std::string(text));
+    return success();
+}
+
+std::vector<std::string_view> values_of(http_headers const& headers,
+                                        std::string_view name)
+{
+    std::vector<std::string_view> values;
+    for (auto const& [key, text] : headers)
+    {
+        if (equals_ignore_case(key, name))
+        {
+            values.push_back(text);
+        }
+    }
+    return values;
+}
+
+status find_framing(request_head& head, request_head_limits const& limits)
+{
+    auto const lengths = values_of(head.m_headers, "Content-Length");
+    auto const codings = values_of(head.m_headers, "Transfer-Encoding");
+    if (lengths.size() + codings.size() > 1)
+    {
+        return ambiguous("more than one header gives the length");
+    }
+    if (!codings.empty())
+    {
+        if (!equals_ignore_case(codings[0], "chunked"))
+        {
+            return ambiguous("transfer coding other than chunked");
+        }
+        head.m_framing = body_framing::chunked;
+        return success();
+    }
+    if (lengths.empty())
+    {
+        return success();
+    }
+    auto const length = parse_number<std::uint64_t>(lengths[0]);
+    if (!length)
+    {
+        return ambiguous("the length is not a number");
+    }
+    if (*length > limits.m_max_body_bytes)
+    {
+        return make_error(result_code::body_too_large,
+                          "the announced body is too large");
+    }
+    head.m_framing = body_framing::length;
+    head.m_length = *length;
+    return success();
+}
+
+/// Connection may name only headers that concern the connection: naming
+/// others would make the balancer remove what it was asked to pass on.
+status check_connection(request_head& head)
+{
+    static constexpr auto end_to_end = std::to_array<std::string_view>(
+        {"Host", "Content-Length", "Transfer-Encoding", "Content-Type",
+         "Content-Encoding", "Authorization", "Cookie", "Expect"});
+    for (auto const listed : values_of(head.m_headers, "Connection"))
+    {
+        for (auto rest = listed; !rest.empty();)
+        {
+            auto const comma = std::min(rest.find(','), rest.size());
+            auto const name = trim(rest.substr(0, comma));
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+            if (!name.empty() && !is_token(name))
+            {
+                return malformed(
+                    "Connection names something else than headers");
+            }
+            auto const prefix = std::string_view("hawthornspur-");
+            auto const is_protected =
+                std::any_of(end_to_end.begin(), end_to_end.end(),
+                            [&](std::string_view other)
+                            { return equals_ignore_case(name, other); }) ||
+                equals_ignore_case(name.substr(0, prefix.size()), prefix);
+            if (is_protected)
+            {
+                return malformed("Connection names an end-to-end header");
+            }
+            head.m_closes = head.m_closes || equals_ignore_case(name, "close");
+        }
+    }
+    return success();
+}
+
+status check_fields(request_head const& head)
+{
+    auto const hosts = values_of(head.m_headers, "Host");
+    constexpr std::string_view excluded = " \t,/@\\?#\"<>";
+    if (hosts.size() != 1 ||
+        hosts[0].find_first_of(excluded) != std::string_view::npos)
+    {
+        return malformed("there must be one Host");
+    }
+    auto const expected = values_of(head.m_headers, "Expect");
+    if (expected.size() > 1 ||
+        (!expected.empty() && !equals_ignore_case(expected[0], "100-continue")))
+    {
+        return malformed("unknown expectation");
+    }
+    return success();
+}
+
+} // namespace
+
+bool is_token(std::string_view text) noexcept
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(),
+                       [&](char c)
+                       {
+                           return absl::ascii_isalnum(
+                                      static_cast<unsigned char>(c)) ||
+                                  others.find(c) != std::string_view::npos;
+                       });
+}
+
+bool is_header_value(std::string_view text) noexcept
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return c != '\t' && is_control(c); });
+}
+
+result<request_head> parse_request_head(std::string_view bytes,
+                                        request_head_limits const& limits)
+{
+    request_head head;
+    bool is_first = true;
+    while (!bytes.starts_with(line_end))
+    {
+        auto const end = bytes.find(line_end);
+        if (end == std::string_view::npos)
+        {
+            return malformed("the head has no end");
+        }
+        auto const line = bytes.substr(0, end);
+        bytes.remove_prefix(end + line_end.size());
+        auto const parsed = is_first ? parse_request_line(line, head, limits)
+                                     : parse_header_line(line, head.m_headers);
+        is_first = false;
+        if (!has_value(parsed))
+        {
+            return failure(parsed);
+        }
+        if (head.m_headers.size() > limits.m_max_headers)
+        {
+            return make_error(result_code::headers_too_large,
+                              "too many headers");
+        }
+    }
+    if (is_first || bytes != line_end)
+    {
+        return malformed("the head has no request line or no end");
+    }
+    // Framing first: its result is the one that a caller should see.
+    for (auto const& checked : {find_framing(head, limits),
+                                check_connection(head), check_fields(head)})
+    {
+        if (!has_value(checked))
+        {
+            return failure(checked);
+        }
+    }
+    remove_hop_by_hop_headers(head.m_headers);
+    remove_header(head.m_headers, "Content-Length");
+    return head;
+}
+
+std::string to_bytes(request_head const& head)
+{
+    std::string out;
+    out += head.m_method;
+    out += ' ';
+    out += head.m_target;
+    out += " HTTP/1.1\r\n";
+    auto const add = [&](std::string_view name, std::string_view text)
+    {
+        out += name;
+        out += ": ";
+        out += text;
+        out += line_end;
+    };
+    for (auto const& [name, text] : head.m_headers)
+    {
+        add(name, text);
+    }
+    // Also without a body: evhttp would read up to the end otherwise.
+    add("Content-Length", std::to_string(head.m_length));
+    if (head.m_closes)
+    {
+        add("Connection", "close");
+    }
+    out += line_end;
+    return out;
+}
+
+} // namespace hawthornspur::net
