Check answers before evhttp parses them and bound client connections

Cause: evhttp's client takes a 103 for the final answer, accepts heads with two lengths, reads nothing of an answer before the request is sent whole, and would take bytes after an answer for the next one.

Change: the head of an answer is checked as it arrives, interim answers are removed, chunk sizes are checked; an answer before the end of the request stops the request and is delivered; a connection with bytes after its answer, or with bytes while idle, is closed. Connections are bounded per server (exchange_options::m_max_connections, above it connect_failed), and idle ones are closed after their age. Connections and exchanges are freed by a timer of the client, which also removes a leak and a use after free when the client ended before posted tasks ran. The state has a header of its own.

--- /dev/null
+++ b/src/net/answer_gate.cpp
@@ -0,0 +1,235 @@
+#include "net/answer_gate.hpp"
+
+#include "base/text.hpp"
+#include "net/request_head.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+constexpr std::string_view line_end = "\r\n";
+constexpr std::string_view head_end = "\r\n\r\n";
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+constexpr int first_status = 100;
+constexpr int switching_protocols = 101;
+
+error malformed(std::string message)
+{
+    return make_error(result_code::target_answer_malformed, std::move(message));
+}
+
+/// "HTTP/1.1 200 OK" gives 200.
+std::optional<int> status_of(std::string_view line)
+{
+    constexpr std::string_view prefix = "HTTP/1.";
+    constexpr std::size_t status_at = 9;
+    constexpr std::size_t status_digits = 3;
+    auto const is_version =
+        line.starts_with(prefix) && line.size() >= status_at + status_digits &&
+        (line[prefix.size()] == '0' || line[prefix.size()] == '1') &&
+        line[status_at - 1] == ' ';
+    if (!is_version || !is_header_value(line))
+    {
+        return std::nullopt;
+    }
+    auto const rest = line.substr(status_at + status_digits);
+    auto const status =
+        parse_number<int>(line.substr(status_at, status_digits));
+    auto const is_valid = status && *status >= first_status &&
+                          *status <= last_status &&
+                          (rest.empty() || rest[0] == ' ');
+    return is_valid ? status : std::nullopt;
+}
+
+status check_headers(std::string_view head, bool& is_chunked)
+{
+    int framing_headers = 0;
+    while (!head.starts_with(line_end))
+    {
+        auto const end = head.find(line_end);
+        auto const line = head.substr(0, end);
+        head.remove_prefix(end + line_end.size());
+        auto const colon = line.find(':');
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon)))
+        {
+            return malformed("the name of a header is not a token");
+        }
+        auto const name = line.substr(0, colon);
+        auto const text = trim(line.substr(colon + 1));
+        if (!is_header_value(text))
+        {
+            return malformed("control character in a header");
+        }
+        if (equals_ignore_case(name, "Content-Length"))
+        {
+            ++framing_headers;
+            if (!parse_number<std::uint64_t>(text))
+            {
+                return malformed("the length is not a number");
+            }
+        }
+        if (equals_ignore_case(name, "Transfer-Encoding"))
+        {
+            ++framing_headers;
+            if (!equals_ignore_case(text, "chunked"))
+            {
+                return malformed("transfer coding other than chunked");
+            }
+            is_chunked = true;
+        }
+    }
+    if (framing_headers > 1)
+    {
+        return malformed("more than one header gives the length");
+    }
+    return success();
+}
+
+} // namespace
+
+answer_gate::answer_gate(std::size_t max_head_bytes)
+    : m_max_head_bytes(max_head_bytes)
+{
+}
+
+void answer_gate::reset()
+{
+    m_raw.clear();
+    m_is_open = false;
+    m_is_chunked = false;
+    m_phase = chunk_phase::size;
+    m_line.clear();
+}
+
+bool answer_gate::end_line()
+{
+    if (!m_line.ends_with('\r'))
+    {
+        return false;
+    }
+    m_line.pop_back();
+    auto const line = std::exchange(m_line, {});
+    switch (m_phase)
+    {
+    case chunk_phase::size:
+    {
+        constexpr int hexadecimal = 16;
+        auto const size = parse_number<std::uint64_t>(
+            std::string_view(line).substr(0, line.find(';')), hexadecimal);
+        m_remaining = size.value_or(0);
+        m_phase = m_remaining == 0 ? chunk_phase::trailers : chunk_phase::data;
+        return size.has_value();
+    }
+    case chunk_phase::data_end:
+        m_phase = chunk_phase::size;
+        return line.empty();
+    case chunk_phase::trailers:
+        m_phase = line.empty() ? chunk_phase::done : chunk_phase::trailers;
+        return true;
+    case chunk_phase::data:
+    case chunk_phase::done:
+        break;
+    }
+    return true;
+}
+
+bool answer_gate::check_chunks(std::string_view bytes)
+{
+    while (!bytes.empty() && m_phase != chunk_phase::done)
+    {
+        if (m_phase == chunk_phase::data)
+        {
+            auto const size =
+                std::min<std::uint64_t>(m_remaining, bytes.size());
+            bytes.remove_prefix(size);
+            m_remaining -= size;
+            m_phase =
+                m_remaining == 0 ? chunk_phase::data_end : chunk_phase::data;
+            continue;
+        }
+        auto const end = bytes.find('\n');
+        m_line += bytes.substr(0, end);
+        if (m_line.size() > m_max_head_bytes)
+        {
+            return false;
+        }
+        if (end == std::string_view::npos)
+        {
+            return true;
+        }
+        bytes.remove_prefix(end + 1);
+        if (!end_line())
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+result<std::string> answer_gate::pass(std::string_view bytes)
+{
+    m_raw += bytes;
+    while (!m_is_open)
+    {
+        auto const end = m_raw.find(head_end);
+        auto const size =
+            end == std::string::npos ? m_raw.size() : end + head_end.size();
+        auto const head = std::string_view(m_raw).substr(0, size);
+        for (auto at = head.find('\n'); at != std::string_view::npos;
+             at = head.find('\n', at + 1))
+        {
+            if (at == 0 || head[at - 1] != '\r')
+            {
+                return malformed("bare line feed");
+            }
+        }
+        constexpr std::string_view start = "HTTP/1.";
+        auto const known = std::min(start.size(), head.size());
+        if (size > m_max_head_bytes ||
+            head.substr(0, known) != start.substr(0, known))
+        {
+            return malformed("not the head of an answer");
+        }
+        if (end == std::string::npos)
+        {
+            return std::string();
+        }
+        auto const first_line = head.find(line_end);
+        auto const status = status_of(head.substr(0, first_line));
+        if (!status || *status == switching_protocols)
+        {
+            return malformed("not a valid status line");
+        }
+        auto const checked = check_headers(
+            head.substr(first_line + line_end.size()), m_is_chunked);
+        if (!has_value(checked))
+        {
+            return failure(checked);
+        }
+        if (*status < first_final_status)
+        {
+            m_raw.erase(0, size);
+            m_is_chunked = false;
+        }
+        else
+        {
+            m_is_open = true;
+            if (m_is_chunked &&
+                !check_chunks(std::string_view(m_raw).substr(size)))
+            {
+                return malformed("bad chunk");
+            }
+        }
+    }
+    return std::exchange(m_raw, {});
+}
+
+} // namespace hawthornspur::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -39,7 +39,7 @@
     malformed,
     /// Closed before the announced end of the answer.
     truncated,
-    /// The answer exceeded the cap.
+    /// The body of the answer exceeded the cap.
     too_large,
 };
 
@@ -61,6 +61,9 @@
     /// time; otherwise a new one is opened.
     core::duration m_max_connection_age = std::chrono::seconds(5);
     std::size_t m_max_answer_bytes = std::size_t{64} << 20U;
+    /// Connections to this server, idle ones included; above it the exchange
+    /// ends with connect_failed.
+    std::size_t m_max_connections = 256;
 };
 
 /// Names an exchange in flight; 0 is none.
@@ -71,11 +74,19 @@
     std::uint64_t m_connections_opened = 0;
     std::uint64_t m_connections_reused = 0;
     std::uint64_t m_connections_silent = 0;
+    /// Idle connections closed after their age.
+    std::uint64_t m_connections_expired = 0;
+    /// Connections on which bytes arrived that belong to no request.
+    std::uint64_t m_unsolicited = 0;
+    /// Exchanges refused by the bound on connections.
+    std::uint64_t m_connection_limit_reached = 0;
 };
 
 /// Sends requests to any number of servers over kept connections. A
 /// connection carries one request at a time, so that evhttp never sends a
-/// request again by itself when a connection closes.
+/// request again by itself when a connection closes. A request that is
+/// answered before it was sent whole is not sent to its end. Handlers must not
+/// destroy the client.
 class http_client
 {
 public:
--- /dev/null
+++ b/src/net/http_client_test.cpp
@@ -0,0 +1,388 @@
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "net/net_test_support.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornspur::net
+{
+
+namespace
+{
+
+/// What an exchange told its handlers.
+struct record
+{
+    std::optional<http_response_head> m_head;
+    std::string m_body;
+    std::optional<exchange_outcome> m_outcome;
+
+    exchange_handlers handlers()
+    {
+        return {.m_on_head = [this](http_response_head head, auto)
+                { m_head = std::move(head); },
+                .m_on_data = [this](std::string_view data) { m_body += data; },
+                .m_on_end =
+                    [this](exchange_outcome outcome)
+                {
+                    CHECK(!m_outcome);
+                    m_outcome = outcome;
+                }};
+    }
+};
+
+http_request post(std::size_t body_bytes = 3)
+{
+    return {"POST", "/", {{"Host", "a"}}, std::string(body_bytes, 'b')};
+}
+
+std::size_t requests_at(raw_listener const& server)
+{
+    std::size_t seen = 0;
+    for (auto const& connection : server.m_connections)
+    {
+        auto const& bytes = connection->m_received;
+        for (auto at = bytes.find("POST "); at != std::string::npos;
+             at = bytes.find("POST ", at + 1))
+        {
+            ++seen;
+        }
+    }
+    return seen;
+}
+
+constexpr auto whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against an answer that is passed on although it is not whole or not
+// valid, and against a wrong report of what happened to the request.
+TEST_CASE("every end of an exchange is reported as what it is")
+{
+    using enum exchange_outcome;
+    struct row
+    {
+        char const* m_case;
+        std::string m_answer;
+        bool m_closes;
+        exchange_outcome m_outcome;
+    };
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    auto const chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    auto const rows = std::vector<row>{
+        {"whole", whole_answer, false, complete},
+        {"whole in chunks", chunked + "2\r\nok\r\n0\r\n\r\n", false, complete},
+        {"ended by closing", head + "\r\nok", true, complete},
+        {"interim answers first",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+         "x\r\n\r\n" +
+             std::string(whole_answer),
+         false, complete},
+        {"closed before the answer", "", true, closed},
+        {"closed within the head", "HTTP/1.1 200 OK\r\nContent-", true, closed},
+        {"shorter than its length", head + "Content-Length: 9\r\n\r\nok", true,
+         truncated},
+        {"cut within a chunk", chunked + "9\r\nok", true, truncated},
+        {"cut before the last chunk", chunked + "2\r\nok\r\n", true, truncated},
+        {"silent", "", false, silent},
+        {"silent within the answer", head + "Content-Length: 9\r\n\r\nok",
+         false, silent},
+        {"garbage", "garbage\r\n\r\n", false, malformed},
+        {"garbage without a line end", "garbage", false, malformed},
+        {"bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", false,
+         malformed},
+        {"bad status", "HTTP/1.1 2x0 OK\r\n\r\n", false, malformed},
+        {"HTTP/2", "HTTP/2 200 OK\r\n\r\n", false, malformed},
+        {"other protocol", "HTTP/1.1 101 Switching\r\n\r\n", false, malformed},
+        {"two lengths",
+         head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok", false,
+         malformed},
+        {"length and chunked",
+         head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+         false, malformed},
+        {"negative length", head + "Content-Length: -2\r\n\r\nok", false,
+         malformed},
+        {"bad chunk size", chunked + "xyz\r\nok\r\n", false, malformed},
+        {"folded header", head + "X: a\r\n b\r\n\r\n", false, malformed},
+        {"control character", head + "X: a\x01\r\n\r\n", false, malformed},
+        {"endless head", head + "X: " + std::string(70'000, 'x'), false,
+         malformed},
+        {"body above the cap",
+         head + "Content-Length: 2000\r\n\r\n" + std::string(2000, 'x'), false,
+         too_large},
+    };
+    for (auto const& row : rows)
+    {
+        CAPTURE(row.m_case);
+        auto loop = take(event_loop::create());
+        raw_listener server(*loop);
+        auto client = take(http_client::create(*loop));
+        record r;
+        client->send(
+            {"127.0.0.1", server.m_port}, post(),
+            {.m_timeout = row.m_outcome == silent
+                              ? core::duration(std::chrono::milliseconds(100))
+                              : hang_bound,
+             .m_max_answer_bytes = 1000},
+            r.handlers());
+        REQUIRE(run_until(*loop, [&] { return requests_at(server) == 1; }));
+        auto& connection = *server.m_connections[0];
+        connection.send(row.m_answer);
+        REQUIRE(run_until(*loop, [&] { return connection.unsent() == 0; }));
+        if (row.m_closes)
+        {
+            connection.shut_down();
+        }
+        REQUIRE(run_until(*loop, [&] { return r.m_outcome.has_value(); }));
+        CHECK(*r.m_outcome == row.m_outcome);
+        if (row.m_outcome == complete)
+        {
+            REQUIRE(r.m_head);
+            CHECK(r.m_head->m_status == 200);
+            CHECK(r.m_body == "ok");
+        }
+        CHECK(requests_at(server) == 1);
+    }
+}
+
+// Guards against a request that runs twice because evhttp sends it again on a
+// new connection after a kept one closed under it.
+TEST_CASE("a request is sent once when its kept connection closes")
+{
+    for (bool const by_reset : {false, true})
+    {
+        CAPTURE(by_reset);
+        auto loop = take(event_loop::create());
+        raw_listener server(*loop);
+        auto client = take(http_client::create(*loop));
+        record first;
+        client->send({"127.0.0.1", server.m_port}, post(), {},
+                     first.handlers());
+        REQUIRE(run_until(*loop, [&] { return requests_at(server) == 1; }));
+        server.m_connections[0]->send(whole_answer);
+        REQUIRE(run_until(*loop, [&] { return first.m_outcome.has_value(); }));
+        record second;
+        client->send({"127.0.0.1", server.m_port}, post(), {},
+                     second.handlers());
+        REQUIRE(run_until(*loop, [&] { return requests_at(server) == 2; }));
+        CHECK(server.m_connections.size() == 1);
+        by_reset ? server.m_connections[0]->reset()
+                 : server.m_connections[0]->shut_down();
+        REQUIRE(run_until(*loop, [&] { return second.m_outcome.has_value(); }));
+        CHECK(*second.m_outcome == exchange_outcome::closed);
+        // The loop goes on for a while in case evhttp would try again.
+        for (int i = 0; i < 100; ++i)
+        {
+            event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+        }
+        CHECK(requests_at(server) == 2);
+        CHECK(server.m_connections.size() == 1);
+    }
+}
+
+// Guards against "connect failed" for a request of which bytes were sent.
+TEST_CASE("connect_failed means that no byte was sent")
+{
+    auto loop = take(event_loop::create());
+    std::uint16_t port = 0;
+    {
+        raw_listener gone(*loop);
+        port = gone.m_port;
+    }
+    auto client = take(http_client::create(*loop));
+    record r;
+    client->send({"127.0.0.1", port}, post(), {}, r.handlers());
+    CHECK(!r.m_outcome);
+    REQUIRE(run_until(*loop, [&] { return r.m_outcome.has_value(); }));
+    CHECK(*r.m_outcome == exchange_outcome::connect_failed);
+    record unknown_method;
+    client->send({"127.0.0.1", port}, {"BREW", "/", {}, ""}, {},
+                 unknown_method.handlers());
+    CHECK(!unknown_method.m_outcome);
+    REQUIRE(
+        run_until(*loop, [&] { return unknown_method.m_outcome.has_value(); }));
+    CHECK(*unknown_method.m_outcome == exchange_outcome::connect_failed);
+}
+
+// Guards against an answer that is lost because the server gave it before it
+// had read the request.
+TEST_CASE("an answer before the end of the request is passed on")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    server.m_on_connection = [](raw_connection& connection)
+    {
+        connection.m_on_data = [&connection]
+        {
+            connection.m_on_data = nullptr;
+            connection.set_reading(false);
+            connection.send("HTTP/1.1 100 Continue\r\n\r\n");
+            connection.send("HTTP/1.1 413 No\r\nContent-Length: 2\r\n\r\nno");
+        };
+    };
+    record r;
+    client->send({"127.0.0.1", server.m_port}, post(std::size_t{32} << 20U),
+                 {.m_timeout = hang_bound}, r.handlers());
+    REQUIRE(run_until(*loop, [&] { return r.m_outcome.has_value(); }));
+    CHECK(*r.m_outcome == exchange_outcome::complete);
+    CHECK(r.m_head->m_status == 413);
+    // The connection must not carry another request.
+    record next;
+    client->send({"127.0.0.1", server.m_port}, post(), {}, next.handlers());
+    CHECK(run_until(*loop, [&] { return server.m_connections.size() == 2; }));
+}
+
+// Guards against an answer that reaches the wrong request: bytes that follow
+// an answer must not be taken for the next one.
+TEST_CASE("bytes after an answer are not the next answer")
+{
+    for (bool const at_once : {true, false})
+    {
+        CAPTURE(at_once);
+        auto loop = take(event_loop::create());
+        raw_listener server(*loop);
+        auto client = take(http_client::create(*loop));
+        record first;
+        client->send({"127.0.0.1", server.m_port}, post(), {},
+                     first.handlers());
+        REQUIRE(run_until(*loop, [&] { return requests_at(server) == 1; }));
+        std::string const answer = whole_answer;
+        server.m_connections[0]->send(at_once ? answer + answer : answer);
+        REQUIRE(run_until(*loop, [&] { return first.m_outcome.has_value(); }));
+        if (!at_once)
+        {
+            server.m_connections[0]->send(answer);
+            REQUIRE(run_until(
+                *loop, [&] { return client->counters().m_unsolicited == 1; }));
+        }
+        record second;
+        client->send({"127.0.0.1", server.m_port}, post(), {},
+                     second.handlers());
+        REQUIRE(
+            run_until(*loop, [&] { return server.m_connections.size() == 2; }));
+        REQUIRE(run_until(*loop, [&] { return requests_at(server) == 2; }));
+        CHECK(!second.m_outcome);
+        server.m_connections[1]->send(answer);
+        CHECK(run_until(*loop, [&] { return second.m_outcome.has_value(); }));
+    }
+}
+
+// Guards against more connections to a target than it has room for, and
+// against idle ones that are kept for ever.
+TEST_CASE("connections are bounded, reused and closed after their age")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    endpoint const to{"127.0.0.1", server.m_port};
+    exchange_options const options{.m_max_connection_age =
+                                       std::chrono::milliseconds(200),
+                                   .m_max_connections = 2};
+    std::vector<record> r(3);
+    for (auto& one : r)
+    {
+        client->send(to, post(), options, one.handlers());
+        CHECK(!one.m_outcome);
+    }
+    REQUIRE(run_until(*loop, [&] { return r[2].m_outcome.has_value(); }));
+    CHECK(*r[2].m_outcome == exchange_outcome::connect_failed);
+    CHECK(client->counters().m_connection_limit_reached == 1);
+    REQUIRE(run_until(*loop, [&] { return requests_at(server) == 2; }));
+    for (auto& connection : server.m_connections)
+    {
+        connection->send(whole_answer);
+    }
+    REQUIRE(run_until(*loop, [&] { return r[0].m_outcome && r[1].m_outcome; }));
+    CHECK(run_until(*loop,
+                    [&]
+                    {
+                        return server.m_connections[0]->m_closed &&
+                               server.m_connections[1]->m_closed;
+                    }));
+    CHECK(client->counters().m_connections_expired == 2);
+    CHECK(client->counters().m_connections_opened == 2);
+}
+
+// Guards against memory for an answer that its reader cannot take.
+TEST_CASE("a paused exchange delivers nothing and goes on afterwards")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    record r;
+    auto const id = client->send({"127.0.0.1", server.m_port}, post(),
+                                 {.m_timeout = hang_bound}, r.handlers());
+    REQUIRE(run_until(*loop, [&] { return requests_at(server) == 1; }));
+    auto& connection = *server.m_connections[0];
+    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n");
+    REQUIRE(run_until(*loop, [&] { return r.m_head.has_value(); }));
+    client->set_reading(id, false);
+    std::string answer;
+    answer.resize(30'000'000, 'x');
+    connection.send(answer);
+    for (int i = 0; i < 2000; ++i)
+    {
+        event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+    }
+    CHECK(r.m_body.empty());
+    CHECK(connection.unsent() > 0);
+    client->set_reading(id, true);
+    REQUIRE(run_until(*loop, [&] { return r.m_outcome.has_value(); }));
+    CHECK(*r.m_outcome == exchange_outcome::complete);
+    CHECK(r.m_body.size() == 30'000'000);
+}
+
+// Guards against use of freed memory when handlers act on their exchange, and
+// when the client ends with exchanges in every phase.
+TEST_CASE("exchanges can be cancelled from handlers and with the client")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    endpoint const to{"127.0.0.1", server.m_port};
+    exchange_id in_head = 0;
+    exchange_id in_data = 0;
+    int calls = 0;
+    in_head = client->send(
+        to, post(), {},
+        {.m_on_head = [&](auto, auto) { ++calls, client->cancel(in_head); },
+         .m_on_data = [&](auto) { FAIL("data after cancel"); },
+         .m_on_end =
+             [&](auto)
+         {
+             FAIL("end after cancel");
+         }});
+    in_data = client->send(
+        to, post(), {},
+        {.m_on_head = nullptr,
+         .m_on_data = [&](auto) { ++calls, client->cancel(in_data); },
+         .m_on_end =
+             [&](auto)
+         {
+             FAIL("end after cancel");
+         }});
+    REQUIRE(run_until(*loop, [&] { return requests_at(server) == 2; }));
+    for (auto& connection : server.m_connections)
+    {
+        connection->send(whole_answer);
+    }
+    REQUIRE(run_until(*loop, [&] { return calls == 2; }));
+    record sent;
+    client->send(to, post(), {}, sent.handlers());
+    REQUIRE(run_until(*loop, [&] { return requests_at(server) == 3; }));
+    record connecting;
+    client->send(to, post(), {}, connecting.handlers());
+    record refused;
+    client->send(to, post(), {.m_max_connections = 0}, refused.handlers());
+    client.reset();
+    event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+    CHECK(!sent.m_outcome);
+    CHECK(!refused.m_outcome);
+}
+
+} // namespace hawthornspur::net
