Count the expected wait three times against the deadline

Cause: with a factor of two the queue of tiza holds almost half a second of work at the end of a peak, which takes a second to drain at half load.

Change: the factor is three.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -19,7 +19,7 @@
 constexpr double crash_start_share = 0.5;
 // The expected wait is a mean. Requests that are admitted close to their
 // deadline would often be refused late, after waiting for nothing.
-constexpr int wait_safety = 2;
+constexpr int wait_safety = 3;
 // Above this load on the other targets, a slow target is not ejected.
 constexpr double largest_load_without = 0.9;
 // Below this share of the others' slots, its own work does not count.
