Spill to the zone with most free slots among equally near ones

Cause: of two zones at the same distance the first one got all spilled requests until it refused one.

Change: the zone with more free slots left goes first.

--- a/src/core/spill_choice.cpp
+++ b/src/core/spill_choice.cpp
@@ -18,6 +18,7 @@
 {
     spill_option* best = nullptr;
     auto best_wait = local_wait;
+    int best_free = 0;
     for (auto& option : options)
     {
         if (now - option.m_received > summary_lifetime ||
@@ -28,11 +29,16 @@
         std::erase_if(option.m_uses, [&](spill_option::use const& use)
                       { return use.m_until <= now; });
         auto const wait = option.m_cost + option.m_wait;
-        if (static_cast<int>(option.m_uses.size()) < option.m_free_slots &&
-            wait < best_wait)
+        auto const free =
+            option.m_free_slots - static_cast<int>(option.m_uses.size());
+        // Of zones that are equally near, the one with most free slots is the
+        // least likely to refuse.
+        if (free > 0 &&
+            (wait < best_wait || (wait == best_wait && free > best_free)))
         {
             best = &option;
             best_wait = wait;
+            best_free = free;
         }
     }
     return best;
