Judge a slow target by its last answers when it is ejected

Cause: the moving average of the slowness fades within half a second, so a slow target that gets few requests looked less slow than it is and was not ejected.

Change: the decision to eject and the lowered limit use an average over the last answers that does not fade.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -227,7 +227,7 @@
         return;
     }
     auto const relative =
-        log_slowness(target.m_limit, now) - pool_median.m_log_slowness;
+        target.m_limit.m_last_log_ratio - pool_median.m_log_slowness;
     lower_after_slow_answer(target.m_limit, relative, now);
     if (was_lowest && is_dispensable(p, target, relative, now))
     {
--- a/src/core/target_limit.cpp
+++ b/src/core/target_limit.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr double observation_weight = 0.2;
+constexpr double last_ratio_weight = 0.3;
 constexpr double slowness_half_life_seconds = 0.5;
 // With service times of a heavy tail, moving averages of two healthy targets
 // often differ by a factor of two. The sum of deviations above a factor of four
@@ -48,6 +49,8 @@
 {
     auto const faded = log_slowness(limit, now);
     limit.m_log_slowness = faded + observation_weight * (log_ratio - faded);
+    limit.m_last_log_ratio +=
+        last_ratio_weight * (log_ratio - limit.m_last_log_ratio);
     auto const step = (log_ratio - tolerated_log_slowness) /
                       std::max(smallest_spread, spread);
     limit.m_deviation =
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -14,6 +14,9 @@
     double m_limit = 1;
     /// Moving average of log(time taken / median of the kind).
     double m_log_slowness = 0;
+    /// The same over fewer answers and without fading: how slow the target is
+    /// once it is known to be slow.
+    double m_last_log_ratio = 0;
     /// Sum of the answers' deviations beyond a tolerated slowness, in standard
     /// deviations of the kind; never negative (one-sided CUSUM test).
     double m_deviation = 0;
