Report average free slots in summaries

Cause: a summary is used for half a second, but carried the free slots of one moment; in pools of 6 slots that is often none although slots come free all the time, so other zones did not spill there.

Change: the summary carries a moving average of the free slots that arrivals found, and at least the slots free now when nothing waits.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -24,6 +24,7 @@
 constexpr double largest_load_without = 0.9;
 // Below this share of the others' slots, its own work does not count.
 constexpr double smallest_contribution = 0.05;
+constexpr double free_slots_weight = 0.05;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
@@ -436,6 +437,8 @@
     auto const& kind = p.m_kinds[request.m_kind.m_value];
     auto const wait = expected_wait(p, kind, now);
     auto const sequence = p.m_next_sequence++;
+    p.m_mean_free +=
+        free_slots_weight * (count_slots(p, now).m_free - p.m_mean_free);
     if (!request.m_spilled && wait > duration::zero())
     {
         auto* option = choose_spill(p.m_spill, wait, now);
--- a/src/core/pool_handover.cpp
+++ b/src/core/pool_handover.cpp
@@ -13,7 +13,13 @@
     summary.m_zone = std::move(zone);
     summary.m_slots = slots.m_slots;
     summary.m_queued = p.m_queued + p.m_retries.size();
-    summary.m_free_slots = summary.m_queued == 0 ? slots.m_free : 0;
+    // A summary is used for half a second. The slots that are free just now
+    // say little about that time; the average that arrivals found says more.
+    summary.m_free_slots = static_cast<int>(p.m_mean_free);
+    if (summary.m_queued == 0)
+    {
+        summary.m_free_slots = std::max(summary.m_free_slots, slots.m_free);
+    }
     if (summary.m_free_slots == 0)
     {
         auto const rate = std::max(1, slots.m_limit);
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -118,6 +118,8 @@
     /// Set while a request waits although a slow target has a free slot.
     time_point m_bind_again = time_point::max();
     std::vector<spill_option> m_spill;
+    /// Moving average of the free slots that arrivals found.
+    double m_mean_free = 0;
     std::vector<target_handover> m_inherited;
     time_point m_inherited_until = time_point::max();
     /// Reused to find the median without allocation.
