Bind a waiting request only if it will most likely finish in time

Cause: after a killed owner the successor has a backlog of requests close to their deadlines. Bound with the median of their time left, half of those fail after dispatch instead of being refused as not run.

Change: the check at bind asks for the 95th percentile, as the check at arrival does.

--- a/src/core/pool_binding.cpp
+++ b/src/core/pool_binding.cpp
@@ -150,8 +150,7 @@
 bool is_overdue(pool const& p, queued_request const& next,
                 kind_entry const& kind, time_point now)
 {
-    auto const needed =
-        p.m_queued > 1 ? median(kind.m_times) : duration::zero();
+    auto const needed = p.m_queued > 1 ? p95(kind.m_times) : duration::zero();
     return next.m_deadline - now <= needed;
 }
 
