Count long attempts that were cancelled as slow

Cause: a trace of the slow-target scenario shows that it took 0.9 s to eject the target, since most of its slow attempts were hedged and then cancelled, and a cancelled attempt said nothing about its target.

Change: a cancelled attempt that ran longer than the tolerated slowness is judged as if it had ended then. It never counts as a success.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -203,13 +203,17 @@
            contribution < smallest_contribution * rest;
 }
 
-void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
-                       duration elapsed, time_point now)
+double log_ratio_to_median(kind_entry const& kind, duration elapsed)
+{
+    return std::log(std::max(1e-6, seconds(elapsed).count()) /
+                    kind.m_times.m_median.m_value);
+}
+
+/// Lets the target's limit and ejection follow one observed time, of a whole
+/// answer or of an attempt that was cancelled before its answer.
+void judge_target(pool& p, target_entry& target, kind_entry const& kind,
+                  double log_ratio, bool is_whole, time_point now)
 {
-    observe(kind.m_times, elapsed);
-    observe(p.m_times, elapsed);
-    auto const log_ratio = std::log(std::max(1e-6, seconds(elapsed).count()) /
-                                    kind.m_times.m_median.m_value);
     observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
     auto const pool_median = find_median(p, now);
     // A target on trial has been slow or failing before; one answer that takes
@@ -220,6 +224,10 @@
     bool const was_lowest = target.m_limit.m_limit <= 1;
     if (!slow)
     {
+        if (!is_whole)
+        {
+            return;
+        }
         note_success(target.m_outlier);
         if (!target.m_outlier.m_on_trial)
         {
@@ -236,6 +244,31 @@
     }
 }
 
+void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
+                       duration elapsed, time_point now)
+{
+    observe(kind.m_times, elapsed);
+    observe(p.m_times, elapsed);
+    judge_target(p, target, kind, log_ratio_to_median(kind, elapsed), true,
+                 now);
+}
+
+/// A cancelled attempt would have taken at least the time that it ran. Without
+/// this, hedges would hide a slow target from the owner.
+void note_cancelled(pool& p, target_entry& target, kind_entry const& kind,
+                    duration elapsed, time_point now)
+{
+    if (kind.m_times.m_samples == 0)
+    {
+        return;
+    }
+    auto const log_ratio = log_ratio_to_median(kind, elapsed);
+    if (is_beyond_tolerance(log_ratio))
+    {
+        judge_target(p, target, kind, log_ratio, false, now);
+    }
+}
+
 /// A failed slot stays taken for as long as work usually takes, so that a
 /// target that fails fast attracts no more work than a healthy one.
 void hold_slot(target_entry& target, kind_entry const& kind,
@@ -264,6 +297,7 @@
     }
     if (end.m_outcome == attempt_outcome::cancelled)
     {
+        note_cancelled(p, target, kind, now - dispatched, now);
         return;
     }
     hold_slot(target, kind, dispatched, now);
