Block a zone that refused a spill for a shorter time

Cause: with one slow target of five the rest runs at 92% of its slots and needs the other zones, but each refused spill closed a zone for a whole round trip, in which several slots come free there.

Change: the zone is blocked for a fourth of the round trip.

--- a/src/core/spill_choice.cpp
+++ b/src/core/spill_choice.cpp
@@ -10,6 +10,9 @@
 
 // Summaries come twice a second; an older one means that the link is lost.
 constexpr duration summary_lifetime = std::chrono::milliseconds(1500);
+// A slot comes free at the other zone within a few milliseconds; a fourth of
+// the round trip keeps a burst from being refused as a whole.
+constexpr int block_divisor = 4;
 
 } // namespace
 
@@ -64,7 +67,7 @@
         {
             auto const sequence = refused->m_sequence;
             option.m_uses.erase(refused);
-            option.m_blocked_until = now + option.m_cost;
+            option.m_blocked_until = now + option.m_cost / block_divisor;
             return sequence;
         }
     }
