--- a/src/core/pool_fault_test.cpp
+++ b/src/core/pool_fault_test.cpp
@@ -256,6 +256,58 @@
     CHECK(failures <= 100);
 }
 
+// Guards against a slow target that stays in use because its attempts are
+// cancelled, by hedges or by callers, before they show how long they take.
+TEST_CASE("attempts that are cancelled late make their target slow")
+{
+    auto f = make_fixture(4, 1);
+    for (int i = 0; i < 40; ++i)
+    {
+        serve(f, look_up, milliseconds(10));
+    }
+    int slow = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        auto const id = arrive(f, look_up);
+        auto const sent = find_effect<dispatch_effect>(f, id);
+        REQUIRE(sent);
+        bool const is_slow = sent->m_target.m_value == 0;
+        slow += is_slow ? 1 : 0;
+        f.m_now += milliseconds(is_slow ? 100 : 10);
+        on_timer(*f.m_pool, f.m_now, f.m_budgets, f.m_out);
+        if (is_slow)
+        {
+            on_cancel(*f.m_pool, id, f.m_now, f.m_budgets, f.m_out);
+        }
+        end(f, id, is_slow ? attempt_outcome::cancelled : attempt_outcome::ok);
+    }
+    // A fair share would be 25.
+    CHECK(slow <= 12);
+}
+
+// Guards against a summary that shows one moment without free slots for half a
+// second, in which slots come free all the time.
+TEST_CASE("a summary shows the free slots that arrivals usually find")
+{
+    auto f = make_fixture(2, 3);
+    for (int i = 0; i < 200; ++i)
+    {
+        serve(f, look_up, milliseconds(10));
+    }
+    for (int i = 0; i < 7; ++i)
+    {
+        arrive(f, look_up);
+    }
+    auto const busy = summarize(*f.m_pool, "a", f.m_now);
+    CHECK(busy.m_queued == 1);
+    CHECK(busy.m_free_slots >= 4);
+    for (int i = 0; i < 200; ++i)
+    {
+        arrive(f, look_up);
+    }
+    CHECK(summarize(*f.m_pool, "a", f.m_now).m_free_slots == 0);
+}
+
 // Guards against new work for a target that shows any sign of leaving.
 TEST_CASE("each sign of leaving stops new work")
 {
