Never probe a target that answered within the last second

Cause: a target ejected for its slowness was probed half a second later although it had just answered, against the design's rule.

Change: a target that answers but is slow is tried with a live request; one that fails is left alone until its last answer is a second old. The random test checks the rule.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -67,7 +67,7 @@
 {
     target_entry entry;
     entry.m_spec = spec;
-    entry.m_heard = now;
+    entry.m_first_listed = now;
     entry.m_limit.m_limit = first_limit(p, spec.m_slots);
     for (auto const& inherited : p.m_inherited)
     {
--- a/src/core/pool_model_test.cpp
+++ b/src/core/pool_model_test.cpp
@@ -55,6 +55,8 @@
     bool m_listed = false;
     bool m_leaving = false;
     bool m_draining = false;
+    /// Last whole answer.
+    time_point m_answered{};
 };
 
 /// The pool and what a host and its targets know about it. Each effect is
@@ -218,6 +220,7 @@
 {
     auto const& target = h.m_targets.at(effect.m_target.m_value);
     RC_ASSERT(target.m_listed && !target.m_leaving);
+    RC_ASSERT(h.m_now - target.m_answered >= std::chrono::seconds(1));
     h.m_probes.push_back(effect.m_target.m_value);
     h.m_probe_seconds += 0.007;
     auto const elapsed = seconds(h.m_now - h.m_start).count();
@@ -308,6 +311,10 @@
         attempt.m_may_have_run = !is_certainly_not_run(outcome);
         h.m_targets.at(attempt.m_target.m_value).m_draining |= drains;
         h.m_successes += outcome == attempt_outcome::ok ? 1 : 0;
+        if (outcome == attempt_outcome::ok)
+        {
+            h.m_targets.at(attempt.m_target.m_value).m_answered = h.m_now;
+        }
     }
     reported_load const load{static_cast<int>(b % 9), static_cast<int>(b % 4)};
     on_attempt_ended(
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -31,8 +31,19 @@
 void end_ejection(pool& p, target_entry& target, time_point now,
                   service_budgets& budgets, pool_effects& out)
 {
-    // Without budget, one live request at a time tries the target.
-    if (!target.m_probe_pending && !try_probe(p, target, now, budgets, out))
+    bool const is_failing = target.m_outlier.m_consecutive_failures > 0;
+    bool const has_answered = now - target.m_heard < recent_answer_window;
+    if (has_answered && is_failing)
+    {
+        // Too early for a probe, and a live request might be lost.
+        target.m_outlier.m_ejected_until =
+            target.m_heard + recent_answer_window;
+        return;
+    }
+    // A target that answers, if slowly, is tried with one live request at a
+    // time, and so is any target without budget for a probe.
+    if (has_answered ||
+        (!target.m_probe_pending && !try_probe(p, target, now, budgets, out)))
     {
         readmit(target.m_outlier);
         target.m_limit.m_limit = 1;
@@ -45,7 +56,8 @@
 {
     return target.m_listed && !target.m_spec.m_leaving &&
            !target.m_probe_pending && target.m_in_flight == 0 &&
-           now - std::max(target.m_heard, target.m_probed) >=
+           now - std::max({target.m_heard, target.m_probed,
+                           target.m_first_listed}) >=
                recent_answer_window;
 }
 
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -46,7 +46,9 @@
     /// Last load that the target reported with an answer, as a share.
     double m_reported_utilization = 0;
     time_point m_dispatched{};
+    /// Last answer, to a request or a probe.
     time_point m_heard{};
+    time_point m_first_listed{};
     time_point m_probed{};
     std::vector<held_slot> m_held;
 };
