--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -19,11 +19,12 @@
 constexpr double crash_start_share = 0.5;
 // The expected wait is a mean. Requests that are admitted close to their
 // deadline would often be refused late, after waiting for nothing.
-constexpr int wait_safety = 2;
+constexpr int wait_safety = 3;
 // Above this load on the other targets, a slow target is not ejected.
 constexpr double largest_load_without = 0.9;
 // Below this share of the others' slots, its own work does not count.
 constexpr double smallest_contribution = 0.05;
+constexpr double free_slots_weight = 0.05;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
@@ -66,7 +67,7 @@
 {
     target_entry entry;
     entry.m_spec = spec;
-    entry.m_heard = now;
+    entry.m_first_listed = now;
     entry.m_limit.m_limit = first_limit(p, spec.m_slots);
     for (auto const& inherited : p.m_inherited)
     {
@@ -196,18 +197,23 @@
     auto const limit = whole_limit(target.m_limit, target.m_spec.m_slots);
     auto const rest = static_cast<double>(slots.m_limit - limit);
     auto const load = static_cast<double>(in_flight(p) + queue_length(p));
-    auto const contribution = limit * std::exp(-log_relative_slowness);
+    auto const contribution =
+        target.m_spec.m_slots * std::exp(-log_relative_slowness);
     return load < largest_load_without * rest ||
            contribution < smallest_contribution * rest;
 }
 
-void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
-                       duration elapsed, time_point now)
+double log_ratio_to_median(kind_entry const& kind, duration elapsed)
+{
+    return std::log(std::max(1e-6, seconds(elapsed).count()) /
+                    kind.m_times.m_median.m_value);
+}
+
+/// Lets the target's limit and ejection follow one observed time, of a whole
+/// answer or of an attempt that was cancelled before its answer.
+void judge_target(pool& p, target_entry& target, kind_entry const& kind,
+                  double log_ratio, bool is_whole, time_point now)
 {
-    observe(kind.m_times, elapsed);
-    observe(p.m_times, elapsed);
-    auto const log_ratio = std::log(std::max(1e-6, seconds(elapsed).count()) /
-                                    kind.m_times.m_median.m_value);
     observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
     auto const pool_median = find_median(p, now);
     // A target on trial has been slow or failing before; one answer that takes
@@ -218,21 +224,48 @@
     bool const was_lowest = target.m_limit.m_limit <= 1;
     if (!slow)
     {
+        if (!is_whole)
+        {
+            return;
+        }
         note_success(target.m_outlier);
+        if (!target.m_outlier.m_on_trial)
+        {
+            raise(target.m_limit, target.m_spec.m_slots);
+        }
+        return;
     }
-    if (slow || !target.m_outlier.m_on_trial)
+    auto const relative =
+        target.m_limit.m_last_log_ratio - pool_median.m_log_slowness;
+    lower_after_slow_answer(target.m_limit, relative, now);
+    if (was_lowest && is_dispensable(p, target, relative, now))
     {
-        adjust(target.m_limit, slow, target.m_spec.m_slots, now);
+        eject_if_allowed(p, target, now);
     }
-    if (!slow)
+}
+
+void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
+                       duration elapsed, time_point now)
+{
+    observe(kind.m_times, elapsed);
+    observe(p.m_times, elapsed);
+    judge_target(p, target, kind, log_ratio_to_median(kind, elapsed), true,
+                 now);
+}
+
+/// A cancelled attempt would have taken at least the time that it ran. Without
+/// this, hedges would hide a slow target from the owner.
+void note_cancelled(pool& p, target_entry& target, kind_entry const& kind,
+                    duration elapsed, time_point now)
+{
+    if (kind.m_times.m_samples == 0)
     {
         return;
     }
-    auto const relative =
-        log_slowness(target.m_limit, now) - pool_median.m_log_slowness;
-    if (was_lowest && is_dispensable(p, target, relative, now))
+    auto const log_ratio = log_ratio_to_median(kind, elapsed);
+    if (is_beyond_tolerance(log_ratio))
     {
-        eject_if_allowed(p, target, now);
+        judge_target(p, target, kind, log_ratio, false, now);
     }
 }
 
@@ -264,6 +297,7 @@
     }
     if (end.m_outcome == attempt_outcome::cancelled)
     {
+        note_cancelled(p, target, kind, now - dispatched, now);
         return;
     }
     hold_slot(target, kind, dispatched, now);
@@ -437,6 +471,8 @@
     auto const& kind = p.m_kinds[request.m_kind.m_value];
     auto const wait = expected_wait(p, kind, now);
     auto const sequence = p.m_next_sequence++;
+    p.m_mean_free +=
+        free_slots_weight * (count_slots(p, now).m_free - p.m_mean_free);
     if (!request.m_spilled && wait > duration::zero())
     {
         auto* option = choose_spill(p.m_spill, wait, now);
--- a/src/core/target_limit.cpp
+++ b/src/core/target_limit.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr double observation_weight = 0.2;
+constexpr double last_ratio_weight = 0.3;
 constexpr double slowness_half_life_seconds = 0.5;
 // With service times of a heavy tail, moving averages of two healthy targets
 // often differ by a factor of two. The sum of deviations above a factor of four
@@ -21,6 +22,7 @@
 // A kind with nearly constant times is not slow because of a few percent.
 constexpr double smallest_spread = 0.5;
 constexpr double lowering_factor = 0.7;
+constexpr double strongest_lowering_factor = 0.2;
 constexpr double raise_per_answer = 0.25;
 constexpr duration lowering_interval = std::chrono::milliseconds(20);
 
@@ -30,14 +32,14 @@
     return std::exp2(-std::max(0.0, age.count()) / slowness_half_life_seconds);
 }
 
-void lower(target_limit& limit, time_point now)
+void lower(target_limit& limit, double factor, time_point now)
 {
     if (now - limit.m_lowered < lowering_interval)
     {
         return;
     }
     limit.m_lowered = now;
-    limit.m_limit = std::max(1.0, limit.m_limit * lowering_factor);
+    limit.m_limit = std::max(1.0, limit.m_limit * factor);
 }
 
 } // namespace
@@ -47,6 +49,8 @@
 {
     auto const faded = log_slowness(limit, now);
     limit.m_log_slowness = faded + observation_weight * (log_ratio - faded);
+    limit.m_last_log_ratio +=
+        last_ratio_weight * (log_ratio - limit.m_last_log_ratio);
     auto const step = (log_ratio - tolerated_log_slowness) /
                       std::max(smallest_spread, spread);
     limit.m_deviation =
@@ -74,20 +78,24 @@
     return log_ratio > tolerated_log_slowness;
 }
 
-void adjust(target_limit& limit, bool slow, int slots, time_point now)
+void lower_after_slow_answer(target_limit& limit, double log_relative_slowness,
+                             time_point now)
+{
+    lower(limit,
+          std::clamp(std::exp(-log_relative_slowness),
+                     strongest_lowering_factor, lowering_factor),
+          now);
+}
+
+void raise(target_limit& limit, int slots)
 {
-    if (slow)
-    {
-        lower(limit, now);
-        return;
-    }
     limit.m_limit =
         std::min(static_cast<double>(slots), limit.m_limit + raise_per_answer);
 }
 
 void lower_after_shed(target_limit& limit, time_point now)
 {
-    lower(limit, now);
+    lower(limit, lowering_factor, now);
 }
 
 int whole_limit(target_limit const& limit, int slots)
