Add the demonstration and end-to-end experiments

Cause: the goals concern whole systems of processes. The load generator reads refusals of entry hosts that are called without address answers.

--- /dev/null
+++ b/bench/end_to_end/configuration_changes.py
@@ -0,0 +1,62 @@
+"""Configuration changes: time until a change is in force on all hosts in a
+healthy system; operators that race; a store outage from start to end under
+load, with a change after it."""
+
+import concurrent.futures
+
+import cluster
+
+OPERATORS = 8
+RATE = 150
+OUTAGE_LOAD_S = 20
+
+
+def change(running, name):
+    running.apply_next(name)
+    seconds = running.wait_until(running.in_force, "the change in force")
+    print(f"change {name}: generation {running.generation} in force on "
+          f"{len(running.hosts)} hosts after {seconds:.2f} s", flush=True)
+
+
+def race(running):
+    documents = [running.document(f"operator-{index}")
+                 for index in range(OPERATORS)]
+    with concurrent.futures.ThreadPoolExecutor(OPERATORS) as pool:
+        answers = list(pool.map(
+            lambda document: running.apply(document, running.generation),
+            documents))
+    stored = [generation for outcome, generation in answers
+              if outcome == "stored"]
+    print(f"{OPERATORS} racing operators: {len(stored)} stored, "
+          f"{sum(a[0] == 'conflict' for a in answers)} conflicts, "
+          f"{sum(a[0] == 'failed' for a in answers)} failed", flush=True)
+    running.generation = max(stored, default=running.generation)
+    running.wait_until(running.in_force, "the winner in force")
+    seen = {running.status(name)["change_id"] for name in running.hosts}
+    print(f"change ids in force afterwards: {sorted(seen)}")
+
+
+def outage(running):
+    plan = {"seed": 8, "kinds": cluster.kinds(),
+            "schedule": [{"duration_ms": OUTAGE_LOAD_S * 1000, "rate": RATE}]}
+    short = dict(plan, schedule=[{"duration_ms": 5000, "rate": RATE}])
+    before, _ = running.run_load(short)
+    cluster.http("PUT", running.platform, "/control/faults", {"outage": True})
+    report, _ = running.run_load(plan)
+    during = running.apply(running.document("during"), running.generation)
+    cluster.http("PUT", running.platform, "/control/faults",
+                 {"outage": False})
+    cluster.print_figures("before the outage", before)
+    cluster.print_figures("store outage", report)
+    ratio = report["latency_ms"]["p99"] / before["latency_ms"]["p99"]
+    print(f"p99 against the time before: {ratio:.2f}; a change during the "
+          f"outage: {during[0]}")
+    change(running, "after-outage")
+
+
+def run(build):
+    with cluster.Cluster(build) as running:
+        cluster.start_usual(running, hosts_per_zone=2)
+        change(running, "second")
+        race(running)
+        outage(running)
--- /dev/null
+++ b/bench/end_to_end/host_failures.py
@@ -0,0 +1,57 @@
+"""The owner of a pool is stopped with SIGSTOP for 10 s, or killed, under load.
+Figures: calls that failed, and the time until a bucket of 100 ms without
+failures ends the disturbance."""
+
+import signal
+import time
+
+import cluster
+
+RATE = 200
+BUCKET_MS = 100
+PAUSE_S = 10
+
+
+def disturbance(report, at):
+    """Seconds from the fault to the last bucket in which a call was not
+    good."""
+    timeline = report["timeline"]
+    last = 0
+    for index, offered in enumerate(timeline["offered"]):
+        begin = index * BUCKET_MS / 1000
+        if begin + BUCKET_MS / 1000 > at and timeline["good"][index] < offered:
+            last = begin + BUCKET_MS / 1000
+    return max(0, last - at)
+
+
+def measure(build, title, seconds, fault):
+    with cluster.Cluster(build) as running:
+        cluster.start_usual(running, hosts_per_zone=2)
+        plan = {"seed": 6,
+                "kinds": cluster.kinds(deadline_ms=1500),
+                "schedule": [{"duration_ms": seconds * 1000, "rate": RATE}]}
+        quiet = dict(plan, schedule=[{"duration_ms": 4000, "rate": RATE}])
+        before, _ = running.run_load(quiet)
+        owner = running.owner(cluster.ZONES[0])
+        begin = time.monotonic()
+        load = running.load(plan, f"--bucket_ms={BUCKET_MS}", "--callers=9")
+        time.sleep(4)
+        at = time.monotonic() - begin
+        fault(running.hosts[owner]["process"])
+        report, _ = running.finish(load)
+        cluster.print_figures(f"{title}: before", before)
+        cluster.print_figures(f"{title}: owner {owner}", report)
+        ratio = report["latency_ms"]["p99"] / before["latency_ms"]["p99"]
+        print(f"{title}: disturbed for {disturbance(report, at):.1f} s, p99 "
+              f"against the time before {ratio:.2f}", flush=True)
+
+
+def pause(process):
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(PAUSE_S)
+    process.send_signal(signal.SIGCONT)
+
+
+def run(build):
+    measure(build, "killed owner", 15, lambda process: process.kill())
+    measure(build, "owner stopped for 10 s", 25, pause)
--- a/tools/load_generator/direct_sender.cpp
+++ b/tools/load_generator/direct_sender.cpp
@@ -46,6 +46,13 @@
         r.m_execution = failed.m_execution;
         return;
     }
+    // An entry host that is called like a target refuses in its own way.
+    if (auto const refusal = calling::read_refusal(r.m_headers))
+    {
+        r.m_code = refusal->m_code;
+        r.m_execution = refusal->m_execution;
+        return;
+    }
     auto const not_run = net::find_header(r.m_headers, "Hawthornspur-Not-Run");
     bool const shed = r.m_status == service_unavailable && not_run == "1";
     r.m_code = shed ? result_code::target_shed : result_code::ok;
