--- a/tools/target_emulator/connection_server.cpp
+++ b/tools/target_emulator/connection_server.cpp
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -138,6 +140,13 @@
     auto& record = server->m_records[transport];
     ++record.m_requests;
     record.m_fd = bufferevent_getfd(transport);
+    if (record.m_requests == 1)
+    {
+        // Otherwise the last part of an answer waits up to 40 ms for the
+        // delayed acknowledgement of the part before.
+        int const on = 1;
+        setsockopt(record.m_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
     auto read = read_request(request);
     server->m_on_request(std::move(read),
                          std::make_shared<net::http_exchange>(request), record);
