--- a/src/config/difference_test.cpp
+++ b/src/config/difference_test.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-// Guards against a review that hides a change or buries it under entries that
+// Guards against a review that hides a change or lists entries as changed that
 // merely moved.
 TEST_CASE("differences are named with path, old and new value")
 {
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -24,7 +24,7 @@
     std::string m_message;
 };
 
-/// All faults at once, so that an operator mends them in one go.
+/// All faults at once, so that an operator can correct them in one pass.
 using problems = std::vector<problem>;
 
 template <class T>
--- a/src/config/document_test.cpp
+++ b/src/config/document_test.cpp
@@ -163,7 +163,7 @@
     }
 }
 
-// Guards against an operator who mends one fault after the other because only
+// Guards against an operator who corrects one fault at a time because only
 // the first is shown, and against messages without the value found.
 TEST_CASE("all faults are reported at once with value and allowed values")
 {
@@ -211,7 +211,7 @@
 }
 
 // Guards against content hashes that differ between programs and versions:
-// every host would fetch parts that nobody stored.
+// every host would fetch parts that are not stored.
 TEST_CASE("the hash of a part does not change")
 {
     auto const stored = split_document(parsed(small_document));
--- a/src/config/reference_check.cpp
+++ b/src/config/reference_check.cpp
@@ -71,8 +71,8 @@
                                    joined(zones)});
             }
         }
-        // A missing delay would make the zone the last choice for spilling
-        // and for taking over pools without anybody having said so.
+        // A missing delay would silently make the zone the last choice for
+        // spilling and for taking over pools.
         for (auto const& other : zones)
         {
             if (other != zone.m_name && !zone.m_name.empty() &&
--- a/src/platform/call_limiter.cpp
+++ b/src/platform/call_limiter.cpp
@@ -63,7 +63,7 @@
     }
     pause = std::min(pause, settings.m_longest_pause);
     // Half of the pause is random, so that hosts which failed together do not
-    // come back together.
+    // retry together.
     std::uniform_real_distribution<double> part(0.5, 1.0);
     return std::chrono::duration_cast<core::duration>(pause * part(s.m_random));
 }
--- a/src/platform/call_limiter.hpp
+++ b/src/platform/call_limiter.hpp
@@ -47,7 +47,7 @@
 
 /// Keeps one process within the platform's rate limits and gives an outage
 /// time to end: calls wait for a token, and after failures for a pause with
-/// jitter, since hosts that come back all at once would bring the store down
+/// jitter, since hosts that retry at the same time would overload the store
 /// again.
 class call_limiter
 {
--- a/src/platform/call_limiter_test.cpp
+++ b/src/platform/call_limiter_test.cpp
@@ -100,7 +100,7 @@
           std::vector{result_code::not_found, result_code::not_found});
 }
 
-// Guards against hosts that hammer a store which is down, and against a
+// Guards against hosts that keep calling a store which is down, and against a
 // limiter that does not start again after the outage.
 TEST_CASE("pauses double up to their bound during an outage and end with it")
 {
@@ -137,7 +137,7 @@
     CHECK(times.end() - after > 1000);
 }
 
-// Guards against hosts that come back in step after an outage.
+// Guards against hosts that retry at the same time after an outage.
 TEST_CASE("hosts with different seeds pause for different times")
 {
     std::set<core::time_point> second_calls;
--- a/src/platform/configuration_store.cpp
+++ b/src/platform/configuration_store.cpp
@@ -216,7 +216,7 @@
                                                      : step::conflict);
 }
 
-/// Writes the parts that the current head does not vouch for, then the head.
+/// Writes the parts that are not known to be stored, then the head.
 detached write_change(store_ptr s, std::shared_ptr<change> c,
                       std::shared_ptr<std::vector<prunable_part>> prunable,
                       callback<step> done)
--- a/src/platform/configuration_store_test.cpp
+++ b/src/platform/configuration_store_test.cpp
@@ -295,8 +295,8 @@
     CHECK(f.m_log.has("late"));
 }
 
-// Guards against a store that grows for ever, and against pruning that takes
-// parts which a kept head still names.
+// Guards against a store that grows without bound, and against pruning that
+// takes parts which a kept head still names.
 TEST_CASE("the history keeps the last heads and prunes what only older named")
 {
     fixture f({.m_kept_heads = 3});
@@ -351,7 +351,7 @@
 }
 
 // Guards against a host that does not learn of a change because its watch
-// went silent, and against one that takes the end of a wait for a change.
+// stopped answering, and against one that takes the end of a wait for a change.
 TEST_CASE("a watch reports changes, silence and the end of its wait")
 {
     fixture f;
