--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -32,6 +33,9 @@
 /// Unsent bytes in the kernel, for the same reason.
 constexpr int kernel_unsent_bytes = 4 * static_cast<int>(chunk_bytes);
 
+/// Read from the socket in one turn of the loop.
+constexpr ev_ssize_t read_bytes = 4 * static_cast<ev_ssize_t>(chunk_bytes);
+
 std::string encode_heartbeat()
 {
     // [type, version]
@@ -54,6 +58,24 @@
     return type_of(payload) == static_cast<int>(type);
 }
 
+/// libevent reads 4 KiB at a time, a quarter of a chunk, so that the receiver
+/// would fall behind a sender of large bodies. An end or an error is left for
+/// libevent to find.
+void read_more(bufferevent* transport)
+{
+    auto* input = bufferevent_get_input(transport);
+    evbuffer_iovec space{};
+    evbuffer_unfreeze(input, 0);
+    if (evbuffer_reserve_space(input, read_bytes, &space, 1) == 1)
+    {
+        auto const size = ::recv(bufferevent_getfd(transport), space.iov_base,
+                                 read_bytes, MSG_DONTWAIT);
+        space.iov_len = size > 0 ? static_cast<std::size_t>(size) : 0;
+        evbuffer_commit_space(input, &space, 1);
+    }
+    evbuffer_freeze(input, 0);
+}
+
 void tune(int fd)
 {
     int const enabled = 1;
@@ -157,8 +179,10 @@
     return link;
 }
 
-void peer_link::on_readable(bufferevent* /*transport*/, void* self)
+void peer_link::on_readable(bufferevent* transport, void* self)
 {
+    // Bytes that wait in the kernel delay the small messages behind them.
+    read_more(transport);
     static_cast<peer_link*>(self)->read_frames();
 }
 
