Test 100 Continue and slow requests at the server

Cause: both rules of the server had no test.

Change: a caller that waits for 100 Continue, on a new and on a kept connection; a caller that sends a byte at a time is refused with 1001.

With the interim answer disabled its test failed.

--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -498,6 +498,47 @@
     }
 }
 
+// Guards against callers that wait for "100 Continue" before they send their
+// body, on a new and on a kept connection.
+TEST_CASE("a caller that asks to go on is told to")
+{
+    auto loop = take(event_loop::create());
+    subject s(*loop);
+    s.m_on_request = echo;
+    raw_connection caller(*loop, s.m_server->port());
+    for (std::size_t i = 1; i <= 2; ++i)
+    {
+        caller.m_received.clear();
+        caller.send("POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                    "Content-Length: 4\r\n\r\n");
+        REQUIRE(run_until(*loop, [&] { return !caller.m_received.empty(); }));
+        CHECK(caller.m_received == "HTTP/1.1 100 Continue\r\n\r\n");
+        CHECK(s.m_requests.size() == i - 1);
+        caller.send("body");
+        REQUIRE(run_until(*loop,
+                          [&] { return contains(caller.m_received, "</x>"); }));
+        CHECK(s.m_requests.back().m_body == "body");
+    }
+}
+
+// Guards against callers that hold a connection by sending a byte at a time.
+TEST_CASE("a request that takes too long is refused")
+{
+    auto loop = take(event_loop::create());
+    subject s(*loop, {.m_address = "",
+                      .m_request_timeout = std::chrono::milliseconds(20)});
+    raw_connection caller(*loop, s.m_server->port());
+    caller.send("GET / HTTP/1.1\r\nX: ");
+    REQUIRE(run_until(*loop,
+                      [&]
+                      {
+                          caller.send("x");
+                          return caller.m_closed;
+                      }));
+    CHECK(contains(caller.m_received, "Hawthornspur-Code: 1001\r\n"));
+    CHECK(s.refused(result_code::malformed_request) == 1);
+}
+
 // Guards against a crash when a server ends with requests in every phase.
 TEST_CASE("a server can end with requests in flight")
 {
