Spill only to targets that do not fail

Cause: when a zone is lost, the pools there have only dead targets, of which half stay in use since ejection is bounded. Their slots looked free, so other zones spilled to them, and the requests were refused for lack of retries.

Change: summaries and the admission of spilled requests count only free slots of targets whose last attempt did not fail; a healthy probe counts as such. In the benchmark a spilled request that was not run goes back to the owner that spilled it, as pool.hpp says.

--- a/bench/policy/core_router.cpp
+++ b/bench/policy/core_router.cpp
@@ -141,7 +141,10 @@
     auto const request = static_cast<std::uint32_t>(effect.m_request.m_value);
     auto const owner = pool_at(*s, index).m_owner;
     auto const origin = s->m_spilled_from[request];
-    if (effect.m_code == result_code::spill_refused && origin >= 0)
+    bool const not_run = info(effect.m_code).m_execution == execution::not_run;
+    // The owner that spilled the request answers it if the other did not run
+    // it.
+    if (not_run && origin >= 0 && origin != index)
     {
         ++s->m_counts->m_spills_refused;
         s->m_holder[request] = origin;
@@ -159,7 +162,6 @@
             });
         return;
     }
-    bool const not_run = info(effect.m_code).m_execution == execution::not_run;
     reply(*s, request, owner,
           not_run ? request_status::refused : request_status::failed);
 }
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -140,7 +140,10 @@
     {
         return result_code::no_target_available;
     }
-    if (request.m_spilled && wait > duration::zero())
+    // Another zone's requests do not go to targets that fail: half of a pool
+    // stays in use even when all of it is dead.
+    if (request.m_spilled &&
+        (wait > duration::zero() || count_slots(p, now).m_healthy_free == 0))
     {
         return result_code::spill_refused;
     }
@@ -471,8 +474,8 @@
     auto const& kind = p.m_kinds[request.m_kind.m_value];
     auto const wait = expected_wait(p, kind, now);
     auto const sequence = p.m_next_sequence++;
-    p.m_mean_free +=
-        free_slots_weight * (count_slots(p, now).m_free - p.m_mean_free);
+    p.m_mean_free += free_slots_weight *
+                     (count_slots(p, now).m_healthy_free - p.m_mean_free);
     if (!request.m_spilled && wait > duration::zero())
     {
         auto* option = choose_spill(p.m_spill, wait, now);
@@ -603,6 +606,7 @@
             readmit(outlier);
         }
         target->m_draining = false;
+        outlier.m_consecutive_failures = 0;
         bind(p, now, out);
     }
     else if (outlier.m_ejected)
--- a/src/core/pool_handover.cpp
+++ b/src/core/pool_handover.cpp
@@ -18,7 +18,8 @@
     summary.m_free_slots = static_cast<int>(p.m_mean_free);
     if (summary.m_queued == 0)
     {
-        summary.m_free_slots = std::max(summary.m_free_slots, slots.m_free);
+        summary.m_free_slots =
+            std::max(summary.m_free_slots, slots.m_healthy_free);
     }
     if (summary.m_free_slots == 0)
     {
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -55,7 +55,12 @@
         if (is_usable(target))
         {
             count.m_limit += whole_limit(target.m_limit, target.m_spec.m_slots);
-            count.m_free += free_slots(target, now);
+            auto const free = free_slots(target, now);
+            count.m_free += free;
+            bool const is_healthy =
+                target.m_outlier.m_consecutive_failures == 0 &&
+                !target.m_outlier.m_on_trial;
+            count.m_healthy_free += is_healthy ? free : 0;
         }
     }
     return count;
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -142,6 +142,8 @@
 struct slot_count
 {
     int m_free = 0;
+    /// Free slots of targets whose last attempt did not fail.
+    int m_healthy_free = 0;
     int m_limit = 0;
     /// All slots of targets that are not leaving.
     int m_slots = 0;
