Split admission and accounting out of pool.cpp

Change: pool_admission holds the checks at arrival, pool_accounting what the end of an attempt teaches about its target.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -1,5 +1,7 @@
 #include "core/pool.hpp"
 
+#include "core/pool_accounting.hpp"
+#include "core/pool_admission.hpp"
 #include "core/pool_binding.hpp"
 #include "core/pool_probing.hpp"
 #include "core/pool_state.hpp"
@@ -7,7 +9,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 namespace hawthornspur::core
@@ -17,15 +18,7 @@
 {
 
 constexpr double crash_start_share = 0.5;
-// The expected wait is a mean. Requests that are admitted close to their
-// deadline would often be refused late, after waiting for nothing.
-constexpr int wait_safety = 3;
-// Above this load on the other targets, a slow target is not ejected.
-constexpr double largest_load_without = 0.9;
-// Below this share of the others' slots, its own work does not count.
-constexpr double smallest_contribution = 0.05;
 constexpr double free_slots_weight = 0.05;
-constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
 /// the host is not woken for them.
@@ -82,239 +75,6 @@
     return entry;
 }
 
-void enqueue(pool& p, request_entry& request, time_point now)
-{
-    auto& kind = p.m_kinds[request.m_arrival.m_kind.m_value];
-    request.m_queued = true;
-    push(kind.m_queue,
-         {request.m_arrival.m_request, request.m_sequence, now,
-          request.m_arrival.m_deadline},
-         p.m_rules.m_order);
-    ++p.m_queued;
-}
-
-/// Makes room for a more urgent request by refusing the newest one of the
-/// least urgent kind. Returns false if nothing less urgent waits.
-bool evict_less_urgent(pool& p, int priority, pool_effects& out)
-{
-    kind_entry* least = nullptr;
-    for (auto& kind : p.m_kinds)
-    {
-        if (!kind.m_queue.empty() && kind.m_config.m_priority > priority &&
-            (least == nullptr ||
-             kind.m_config.m_priority > least->m_config.m_priority))
-        {
-            least = &kind;
-        }
-    }
-    if (least == nullptr)
-    {
-        return false;
-    }
-    auto const victim = p.m_requests.find(least->m_queue.back().m_request);
-    least->m_queue.pop_back();
-    --p.m_queued;
-    victim->second.m_queued = false;
-    refuse(p, victim, result_code::queue_full, out);
-    return true;
-}
-
-/// Whether a request that has to wait would miss its deadline.
-bool is_unreachable(kind_entry const& kind, duration wait, duration remaining)
-{
-    return wait > duration::zero() &&
-           wait_safety * wait + p95(kind.m_times) > remaining;
-}
-
-/// The refusal that applies before the request is queued, or ok.
-result_code check_admission(pool& p, arrival const& request, duration wait,
-                            time_point now, pool_effects& out)
-{
-    auto const& kind = p.m_kinds[request.m_kind.m_value];
-    auto const remaining = request.m_deadline - now;
-    if (remaining <= duration::zero())
-    {
-        return result_code::deadline_unreachable;
-    }
-    if (wait == duration::max())
-    {
-        return result_code::no_target_available;
-    }
-    // Another zone's requests do not go to targets that fail: half of a pool
-    // stays in use even when all of it is dead.
-    if (request.m_spilled &&
-        (wait > duration::zero() || count_slots(p, now).m_healthy_free == 0))
-    {
-        return result_code::spill_refused;
-    }
-    if (is_unreachable(kind, wait, remaining))
-    {
-        auto const slots = count_slots(p, now);
-        return slots.m_free > 0 && p.m_queued == kind.m_queue.size()
-                   ? result_code::kind_share_full
-                   : result_code::deadline_unreachable;
-    }
-    if (p.m_queued >= p.m_rules.m_max_queue &&
-        !evict_less_urgent(p, kind.m_config.m_priority, out))
-    {
-        return result_code::queue_full;
-    }
-    return result_code::ok;
-}
-
-void admit(pool& p, arrival const& request, std::uint64_t sequence,
-           duration wait, time_point now, pool_effects& out)
-{
-    auto const code = check_admission(p, request, wait, now, out);
-    if (code != result_code::ok)
-    {
-        out.emplace_back(refuse_effect{request.m_request, code});
-        return;
-    }
-    auto const& config = p.m_kinds[request.m_kind.m_value].m_config;
-    auto& entry = p.m_requests[request.m_request];
-    entry.m_arrival = request;
-    entry.m_sequence = sequence;
-    entry.m_idempotent = config.m_execution == execution_rule::idempotent;
-    entry.m_hedge = config.m_hedge && entry.m_idempotent;
-    push(p.m_timers, {request.m_deadline, request.m_request});
-    enqueue(p, entry, now);
-    bind(p, now, out);
-}
-
-void note_load(target_entry& target, std::optional<reported_load> const& load)
-{
-    if (load && load->m_slots > 0)
-    {
-        target.m_reported_utilization = std::clamp(
-            static_cast<double>(load->m_in_flight) / load->m_slots, 0.0, 1.0);
-    }
-}
-
-/// Whether the pool does without the target: the others can carry the present
-/// load, or the target is so slow that it adds next to nothing.
-bool is_dispensable(pool const& p, target_entry const& target,
-                    double log_relative_slowness, time_point now)
-{
-    auto const slots = count_slots(p, now);
-    auto const limit = whole_limit(target.m_limit, target.m_spec.m_slots);
-    auto const rest = static_cast<double>(slots.m_limit - limit);
-    auto const load = static_cast<double>(in_flight(p) + queue_length(p));
-    auto const contribution =
-        target.m_spec.m_slots * std::exp(-log_relative_slowness);
-    return load < largest_load_without * rest ||
-           contribution < smallest_contribution * rest;
-}
-
-double log_ratio_to_median(kind_entry const& kind, duration elapsed)
-{
-    return std::log(std::max(1e-6, seconds(elapsed).count()) /
-                    kind.m_times.m_median.m_value);
-}
-
-/// Lets the target's limit and ejection follow one observed time, of a whole
-/// answer or of an attempt that was cancelled before its answer.
-void judge_target(pool& p, target_entry& target, kind_entry const& kind,
-                  double log_ratio, bool is_whole, time_point now)
-{
-    observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
-    auto const pool_median = find_median(p, now);
-    // A target on trial has been slow or failing before; one answer that takes
-    // too long is enough.
-    bool const slow =
-        is_slow(target, pool_median, now) ||
-        (target.m_outlier.m_on_trial && is_beyond_tolerance(log_ratio));
-    bool const was_lowest = target.m_limit.m_limit <= 1;
-    if (!slow)
-    {
-        if (!is_whole)
-        {
-            return;
-        }
-        note_success(target.m_outlier);
-        if (!target.m_outlier.m_on_trial)
-        {
-            raise(target.m_limit, target.m_spec.m_slots);
-        }
-        return;
-    }
-    auto const relative =
-        target.m_limit.m_last_log_ratio - pool_median.m_log_slowness;
-    lower_after_slow_answer(target.m_limit, relative, now);
-    if (was_lowest && is_dispensable(p, target, relative, now))
-    {
-        eject_if_allowed(p, target, now);
-    }
-}
-
-void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
-                       duration elapsed, time_point now)
-{
-    observe(kind.m_times, elapsed);
-    observe(p.m_times, elapsed);
-    judge_target(p, target, kind, log_ratio_to_median(kind, elapsed), true,
-                 now);
-}
-
-/// A cancelled attempt would have taken at least the time that it ran. Without
-/// this, hedges would hide a slow target from the owner.
-void note_cancelled(pool& p, target_entry& target, kind_entry const& kind,
-                    duration elapsed, time_point now)
-{
-    if (kind.m_times.m_samples == 0)
-    {
-        return;
-    }
-    auto const log_ratio = log_ratio_to_median(kind, elapsed);
-    if (is_beyond_tolerance(log_ratio))
-    {
-        judge_target(p, target, kind, log_ratio, false, now);
-    }
-}
-
-/// A failed slot stays taken for as long as work usually takes, so that a
-/// target that fails fast attracts no more work than a healthy one.
-void hold_slot(target_entry& target, kind_entry const& kind,
-               time_point dispatched, time_point now)
-{
-    auto const until =
-        std::max(dispatched + mean(kind.m_times), now + shortest_hold);
-    std::erase_if(target.m_held,
-                  [&](held_slot held) { return held.m_until <= now; });
-    if (static_cast<int>(target.m_held.size()) < target.m_spec.m_slots)
-    {
-        target.m_held.push_back({until});
-    }
-}
-
-void account(pool& p, target_entry& target, kind_entry& kind,
-             attempt_end const& end, time_point dispatched, time_point now)
-{
-    note_load(target, end.m_load);
-    target.m_draining = target.m_draining || end.m_draining;
-    if (end.m_outcome == attempt_outcome::ok)
-    {
-        target.m_heard = now;
-        note_whole_answer(p, target, kind, now - dispatched, now);
-        return;
-    }
-    if (end.m_outcome == attempt_outcome::cancelled)
-    {
-        note_cancelled(p, target, kind, now - dispatched, now);
-        return;
-    }
-    hold_slot(target, kind, dispatched, now);
-    if (end.m_outcome == attempt_outcome::shed)
-    {
-        target.m_heard = now;
-        lower_after_shed(target.m_limit, now);
-    }
-    else if (note_failure(target.m_outlier))
-    {
-        eject_if_allowed(p, target, now);
-    }
-}
-
 /// Whether the request gets another attempt; otherwise the code to refuse it
 /// with.
 result_code plan_retry(pool const& p, request_entry const& request,
--- /dev/null
+++ b/src/core/pool_accounting.cpp
@@ -0,0 +1,153 @@
+#include "core/pool_accounting.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+// Above this load on the other targets, a slow target is not ejected.
+constexpr double largest_load_without = 0.9;
+// Below this share of the others' slots, its own work does not count.
+constexpr double smallest_contribution = 0.05;
+constexpr duration shortest_hold = std::chrono::milliseconds(1);
+
+/// Whether the pool does without the target: the others can carry the present
+/// load, or the target is so slow that it adds next to nothing.
+bool is_dispensable(pool const& p, target_entry const& target,
+                    double log_relative_slowness, time_point now)
+{
+    auto const slots = count_slots(p, now);
+    auto const limit = whole_limit(target.m_limit, target.m_spec.m_slots);
+    auto const rest = static_cast<double>(slots.m_limit - limit);
+    auto const load = static_cast<double>(in_flight(p) + queue_length(p));
+    auto const contribution =
+        target.m_spec.m_slots * std::exp(-log_relative_slowness);
+    return load < largest_load_without * rest ||
+           contribution < smallest_contribution * rest;
+}
+
+double log_ratio_to_median(kind_entry const& kind, duration elapsed)
+{
+    return std::log(std::max(1e-6, seconds(elapsed).count()) /
+                    kind.m_times.m_median.m_value);
+}
+
+/// Lets the target's limit and ejection follow one observed time, of a whole
+/// answer or of an attempt that was cancelled before its answer.
+void judge_target(pool& p, target_entry& target, kind_entry const& kind,
+                  double log_ratio, bool is_whole, time_point now)
+{
+    observe_answer(target.m_limit, log_ratio, log_spread(kind.m_times), now);
+    auto const pool_median = find_median(p, now);
+    // A target on trial has been slow or failing before; one answer that takes
+    // too long is enough.
+    bool const slow =
+        is_slow(target, pool_median, now) ||
+        (target.m_outlier.m_on_trial && is_beyond_tolerance(log_ratio));
+    bool const was_lowest = target.m_limit.m_limit <= 1;
+    if (!slow)
+    {
+        if (!is_whole)
+        {
+            return;
+        }
+        note_success(target.m_outlier);
+        if (!target.m_outlier.m_on_trial)
+        {
+            raise(target.m_limit, target.m_spec.m_slots);
+        }
+        return;
+    }
+    auto const relative =
+        target.m_limit.m_last_log_ratio - pool_median.m_log_slowness;
+    lower_after_slow_answer(target.m_limit, relative, now);
+    if (was_lowest && is_dispensable(p, target, relative, now))
+    {
+        eject_if_allowed(p, target, now);
+    }
+}
+
+void note_whole_answer(pool& p, target_entry& target, kind_entry& kind,
+                       duration elapsed, time_point now)
+{
+    observe(kind.m_times, elapsed);
+    observe(p.m_times, elapsed);
+    judge_target(p, target, kind, log_ratio_to_median(kind, elapsed), true,
+                 now);
+}
+
+/// A cancelled attempt would have taken at least the time that it ran. Without
+/// this, hedges would hide a slow target from the owner.
+void note_cancelled(pool& p, target_entry& target, kind_entry const& kind,
+                    duration elapsed, time_point now)
+{
+    if (kind.m_times.m_samples == 0)
+    {
+        return;
+    }
+    auto const log_ratio = log_ratio_to_median(kind, elapsed);
+    if (is_beyond_tolerance(log_ratio))
+    {
+        judge_target(p, target, kind, log_ratio, false, now);
+    }
+}
+
+/// A failed slot stays taken for as long as work usually takes, so that a
+/// target that fails fast attracts no more work than a healthy one.
+void hold_slot(target_entry& target, kind_entry const& kind,
+               time_point dispatched, time_point now)
+{
+    auto const until =
+        std::max(dispatched + mean(kind.m_times), now + shortest_hold);
+    std::erase_if(target.m_held,
+                  [&](held_slot held) { return held.m_until <= now; });
+    if (static_cast<int>(target.m_held.size()) < target.m_spec.m_slots)
+    {
+        target.m_held.push_back({until});
+    }
+}
+
+} // namespace
+
+void note_load(target_entry& target, std::optional<reported_load> const& load)
+{
+    if (load && load->m_slots > 0)
+    {
+        target.m_reported_utilization = std::clamp(
+            static_cast<double>(load->m_in_flight) / load->m_slots, 0.0, 1.0);
+    }
+}
+
+void account(pool& p, target_entry& target, kind_entry& kind,
+             attempt_end const& end, time_point dispatched, time_point now)
+{
+    note_load(target, end.m_load);
+    target.m_draining = target.m_draining || end.m_draining;
+    if (end.m_outcome == attempt_outcome::ok)
+    {
+        target.m_heard = now;
+        note_whole_answer(p, target, kind, now - dispatched, now);
+        return;
+    }
+    if (end.m_outcome == attempt_outcome::cancelled)
+    {
+        note_cancelled(p, target, kind, now - dispatched, now);
+        return;
+    }
+    hold_slot(target, kind, dispatched, now);
+    if (end.m_outcome == attempt_outcome::shed)
+    {
+        target.m_heard = now;
+        lower_after_shed(target.m_limit, now);
+    }
+    else if (note_failure(target.m_outlier))
+    {
+        eject_if_allowed(p, target, now);
+    }
+}
+
+} // namespace hawthornspur::core
