--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -15,6 +15,7 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1, "First seed.");
 ABSL_FLAG(int, trials, 20, "Seeds for each row.");
+ABSL_FLAG(bool, times, true, "Also measure the times, which takes minutes.");
 ABSL_FLAG(double, loss, 0.01, "Share of lost datagrams.");
 
 namespace
@@ -232,19 +233,8 @@
                 title, times[times.size() / 2], times.back());
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+void print_all_times(std::vector<size> const& sizes)
 {
-    absl::ParseCommandLine(argc, argv);
-    std::vector<size> const sizes{{5, 3}, {19, 3}, {100, 8}};
-    std::puts("| Hosts | Zones | Role | Number | Messages a second, mean "
-              "| Messages a second, largest | Records a second, mean |");
-    std::puts("|---|---|---|---|---|---|---|");
-    for (auto const& s : sizes)
-    {
-        print_messages(s);
-    }
     std::puts("\n| Hosts | Zones | Time until all know | Median ms "
               "| Largest ms |");
     std::puts("|---|---|---|---|---|");
@@ -266,5 +256,62 @@
         print_times(s, "new configuration, from the first host, store down",
                     [&](std::uint64_t seed) { return configured(s, seed); });
     }
+}
+
+// Suspicions and deaths of running hosts as seen by one host in an hour.
+void print_errors(size const& s, double loss)
+{
+    constexpr int seeds = 3;
+    double suspicions = 0;
+    double deaths = 0;
+    double wrong = 0;
+    for (std::uint64_t i = 0; i < seeds; ++i)
+    {
+        auto c = settled(s, absl::GetFlag(FLAGS_seed) + i, false);
+        c.m_settings.m_loss = loss;
+        c.m_suspicions = 0;
+        c.m_false_deaths = 0;
+        models::run(c, counted);
+        suspicions += static_cast<double>(c.m_suspicions);
+        deaths += static_cast<double>(c.m_false_deaths);
+        c.m_settings.m_loss = 0;
+        models::run(c, seconds(10));
+        models::check_agreement(c);
+        wrong += static_cast<double>(c.m_violations.size());
+    }
+    auto const host_hours = std::chrono::duration<double>(counted).count() /
+                            3600 * seeds * static_cast<double>(s.m_hosts);
+    std::printf("| %zu | %zu | %.0f%% | %.1f | %.2f | %.0f |\n", s.m_hosts,
+                s.m_zones, loss * 100, suspicions / host_hours,
+                deaths / host_hours, wrong);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    std::vector<size> const sizes{{5, 3}, {19, 3}, {100, 8}};
+    std::puts("| Hosts | Zones | Role | Number | Messages a second, mean "
+              "| Messages a second, largest | Records a second, mean |");
+    std::puts("|---|---|---|---|---|---|---|");
+    for (auto const& s : sizes)
+    {
+        print_messages(s);
+    }
+    if (absl::GetFlag(FLAGS_times))
+    {
+        print_all_times(sizes);
+    }
+    std::puts("\n| Hosts | Zones | Loss | False suspicions seen by a host in "
+              "an hour | False deaths | Wrong views 10 s later |");
+    std::puts("|---|---|---|---|---|---|");
+    for (auto const& s : sizes)
+    {
+        for (double const loss : {0.01, 0.03, 0.1})
+        {
+            print_errors(s, loss);
+        }
+    }
     return 0;
 }
