--- a/bench/end_to_end/host_failures.py
+++ b/bench/end_to_end/host_failures.py
@@ -10,6 +10,8 @@
 RATE = 200
 BUCKET_MS = 100
 PAUSE_S = 10
+# An idempotent call without an answer goes to the next address after this.
+ATTEMPT_LIMIT_MS = 300
 
 
 def disturbance(report, at):
@@ -27,8 +29,9 @@
 def measure(build, title, seconds, fault):
     with cluster.Cluster(build) as running:
         cluster.start_usual(running, hosts_per_zone=2)
-        plan = {"seed": 6,
-                "kinds": cluster.kinds(deadline_ms=1500),
+        kinds = cluster.kinds(deadline_ms=1500)
+        kinds[0]["attempt_limit_ms"] = ATTEMPT_LIMIT_MS
+        plan = {"seed": 6, "kinds": kinds,
                 "schedule": [{"duration_ms": seconds * 1000, "rate": RATE}]}
         quiet = dict(plan, schedule=[{"duration_ms": 4000, "rate": RATE}])
         before, _ = running.run_load(quiet)
@@ -41,6 +44,9 @@
         report, _ = running.finish(load)
         cluster.print_figures(f"{title}: before", before)
         cluster.print_figures(f"{title}: owner {owner}", report)
+        for name, kind in report["kinds"].items():
+            print(f"{title}: {name}: {kind['counts']['offered']} offered, "
+                  f"{kind['counts']['good']} good, codes {kind['codes']}")
         ratio = report["latency_ms"]["p99"] / before["latency_ms"]["p99"]
         print(f"{title}: disturbed for {disturbance(report, at):.1f} s, p99 "
               f"against the time before {ratio:.2f}", flush=True)
--- a/tools/load_generator/report.hpp
+++ b/tools/load_generator/report.hpp
@@ -11,7 +11,7 @@
 namespace hawthornspur::tools
 {
 
-/// A report as JSON; docs in tools/load_generator/README.md.
+/// A report as JSON; its parts are listed in tools/README.md.
 nlohmann::json make_report(load_run const& run, target_record const& targets,
                            core::duration bucket);
 
