--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace hawthornspur::core
@@ -50,6 +52,108 @@
     return names;
 }
 
+namespace
+{
+
+// A bound at the mean moves pools of other hosts with each change; a quarter
+// above it moves few.
+constexpr double bound_above_mean = 1.25;
+
+std::string pool_key(std::string const& service, std::string const& zone)
+{
+    return service + "/" + zone;
+}
+
+std::size_t largest_number_of_pools(std::size_t pools, std::size_t hosts)
+{
+    auto const rounded_up = (pools + hosts - 1) / hosts;
+    auto const above_mean =
+        static_cast<std::size_t>(bound_above_mean * static_cast<double>(pools) /
+                                 static_cast<double>(hosts));
+    return std::max(rounded_up, above_mean);
+}
+
+// The hosts of the zone, or of the nearest zone that has a host.
+std::vector<std::string const*>
+hosts_near(std::string const& zone, std::span<owner_candidate const> hosts,
+           configuration const& document)
+{
+    auto const zones = nearest_zones(document, zone);
+    std::vector<std::string const*> found;
+    auto best = zones.size() + 1;
+    for (auto const& host : hosts)
+    {
+        auto const rank = static_cast<std::size_t>(
+            std::find(zones.begin(), zones.end(), host.m_zone) - zones.begin());
+        if (rank < best)
+        {
+            best = rank;
+            found.clear();
+        }
+        if (rank == best)
+        {
+            found.push_back(&host.m_name);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+std::map<std::string, std::string>
+zone_owners(std::string const& zone, std::span<owner_candidate const> hosts,
+            configuration const& document)
+{
+    struct pairing
+    {
+        std::uint64_t m_weight;
+        std::size_t m_service;
+        std::size_t m_host;
+    };
+    auto const& services = document.m_services;
+    auto const near = hosts_near(zone, hosts, document);
+    std::map<std::string, std::string> owners;
+    if (near.empty())
+    {
+        return owners;
+    }
+    std::vector<pairing> pairings;
+    pairings.reserve(near.size() * services.size());
+    for (std::size_t service = 0; service < services.size(); ++service)
+    {
+        auto const key = pool_key(services[service].m_name, zone);
+        for (std::size_t host = 0; host < near.size(); ++host)
+        {
+            pairings.push_back(
+                {rendezvous_weight(key, *near[host]), service, host});
+        }
+    }
+    std::sort(
+        pairings.begin(), pairings.end(),
+        [&](pairing const& a, pairing const& b)
+        {
+            if (a.m_weight != b.m_weight)
+            {
+                return a.m_weight > b.m_weight;
+            }
+            return std::tie(services[a.m_service].m_name, *near[a.m_host]) <
+                   std::tie(services[b.m_service].m_name, *near[b.m_host]);
+        });
+    auto const bound = largest_number_of_pools(services.size(), near.size());
+    std::vector<std::size_t> load(near.size());
+    std::vector<bool> has_owner(services.size());
+    for (auto const& each : pairings)
+    {
+        if (load[each.m_host] < bound && !has_owner[each.m_service])
+        {
+            has_owner[each.m_service] = true;
+            ++load[each.m_host];
+            owners[services[each.m_service].m_name] = *near[each.m_host];
+        }
+    }
+    return owners;
+}
+
 std::vector<std::string> owner_order(pool_id const& pool,
                                      std::span<owner_candidate const> hosts,
                                      configuration const& document)
@@ -61,7 +165,7 @@
         std::string const* m_name;
     };
     auto const zones = nearest_zones(document, pool.m_zone);
-    auto const key = pool.m_service + "/" + pool.m_zone;
+    auto const key = pool_key(pool.m_service, pool.m_zone);
     std::vector<ranked> order;
     order.reserve(hosts.size());
     for (auto const& host : hosts)
@@ -90,6 +194,13 @@
     {
         names.push_back(*entry.m_name);
     }
+    auto const owners = zone_owners(pool.m_zone, hosts, document);
+    auto const owner = owners.find(pool.m_service);
+    if (owner != owners.end())
+    {
+        auto const place = std::find(names.begin(), names.end(), owner->second);
+        std::rotate(names.begin(), place, std::next(place));
+    }
     return names;
 }
 
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -46,7 +46,9 @@
     /// Last load that the target reported with an answer, as a share.
     double m_reported_utilization = 0;
     time_point m_dispatched{};
+    /// Last answer, to a request or a probe.
     time_point m_heard{};
+    time_point m_first_listed{};
     time_point m_probed{};
     std::vector<held_slot> m_held;
 };
@@ -118,6 +120,8 @@
     /// Set while a request waits although a slow target has a free slot.
     time_point m_bind_again = time_point::max();
     std::vector<spill_option> m_spill;
+    /// Moving average of the free slots that arrivals found.
+    double m_mean_free = 0;
     std::vector<target_handover> m_inherited;
     time_point m_inherited_until = time_point::max();
     /// Reused to find the median without allocation.
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -14,6 +14,9 @@
     double m_limit = 1;
     /// Moving average of log(time taken / median of the kind).
     double m_log_slowness = 0;
+    /// The same over fewer answers and without fading: how slow the target is
+    /// once it is known to be slow.
+    double m_last_log_ratio = 0;
     /// Sum of the answers' deviations beyond a tolerated slowness, in standard
     /// deviations of the kind; never negative (one-sided CUSUM test).
     double m_deviation = 0;
@@ -37,9 +40,16 @@
 /// what chance explains.
 bool is_slow(double relative_deviation);
 
-/// Lowers the limit of a slow target and raises it slowly otherwise. Called
-/// after each whole answer.
-void adjust(target_limit& limit, bool slow, int slots, time_point now);
+/// Whether one answer took longer than the slowness that is tolerated.
+bool is_beyond_tolerance(double log_ratio);
+
+/// Lowers the limit of a slow target, by more the slower it is. Called after a
+/// whole answer.
+void lower_after_slow_answer(target_limit& limit, double log_relative_slowness,
+                             time_point now);
+
+/// Raises the limit slowly. Called after a whole answer in usual time.
+void raise(target_limit& limit, int slots);
 
 /// The target refused work although the owner counted a free slot.
 void lower_after_shed(target_limit& limit, time_point now);
