Give emulated targets their own answering side

Change: tools/target_emulator/target_exchange. The test client sends Host, without which the new server rightly answers 400.

--- a/tools/common/test_client.hpp
+++ b/tools/common/test_client.hpp
@@ -35,6 +35,7 @@
           core::duration timeout = std::chrono::seconds(20))
     {
         auto answer = std::make_shared<test_answer>();
+        net::set_header(headers, "Host", "127.0.0.1");
         net::exchange_options options;
         options.m_timeout = timeout;
         m_client->send(
--- a/tools/target_emulator/connection_server.cpp
+++ b/tools/target_emulator/connection_server.cpp
@@ -149,7 +149,7 @@
     }
     auto read = read_request(request);
     server->m_on_request(std::move(read),
-                         std::make_shared<net::http_exchange>(request), record);
+                         std::make_shared<target_exchange>(request), record);
 }
 
 void connection_server::silence_connections()
--- a/tools/target_emulator/connection_server.hpp
+++ b/tools/target_emulator/connection_server.hpp
@@ -3,6 +3,7 @@
 
 #include "base/result.hpp"
 #include "net/http_server.hpp"
+#include "target_emulator/target_exchange.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -33,9 +34,9 @@
 class connection_server
 {
 public:
-    using handler = std::function<void(net::http_request,
-                                       std::shared_ptr<net::http_exchange>,
-                                       connection_record&)>;
+    using handler =
+        std::function<void(net::http_request, std::shared_ptr<target_exchange>,
+                           connection_record&)>;
 
     static result<std::unique_ptr<connection_server>>
     create(net::event_loop& loop, net::http_server_settings const& settings,
--- a/tools/target_emulator/control.cpp
+++ b/tools/target_emulator/control.cpp
@@ -10,7 +10,7 @@
 {
 
 void change(target_state& s, bool all, std::string const& text,
-            net::http_exchange& exchange)
+            target_exchange& exchange)
 {
     auto changed = success();
     for (auto* member : s.m_group)
@@ -25,7 +25,7 @@
 }
 
 void show_runs(target_state& s, bool all, bool forget,
-               net::http_exchange& exchange)
+               target_exchange& exchange)
 {
     run_record merged;
     for (auto* member : s.m_group)
@@ -45,7 +45,7 @@
 } // namespace
 
 void answer_control(target_state& s, net::http_request const& request,
-                    net::http_exchange& exchange)
+                    target_exchange& exchange)
 {
     auto const target = parse_target(request.m_uri);
     bool const all = query_number(target, "all", 0) != 0;
--- a/tools/target_emulator/target_emulator.cpp
+++ b/tools/target_emulator/target_emulator.cpp
@@ -12,7 +12,7 @@
 {
 
 void on_request(target_state& s, net::http_request request,
-                std::shared_ptr<net::http_exchange> exchange,
+                std::shared_ptr<target_exchange> exchange,
                 connection_record& connection)
 {
     // Control works on silent connections too, and costs the target nothing.
@@ -94,7 +94,7 @@
     auto server = connection_server::create(
         loop, {.m_address = settings.m_address, .m_port = settings.m_port},
         [raw = s.get()](net::http_request request,
-                        std::shared_ptr<net::http_exchange> exchange,
+                        std::shared_ptr<target_exchange> exchange,
                         connection_record& connection) {
             on_request(*raw, std::move(request), std::move(exchange),
                        connection);
--- a/tools/target_emulator/target_state.cpp
+++ b/tools/target_emulator/target_state.cpp
@@ -105,21 +105,21 @@
     return scaled(time, s.m_faults.m_slow_factor * cold_factor(s));
 }
 
-void release(target_state& s, net::http_exchange const* exchange)
+void release(target_state& s, target_exchange const* exchange)
 {
     std::erase_if(s.m_held,
                   [&](auto const& held) { return held.get() == exchange; });
 }
 
 /// Keeps an exchange until its caller closes the connection.
-void hold(target_state& s, std::shared_ptr<net::http_exchange> exchange)
+void hold(target_state& s, std::shared_ptr<target_exchange> exchange)
 {
     exchange->set_on_closed([&s, raw = exchange.get()] { release(s, raw); });
     s.m_held.push_back(std::move(exchange));
 }
 
 void send_truncated(target_state& s,
-                    std::shared_ptr<net::http_exchange> const& exchange,
+                    std::shared_ptr<target_exchange> const& exchange,
                     net::http_response_head const& head,
                     std::string const& body)
 {
@@ -161,7 +161,7 @@
     exchange->reply(head, body);
 }
 
-void shed(target_state& s, net::http_exchange& exchange)
+void shed(target_state& s, target_exchange& exchange)
 {
     ++s.m_counters["shed"];
     auto head = net::http_response_head{503, status_headers(s)};
@@ -284,7 +284,7 @@
 }
 
 void take_request(target_state& s, net::http_request request,
-                  std::shared_ptr<net::http_exchange> exchange,
+                  std::shared_ptr<target_exchange> exchange,
                   connection_record& connection)
 {
     ++s.m_counters["requests"];
@@ -318,7 +318,7 @@
     start_run(s, id, std::move(run));
 }
 
-void answer_probe(target_state& s, std::shared_ptr<net::http_exchange> exchange)
+void answer_probe(target_state& s, std::shared_ptr<target_exchange> exchange)
 {
     ++s.m_counters["probes"];
     add_standstill(s, s.m_faults.m_probe_cost);
--- a/tools/target_emulator/target_state.hpp
+++ b/tools/target_emulator/target_state.hpp
@@ -23,7 +23,7 @@
 struct target_run
 {
     net::http_request m_request;
-    std::shared_ptr<net::http_exchange> m_exchange;
+    std::shared_ptr<target_exchange> m_exchange;
     connection_record* m_connection = nullptr;
     core::time_point m_arrived{};
     task_id m_end = 0;
@@ -58,7 +58,7 @@
     std::deque<std::pair<core::time_point, bool>> m_health_history;
     /// Exchanges that are never answered in whole: on silent connections, or
     /// cut short.
-    std::vector<std::shared_ptr<net::http_exchange>> m_held;
+    std::vector<std::shared_ptr<target_exchange>> m_held;
     std::vector<target_emulator*> m_group;
     std::unique_ptr<connection_server> m_server;
 };
@@ -68,16 +68,15 @@
 
 /// Runs, queues or sheds a request of a caller.
 void take_request(target_state& s, net::http_request request,
-                  std::shared_ptr<net::http_exchange> exchange,
+                  std::shared_ptr<target_exchange> exchange,
                   connection_record& connection);
 
 /// Answers a health check.
-void answer_probe(target_state& s,
-                  std::shared_ptr<net::http_exchange> exchange);
+void answer_probe(target_state& s, std::shared_ptr<target_exchange> exchange);
 
 /// Answers a path under /control/.
 void answer_control(target_state& s, net::http_request const& request,
-                    net::http_exchange& exchange);
+                    target_exchange& exchange);
 
 /// The load headers of an answer that is sent now.
 net::http_headers status_headers(target_state const& s);
