--- a/bench/end_to_end/cluster.py
+++ b/bench/end_to_end/cluster.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -13,9 +14,12 @@
 import time
 import urllib.error
 import urllib.request
+import zlib
 
 LOOPBACK = "127.0.0.1"
 ZONES = ["mx-a", "mx-b", "mx-c"]
+# Exit status of `config apply` when someone else changed the document.
+CONFLICT = 3
 
 
 def free_port():
@@ -146,22 +150,28 @@
                 "services": [{"name": "map", "kinds": kinds,
                               "targets": self.targets,
                               "max_answer": "64MiB",
+                              # `config apply` stores nothing without a
+                              # difference, so each change has one.
+                              "max_queue": 1000 + zlib.crc32(
+                                  change.encode()) % 1000,
                               "probe_budget": {"cost_per_second": "60ms"}}]}
 
     def apply(self, document, based_on):
-        """Outcome ("stored", "conflict", "failed") and generation."""
+        """Outcome ("stored", "conflict", "failed") and generation, or what was
+        printed."""
         file = self.path(f"{document['change_id']}.json")
         with open(file, "w", encoding="utf-8") as out:
             json.dump(document, out)
         done = subprocess.run(
-            [os.path.join(self.build, "tools/apply_document"),
-             f"--platform={LOOPBACK}:{self.platform}", f"--document={file}",
-             f"--based_on={based_on}"],
+            [os.path.join(self.build, "hawthornspur"), "config", "apply", file,
+             f"--platform={LOOPBACK}:{self.platform}",
+             f"--based_on={based_on}", "--wait=0"],
             capture_output=True, text=True, check=False)
-        if done.returncode != 0:
-            return "failed", done.stderr.strip()
-        answer = json.loads(done.stdout)
-        return answer["outcome"], answer["generation"]
+        stored = re.search(r"stored as generation (\d+)", done.stdout)
+        if done.returncode == 0 and stored:
+            return "stored", int(stored.group(1))
+        outcome = "conflict" if done.returncode == CONFLICT else "failed"
+        return outcome, done.stdout + done.stderr
 
     def apply_next(self, change="first"):
         outcome, generation = self.apply(self.document(change),
--- a/bench/end_to_end/configuration_changes.py
+++ b/bench/end_to_end/configuration_changes.py
@@ -33,7 +33,7 @@
     running.generation = max(stored, default=running.generation)
     running.wait_until(running.in_force, "the winner in force")
     seen = {running.status(name)["change_id"] for name in running.hosts}
-    print(f"change ids in force afterwards: {sorted(seen)}")
+    print(f"change ids in force afterwards: {len(seen)}")
 
 
 def outage(running):
