Keep made-up zone names out of the routes; remove two repetitions

Cause: found in the read-through. Change: an unknown zone is served as the zone of the host, with a test; one parse_endpoint; socket handling of links moved to peer_transport. The new test was not run against the old code.

--- a/src/cli/host_commands.cpp
+++ b/src/cli/host_commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/command.hpp"
 #include "cli/http_query.hpp"
+#include "cli/platform_session.hpp"
 
 #include <absl/flags/flag.h>
 #include <nlohmann/json.hpp>
--- a/src/cli/http_query.cpp
+++ b/src/cli/http_query.cpp
@@ -1,6 +1,5 @@
 #include "cli/http_query.hpp"
 
-#include "base/text.hpp"
 #include "net/event_loop.hpp"
 
 #include <utility>
@@ -50,19 +49,4 @@
     return answer;
 }
 
-result<net::endpoint> parse_endpoint(std::string const& text)
-{
-    auto const colon = text.rfind(':');
-    auto const port = colon == std::string::npos
-                          ? std::nullopt
-                          : parse_number<std::uint16_t>(
-                                std::string_view(text).substr(colon + 1));
-    if (!port || colon == 0)
-    {
-        return make_error(result_code::usage,
-                          "expected ADDRESS:PORT instead of \"" + text + "\"");
-    }
-    return net::endpoint{text.substr(0, colon), *port};
-}
-
 } // namespace hawthornspur::cli
--- a/src/cli/http_query.hpp
+++ b/src/cli/http_query.hpp
@@ -22,9 +22,6 @@
 result<http_answer> query(net::endpoint const& server,
                           net::http_request const& request);
 
-/// Parses "address:port". Errors: usage.
-result<net::endpoint> parse_endpoint(std::string const& text);
-
 } // namespace hawthornspur::cli
 
 #endif
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -2,8 +2,8 @@
 
 #include "base/logging.hpp"
 #include "net/event_loop.hpp"
+#include "net/peer_transport.hpp"
 #include "net/peer_wire.hpp"
-#include "net/socket_options.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -31,11 +31,6 @@
 /// that a small request waits behind few bytes of a large body.
 constexpr std::size_t output_high_bytes = 4 * chunk_bytes;
 constexpr std::size_t output_low_bytes = 2 * chunk_bytes;
-/// Unsent bytes in the kernel, for the same reason.
-constexpr int kernel_unsent_bytes = 4 * static_cast<int>(chunk_bytes);
-
-/// Read from the socket in one turn of the loop.
-constexpr ev_ssize_t read_bytes = 4 * static_cast<ev_ssize_t>(chunk_bytes);
 
 std::string encode_heartbeat()
 {
@@ -59,31 +54,6 @@
     return type_of(payload) == static_cast<int>(type);
 }
 
-/// libevent reads 4 KiB at a time, a quarter of a chunk, so that the receiver
-/// would fall behind a sender of large bodies. An end or an error is left for
-/// libevent to find.
-void read_more(bufferevent* transport)
-{
-    auto* input = bufferevent_get_input(transport);
-    evbuffer_iovec space{};
-    evbuffer_unfreeze(input, 0);
-    if (evbuffer_reserve_space(input, read_bytes, &space, 1) == 1)
-    {
-        auto const size = ::recv(bufferevent_getfd(transport), space.iov_base,
-                                 read_bytes, MSG_DONTWAIT);
-        space.iov_len = size > 0 ? static_cast<std::size_t>(size) : 0;
-        evbuffer_commit_space(input, &space, 1);
-    }
-    evbuffer_freeze(input, 0);
-}
-
-void tune(int fd)
-{
-    set_no_delay(fd);
-    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kernel_unsent_bytes,
-               sizeof(kernel_unsent_bytes));
-}
-
 } // namespace
 
 peer_link::peer_link(peer_network_settings const& settings,
@@ -174,7 +144,7 @@
     {
         return failure(started);
     }
-    tune(fd);
+    tune_link_socket(fd);
     link->m_phase = phase::awaiting_hello;
     return link;
 }
@@ -182,7 +152,7 @@
 void peer_link::on_readable(bufferevent* transport, void* self)
 {
     // Bytes that wait in the kernel delay the small messages behind them.
-    read_more(transport);
+    read_large_piece(transport);
     static_cast<peer_link*>(self)->read_frames();
 }
 
@@ -196,7 +166,7 @@
     auto* link = static_cast<peer_link*>(self);
     if ((what & BEV_EVENT_CONNECTED) != 0)
     {
-        tune(bufferevent_getfd(transport));
+        tune_link_socket(bufferevent_getfd(transport));
         link->on_connected();
         return;
     }
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -41,6 +41,13 @@
         fail_call(h, c, result_code::host_not_ready);
         return;
     }
+    if (core::find_zone(*h.m_configuration.m_in_force, c.m_accepted.m_zone) ==
+        nullptr)
+    {
+        // Routes are remembered by zone, so names that callers make up must
+        // not reach the table.
+        c.m_accepted.m_zone = h.m_settings.m_zone;
+    }
     auto classified = classify_request(
         c.m_accepted, h.m_configuration.m_in_force, c.m_arrived);
     if (!has_value(classified))
@@ -75,10 +82,6 @@
         return;
     }
     c.m_accepted = take(std::move(accepted));
-    if (c.m_accepted.m_zone.empty())
-    {
-        c.m_accepted.m_zone = h.m_settings.m_zone;
-    }
     run_filters(h, c);
 }
 
--- a/tests/target_failure_test.cpp
+++ b/tests/target_failure_test.cpp
@@ -66,6 +66,21 @@
           net::find_header(forwarded.m_head.m_headers, "X-Body-Checksum"));
 }
 
+// Guards against a table of routes that grows with every zone name that a
+// caller makes up.
+TEST_CASE("an unknown zone is served as the zone of the host")
+{
+    test_cluster cluster(1, 1);
+    for (int i = 0; i < 5; ++i)
+    {
+        auto const served = cluster.ask(
+            0, "GET", "/x",
+            {{"Hawthornspur-Zone", "made-up-" + std::to_string(i)}});
+        CHECK(served.m_head.m_status == 200);
+    }
+    CHECK(cluster.host(0).m_routing.m_pool_zones.size() == 1);
+}
+
 // Guards against new work for a target that has announced that it is leaving.
 TEST_CASE("a draining target gets no work after its announcement")
 {
