--- a/bench/end_to_end/run.py
+++ b/bench/end_to_end/run.py
@@ -7,6 +7,7 @@
 import added_time
 import call_cost
 import configuration_changes
+import connection_memory
 import control_cost
 import host_failures
 import rolling_restart
@@ -18,6 +19,7 @@
     "host_failures": host_failures.run,
     "call_cost": call_cost.run,
     "control_cost": control_cost.run,
+    "connection_memory": connection_memory.run,
 }
 
 
