Serve from a leaving last host; refuse while a newer configuration is known

Cause: found in the read-through. A leaving host without a reachable owner refused callers that still held its address with 2014, against the promise of a graceful stop. A joining host with an outdated document served. A target's max_connections was checked and had no effect, since the client was never told it. Change: without a reachable owner a host serves the pool itself; readiness decides about requests and address answers; the bound on connections reaches the client, probes included; the counter is gone; the bounds are in serve/limits.hpp. Before: the two new system tests fail (status 503 instead of 200; no refusal instead of 2007). The bound on connections has no system test of its own; the client's is tested in src/net.

--- a/src/serve/address_answer.cpp
+++ b/src/serve/address_answer.cpp
@@ -5,6 +5,7 @@
 #include "core/routing.hpp"
 #include "net/http_refusal.hpp"
 #include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -84,7 +85,7 @@
         return;
     }
     auto const document = h.m_configuration.m_in_force;
-    if (document == nullptr)
+    if (!is_ready(h))
     {
         refuse(h, exchange, result_code::host_not_ready);
         return;
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -20,11 +20,6 @@
            c.m_origin == call_origin::spilled;
 }
 
-bool can_own_pools(host const& h)
-{
-    return h.m_stop == stop_stage::running && !h.m_is_isolated;
-}
-
 } // namespace
 
 void admit_call(host& h, call& c)
@@ -61,11 +56,8 @@
         forward_call(h, c, route->m_owner, net::forward_purpose::to_owner);
         return;
     }
-    if (!route && !can_own_pools(h))
-    {
-        fail_call(h, c, result_code::owner_unreachable);
-        return;
-    }
+    // Without a reachable owner this host serves the pool itself, also while
+    // it is leaving: another owner at the same time is harmless.
     enqueue_call(h, c);
 }
 
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -8,6 +8,7 @@
 #include "platform/scheduler.hpp"
 #include "serve/configuration_follower.hpp"
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
     settings.m_home = h.m_settings.m_name;
     settings.m_incarnation = h.m_incarnation;
     settings.m_key_lifetime = h.m_configuration.m_in_force->m_key_lifetime;
+    settings.m_max_kept_answer_bytes = limits::kept_answer_bytes;
     settings.m_max_keys = h.m_settings.m_max_once_keys;
     h.m_once = core::make_once_table(settings, now());
 }
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -1,6 +1,5 @@
 #include "serve/dispatch.hpp"
 
-#include "base/text.hpp"
 #include "core/pool_effects.hpp"
 #include "serve/accept.hpp"
 #include "serve/account.hpp"
@@ -166,6 +165,7 @@
     options.m_max_connection_age = effect.m_needs_proved_connection
                                        ? core::duration(max_proved_age)
                                        : core::duration(max_connection_age);
+    options.m_max_connections = target->second.m_max_connections;
     options.m_max_answer_bytes = c.m_classified.m_service->m_max_answer_bytes;
     auto& attempt = c.m_attempts[number];
     attempt.m_target = effect.m_target;
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -5,6 +5,7 @@
 #include "serve/admit.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/pools.hpp"
 #include "serve/relay.hpp"
@@ -22,9 +23,6 @@
 /// caller -> entry host -> home -> owner -> owner in another zone.
 constexpr int max_hops = 3;
 
-/// The receiving sink may hold this much before the window is withheld.
-constexpr std::size_t max_buffered_bytes = std::size_t{256} << 10U;
-
 /// The owner answers at the deadline itself; its refusal needs this long to
 /// arrive before the forwarding host gives up.
 constexpr auto deadline_grace = std::chrono::milliseconds(50);
@@ -247,7 +245,8 @@
     {
         c->m_sink.m_write(chunk.m_data);
     }
-    if (!c->m_sink.m_buffered || c->m_sink.m_buffered() <= max_buffered_bytes)
+    if (!c->m_sink.m_buffered ||
+        c->m_sink.m_buffered() <= limits::buffered_answer_bytes)
     {
         grant_window(h, *c);
     }
--- a/src/serve/incoming.cpp
+++ b/src/serve/incoming.cpp
@@ -1,6 +1,7 @@
 #include "serve/incoming.hpp"
 
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 #include "serve/pipeline.hpp"
 
 #include <algorithm>
@@ -13,9 +14,6 @@
 namespace
 {
 
-/// Bytes of an answer that may be sent before the receiver grants more.
-constexpr std::uint32_t initial_window_bytes = 256U << 10U;
-
 /// Bodies above this are refused before they are held.
 constexpr std::uint64_t max_forwarded_body_bytes = std::uint64_t{64} << 20U;
 
@@ -135,7 +133,7 @@
 void start(host& h, incoming_id const& id, incoming_forward forward)
 {
     auto& answer = h.m_outgoing[id];
-    answer.m_credit = initial_window_bytes;
+    answer.m_credit = static_cast<std::uint32_t>(limits::buffered_answer_bytes);
     core::request_id call_id;
     start_forwarded_call(h, origin_of(forward.m_head.m_purpose), forward.m_head,
                          std::move(forward.m_body), make_sink(h, id), call_id);
--- /dev/null
+++ b/src/serve/limits.hpp
@@ -0,0 +1,19 @@
+#ifndef HAWTHORNSPUR_SERVE_LIMITS_HPP
+#define HAWTHORNSPUR_SERVE_LIMITS_HPP
+
+#include <cstddef>
+
+namespace hawthornspur::serve::limits
+{
+
+/// Bytes of one answer that its receiver has not taken yet; above it no more is
+/// read from the target, and no more window is granted to a peer. Also the
+/// window with which a peer starts.
+inline constexpr std::size_t buffered_answer_bytes = std::size_t{256} << 10U;
+
+/// Answers up to this size are kept for copies of an at-most-once request.
+inline constexpr std::size_t kept_answer_bytes = std::size_t{64} << 10U;
+
+} // namespace hawthornspur::serve::limits
+
+#endif
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -8,6 +8,7 @@
 #include "serve/dispatch.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
 #include "serve/pools.hpp"
 #include "serve/relay.hpp"
 
@@ -36,7 +37,7 @@
 /// Classify, deduplicate and admit. The call may have ended on return.
 void run_filters(host& h, call& c)
 {
-    if (h.m_configuration.m_in_force == nullptr)
+    if (!is_ready(h))
     {
         fail_call(h, c, result_code::host_not_ready);
         return;
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -135,7 +135,7 @@
     {
         if (auto* c = find_call(m_host, e.m_request))
         {
-            start_relay(m_host, *c, e.m_attempt);
+            start_relay(*c, e.m_attempt);
         }
     }
 
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -53,6 +53,7 @@
     answer->m_target = target;
     net::exchange_options options;
     options.m_timeout = probe_timeout;
+    options.m_max_connections = known->second.m_max_connections;
     options.m_max_answer_bytes = max_probe_answer_bytes;
     net::http_request const request{
         "GET", service->m_probe_budget.m_path, {{"Host", pool.m_service}}, {}};
--- a/src/serve/relay.cpp
+++ b/src/serve/relay.cpp
@@ -3,6 +3,7 @@
 #include "serve/accept.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 
 #include <cassert>
 #include <utility>
@@ -13,13 +14,6 @@
 namespace
 {
 
-/// Reading from the target stops above this many bytes that the receiver has
-/// not taken yet.
-constexpr std::size_t max_buffered_bytes = std::size_t{256} << 10U;
-
-/// Answers up to this size are kept for copies of an at-most-once request.
-constexpr std::size_t max_kept_bytes = std::size_t{64} << 10U;
-
 void remove_own_headers(net::http_headers& list)
 {
     net::remove_hop_by_hop_headers(list);
@@ -36,7 +30,7 @@
     {
         return;
     }
-    if (c.m_kept->m_body.size() + data.size() > max_kept_bytes)
+    if (c.m_kept->m_body.size() + data.size() > limits::kept_answer_bytes)
     {
         c.m_keeps_answer = false;
         c.m_kept.reset();
@@ -45,7 +39,7 @@
     c.m_kept->m_body += data;
 }
 
-void start_relay(host& h, call& c, core::attempt_number number)
+void start_relay(call& c, core::attempt_number number)
 {
     auto& attempt = c.m_attempts.at(number);
     assert(attempt.m_head.has_value());
@@ -58,7 +52,6 @@
         c.m_keeps_answer = true;
         c.m_kept = core::kept_answer{head.m_status, head.m_headers, {}};
     }
-    h.m_metrics.count_event("answer_started");
     if (c.m_sink.m_start)
     {
         c.m_sink.m_start(std::move(head), attempt.m_length);
@@ -79,7 +72,7 @@
         return;
     }
     c->m_sink.m_write(data);
-    if (c->m_sink.m_buffered() > max_buffered_bytes)
+    if (c->m_sink.m_buffered() > limits::buffered_answer_bytes)
     {
         h.m_client->set_reading(c->m_attempts.at(number).m_exchange, false);
     }
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -90,6 +90,18 @@
     CHECK(outcome_of(refused) == "not-run");
 }
 
+// Guards against a host that starts to serve under a configuration that it
+// knows to be outdated.
+TEST_CASE("a host that has heard of a newer configuration is not ready")
+{
+    test_cluster cluster(1, 1);
+    cluster.host(0).m_is_ready = false;
+    cluster.host(0).m_configuration.m_newest_heard = 2;
+    auto const refused = cluster.ask(0, "GET", "/x");
+    CHECK(code_of(refused) == 2007);
+    CHECK(outcome_of(refused) == "not-run");
+}
+
 // Guards against a configuration that reverts when the store answers with old
 // data, and against changes that do not reach every host.
 TEST_CASE("a change reaches all hosts and an older document is not taken")
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -69,6 +69,17 @@
     }
 }
 
+// Guards against a last host that turns callers away while they still hold its
+// address: no other host can own the pool.
+TEST_CASE("a leaving host without peers serves until the old answers expire")
+{
+    test_cluster cluster(1, 1);
+    CHECK(cluster.ask(0, "GET", "/x").m_head.m_status == 200);
+    serve::begin_stop(cluster.host(0), "test");
+    auto const served = cluster.ask(0, "GET", "/x");
+    CHECK_MESSAGE(served.m_head.m_status == 200, code_of(served));
+}
+
 // Guards against a second signal that shortens the stop.
 TEST_CASE("a second stop changes nothing")
 {
