Keep the limits of targets that tell their speed; refuse in time

A kind next to route checks, which take no time, counted as ten times longer than the pool's median and was held to half of the slots.

Ruled out: too few slots (a third was used) and the store (stable).

Change: such targets keep their slots, kinds of routes have no share of their own, requests without a slot are refused one usual time before the deadline, refusals say when to come back, a stop keeps within the platform's grace, and an idle pool asks its targets for their speed at the first arrival.

--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -51,7 +51,7 @@
     {queue_full, not_run, 503, "queue_full", "The queue of the pool is full."},
     {deadline_unreachable, not_run, 503, "deadline_unreachable",
      "The expected wait exceeds the deadline."},
-    {deadline_passed_in_queue, not_run, 504, "deadline_passed_in_queue",
+    {deadline_passed_in_queue, not_run, 503, "deadline_passed_in_queue",
      "The deadline passed before a slot was free."},
     {no_target_available, not_run, 503, "no_target_available",
      "No target of the pool accepts work."},
--- a/src/config/service_section.cpp
+++ b/src/config/service_section.cpp
@@ -59,7 +59,7 @@
     constexpr auto largest_body = std::size_t{64} << 20U;
     constexpr std::uint64_t longest_queue = 1'000'000;
     read_text(reader, "name", need::required, name_rule, out.m_name);
-    read_objects(reader, "kinds", need::required, 1, max_kinds, read_kind,
+    read_objects(reader, "kinds", need::required, 0, max_kinds, read_kind,
                  out.m_kinds);
     read_objects(reader, "targets", need::required, 0, max_targets, read_target,
                  out.m_targets);
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -19,6 +19,10 @@
 
 constexpr double crash_start_share = 0.5;
 constexpr double free_slots_weight = 0.05;
+// A slot of the pool comes free within some ten milliseconds; callers follow
+// the answer to at most a third of the time that they have left.
+constexpr duration shortest_return = std::chrono::milliseconds(50);
+constexpr duration longest_return = std::chrono::seconds(2);
 
 /// Drops timers of requests that are gone from the top of the heap, so that
 /// the host is not woken for them.
@@ -145,7 +149,19 @@
     }
     if (request.m_arrival.m_deadline > now)
     {
-        if (!request.m_queued && live_attempts(request) == 1 &&
+        auto const& kind = p.m_kinds[request.m_arrival.m_kind.m_value];
+        bool const has_objective =
+            kind.m_config.m_target_latency > duration::zero();
+        if (request.m_queued)
+        {
+            if (has_objective &&
+                now + median(kind.m_times) >= request.m_arrival.m_deadline)
+            {
+                refuse_overdue(p, found, out);
+            }
+            return;
+        }
+        if (request.m_hedge && live_attempts(request) == 1 &&
             request.m_count < attempt_bound(p, request))
         {
             hedge(p, request, now, budgets, out);
@@ -241,6 +257,7 @@
     {
         return;
     }
+    wake_probing(p, now);
     p.m_last_arrival = now;
     auto const& kind = p.m_kinds[request.m_kind.m_value];
     auto const wait = expected_wait(p, kind, now);
@@ -457,6 +474,16 @@
     return next == time_point::max() ? std::nullopt : std::optional(next);
 }
 
+duration return_delay(pool const& p, kind_id kind, time_point now)
+{
+    if (kind.m_value >= p.m_kinds.size())
+    {
+        return shortest_return;
+    }
+    return std::clamp(expected_wait(p, p.m_kinds[kind.m_value], now),
+                      shortest_return, longest_return);
+}
+
 std::size_t queue_length(pool const& p) noexcept
 {
     return p.m_queued + p.m_retries.size();
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -209,6 +209,10 @@
 void take_over(pool& p, std::span<target_handover const> counts,
                time_point release_at, time_point now);
 
+/// When a refused request of this kind may find a slot: the time in which the
+/// requests that wait now are expected to be done.
+duration return_delay(pool const& p, kind_id kind, time_point now);
+
 std::size_t queue_length(pool const& p) noexcept;
 std::size_t in_flight(pool const& p) noexcept;
 
--- a/src/core/pool_accounting.cpp
+++ b/src/core/pool_accounting.cpp
@@ -49,7 +49,9 @@
         is_slow(target, pool_median, now) ||
         (target.m_outlier.m_on_trial && is_beyond_tolerance(log_ratio));
     bool const was_lowest = target.m_limit.m_limit <= 1;
-    if (!slow)
+    // A target that tells how fast it works is chosen by that. Its times vary
+    // with its neighbours, and a lower limit would stay when they are gone.
+    if (!slow || target.m_speed.m_reported)
     {
         if (!is_whole)
         {
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -115,6 +115,14 @@
     entry.m_idempotent = config.m_execution == execution_rule::idempotent;
     entry.m_hedge = config.m_hedge && entry.m_idempotent;
     push(p.m_timers, {request.m_deadline, request.m_request});
+    if (config.m_target_latency > duration::zero())
+    {
+        // From then on a slot would come too late, and the refusal leaves the
+        // caller time to come back.
+        push(p.m_timers, {request.m_deadline -
+                              median(p.m_kinds[request.m_kind.m_value].m_times),
+                          request.m_request});
+    }
     enqueue(p, entry, now);
     bind(p, now, out);
 }
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -152,6 +152,14 @@
     }
 }
 
+void wake_probing(pool& p, time_point now)
+{
+    if (now - p.m_last_arrival >= active_pool_window)
+    {
+        p.m_next_probe_check = now;
+    }
+}
+
 time_point next_check(pool const& p)
 {
     auto next = p.m_targets.empty() ? time_point::max() : p.m_next_probe_check;
--- a/src/core/pool_probing.hpp
+++ b/src/core/pool_probing.hpp
@@ -12,6 +12,10 @@
                    pool_effects& out);
 
 /// When check_targets has something to do next.
+/// Requests arrive after a pause, in which targets were asked seldom: the next
+/// check is due now. Called before the arrival is noted.
+void wake_probing(pool& p, time_point now);
+
 time_point next_check(pool const& p);
 
 } // namespace hawthornspur::core
--- /dev/null
+++ b/src/core/pool_speed_test.cpp
@@ -0,0 +1,299 @@
+#include "core/pool.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr kind_id claim{0};
+constexpr duration usual = milliseconds(100);
+constexpr duration objective = milliseconds(400);
+constexpr double slow = 7;
+
+/// A pool whose targets tell how fast they work, as neighbours on their
+/// machines slow them down by a factor of seven.
+struct fixture
+{
+    pool_ptr m_pool;
+    service_budgets m_budgets;
+    time_point m_now{std::chrono::hours(1)};
+    pool_effects m_out;
+    std::uint64_t m_next = 1;
+};
+
+fixture make_fixture(std::uint32_t targets, int slots)
+{
+    kind_config kind;
+    kind.m_name = "claim";
+    kind.m_target_latency = objective;
+    kind.m_max_attempts = 2;
+    kind.m_share_declared = true;
+    pool_rules rules;
+    rules.m_kinds = {kind};
+    fixture f;
+    f.m_pool = make_pool(rules, pool_start::fresh, f.m_now);
+    f.m_budgets.m_probe = make_token_bucket(100, 100, f.m_now);
+    f.m_budgets.m_retry.m_tokens = 10;
+    std::vector<pool_target> list;
+    for (std::uint32_t id = 0; id < targets; ++id)
+    {
+        list.push_back({{id}, slots, false, {}});
+    }
+    set_targets(*f.m_pool, list, f.m_now, f.m_budgets, f.m_out);
+    return f;
+}
+
+request_id arrive(fixture& f, duration deadline = seconds(2),
+                  bool is_spilled = false)
+{
+    arrival made;
+    made.m_request = {f.m_next++};
+    made.m_kind = claim;
+    made.m_deadline = f.m_now + deadline;
+    made.m_objective = f.m_now + objective;
+    made.m_spilled = is_spilled;
+    on_arrival(*f.m_pool, made, f.m_now, f.m_budgets, f.m_out);
+    return made.m_request;
+}
+
+template <class Effect>
+std::optional<Effect> find_effect(fixture const& f, request_id id)
+{
+    std::optional<Effect> found;
+    for (auto const& effect : f.m_out)
+    {
+        auto const* match = std::get_if<Effect>(&effect);
+        if (match != nullptr && match->m_request == id)
+        {
+            found = *match;
+        }
+    }
+    return found;
+}
+
+void wait(fixture& f, duration time)
+{
+    f.m_now += time;
+    on_timer(*f.m_pool, f.m_now, f.m_budgets, f.m_out);
+}
+
+void end(fixture& f, request_id id, double slowness)
+{
+    auto const dispatch = find_effect<dispatch_effect>(f, id);
+    REQUIRE(dispatch);
+    reported_load load;
+    load.m_slots = 2;
+    load.m_slowness = slowness;
+    on_attempt_ended(
+        *f.m_pool, {id, dispatch->m_attempt, attempt_outcome::ok, load, false},
+        f.m_now, f.m_budgets, f.m_out);
+}
+
+/// A probe of the target was answered with this slowness.
+void report(fixture& f, std::uint32_t target, double slowness)
+{
+    // The pool takes answers only to probes that it asked for.
+    wait(f, seconds(2));
+    probe_answer answer;
+    answer.m_target = {target};
+    answer.m_healthy = true;
+    answer.m_load = reported_load{0, 2, 0, slowness};
+    on_probe_answer(*f.m_pool, answer, f.m_now, f.m_budgets, f.m_out);
+}
+
+/// Serves a few requests so that the kind's usual time is known.
+void learn_usual_time(fixture& f)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const id = arrive(f);
+        f.m_now += usual;
+        end(f, id, 1);
+    }
+}
+
+std::size_t count_probes(fixture const& f)
+{
+    return static_cast<std::size_t>(std::count_if(
+        f.m_out.begin(), f.m_out.end(),
+        [](pool_effect const& effect)
+        { return std::holds_alternative<probe_effect>(effect); }));
+}
+
+} // namespace
+
+// Load: one of two targets has a busy neighbour. Guards against a request that
+// is placed there and misses its objective although another target is free.
+TEST_CASE("a target that says it is slow gets no request while another is free")
+{
+    auto f = make_fixture(2, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    report(f, 1, 1);
+    report(f, 0, slow);
+    auto const id = arrive(f);
+    REQUIRE(find_effect<dispatch_effect>(f, id));
+    CHECK(find_effect<dispatch_effect>(f, id)->m_target == target_id{1});
+}
+
+// Load: the only free slot is at a target with a busy neighbour. Guards against
+// binding there at once, when a fast slot comes free in time.
+TEST_CASE("a request waits for a fast slot while its objective allows it")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    auto const id = arrive(f);
+    CHECK(!find_effect<dispatch_effect>(f, id));
+    // The neighbour's load passes and the target says so.
+    wait(f, milliseconds(150));
+    probe_answer answer;
+    answer.m_target = {0};
+    answer.m_healthy = true;
+    answer.m_load = reported_load{0, 2, 0, 1.0};
+    on_probe_answer(*f.m_pool, answer, f.m_now, f.m_budgets, f.m_out);
+    CHECK(find_effect<dispatch_effect>(f, id));
+}
+
+// Load: all targets stay slow for long. Guards against a request that waits
+// for a fast slot until nobody can serve it any more.
+TEST_CASE("a late request takes a slow slot rather than none")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    auto const id = arrive(f, seconds(2));
+    CHECK(!find_effect<dispatch_effect>(f, id));
+    wait(f, milliseconds(310));
+    CHECK(find_effect<dispatch_effect>(f, id));
+}
+
+// Load: a peak filled the queue. Guards against requests that are late anyway
+// making all later ones late too.
+TEST_CASE("requests that can meet their objective go before late ones")
+{
+    auto f = make_fixture(1, 1);
+    learn_usual_time(f);
+    auto const running = arrive(f);
+    auto const late = arrive(f);
+    f.m_now += milliseconds(350);
+    auto const fresh = arrive(f);
+    end(f, running, 1);
+    CHECK(find_effect<dispatch_effect>(f, fresh));
+    CHECK(!find_effect<dispatch_effect>(f, late));
+    f.m_now += usual;
+    end(f, fresh, 1);
+    CHECK(find_effect<dispatch_effect>(f, late));
+}
+
+// Load: more requests than slots for longer than a deadline. Guards against a
+// refusal that comes when the caller has no time left to come back.
+TEST_CASE("a request without a slot is refused before its deadline")
+{
+    auto f = make_fixture(1, 1);
+    learn_usual_time(f);
+    arrive(f);
+    auto const waiting = arrive(f, milliseconds(500));
+    wait(f, milliseconds(390));
+    CHECK(!find_effect<refuse_effect>(f, waiting));
+    wait(f, milliseconds(20));
+    REQUIRE(find_effect<refuse_effect>(f, waiting));
+    CHECK(info(find_effect<refuse_effect>(f, waiting)->m_code).m_execution ==
+          execution::not_run);
+}
+
+// Load: neighbours slow a target down again and again. Guards against a limit
+// that was lowered by their load and stays low when they are gone.
+TEST_CASE("answers slowed by neighbours do not lower a target's limit")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const id = arrive(f);
+        if (find_effect<dispatch_effect>(f, id))
+        {
+            f.m_now += 7 * usual;
+            end(f, id, slow);
+        }
+        report(f, 0, 1);
+    }
+    auto const first = arrive(f);
+    auto const second = arrive(f);
+    CHECK(find_effect<dispatch_effect>(f, first));
+    CHECK(find_effect<dispatch_effect>(f, second));
+}
+
+// Load: local targets are slow, another zone has free slots. Guards against
+// waiting here for what the other zone does sooner.
+TEST_CASE("a request goes to another zone while local targets are slow")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    pool_summary other;
+    other.m_zone = "b";
+    other.m_free_slots = 3;
+    other.m_slots = 6;
+    on_summary(*f.m_pool, other, milliseconds(10), f.m_now);
+    auto const id = arrive(f);
+    CHECK(find_effect<spill_effect>(f, id));
+}
+
+// Guards against a request that another zone sends to targets which are slow
+// themselves.
+TEST_CASE("a spilled request is refused while all targets are slow")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    auto const id = arrive(f, seconds(2), true);
+    REQUIRE(find_effect<refuse_effect>(f, id));
+    CHECK(find_effect<refuse_effect>(f, id)->m_code ==
+          result_code::spill_refused);
+}
+
+// Guards against placement by old reports, and against probes that a pool
+// without requests pays for.
+TEST_CASE("targets are asked for their speed while requests arrive")
+{
+    auto f = make_fixture(2, 2);
+    learn_usual_time(f);
+    report(f, 0, 1);
+    report(f, 1, 1);
+    arrive(f);
+    auto const before = count_probes(f);
+    for (int i = 0; i < 8; ++i)
+    {
+        wait(f, milliseconds(25));
+    }
+    CHECK(count_probes(f) > before);
+}
+
+// Guards against a Retry-After beyond what callers can follow.
+TEST_CASE("the time to come back grows with the queue within bounds")
+{
+    auto f = make_fixture(1, 1);
+    learn_usual_time(f);
+    auto const idle = return_delay(*f.m_pool, claim, f.m_now);
+    for (int i = 0; i < 5; ++i)
+    {
+        arrive(f);
+    }
+    auto const busy = return_delay(*f.m_pool, claim, f.m_now);
+    CHECK(idle < busy);
+    CHECK(busy <= seconds(2));
+}
+
+} // namespace hawthornspur::core
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -33,7 +33,9 @@
     std::function<void(std::string_view)> m_write;
     std::function<void()> m_end;
     /// A refusal, or after m_start the sign that the answer is not whole.
-    std::function<void(result_code)> m_fail;
+    /// With a refusal that did not run, the time after which the caller may
+    /// come back.
+    std::function<void(result_code, core::duration)> m_fail;
     /// Bytes written and not yet taken by the receiver.
     std::function<std::size_t()> m_buffered;
 };
@@ -122,6 +124,8 @@
     core::pool_id m_pool;
     answer_sink m_sink;
     bool m_is_receiver_gone = false;
+    /// What the host that refused the request said about coming back.
+    core::duration m_retry_after{0};
 
     /// Set when this host is the home of the key and runs the request.
     std::optional<core::once_key> m_key;
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "net/http_refusal.hpp"
 #include "serve/address_answer.hpp"
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
 
@@ -17,6 +18,8 @@
 
 using exchange_ptr = std::shared_ptr<net::http_exchange>;
 
+constexpr int status_unavailable = 503;
+
 /// A leaving host closes kept connections, so that callers ask for addresses
 /// anew and no request is lost when the process ends.
 void close_when_leaving(host const& h, net::http_response_head& head)
@@ -44,7 +47,7 @@
     {
         exchange->end();
     };
-    sink.m_fail = [&h, exchange](result_code code)
+    sink.m_fail = [&h, exchange](result_code code, core::duration retry_after)
     {
         if (exchange->is_started())
         {
@@ -53,6 +56,12 @@
         }
         auto refusal = net::make_refusal(code);
         close_when_leaving(h, refusal.m_head);
+        if (refusal.m_head.m_status == status_unavailable &&
+            info(code).m_execution == execution::not_run)
+        {
+            h.m_adapter.m_interface.m_add_retry_after(refusal.m_head.m_headers,
+                                                      retry_after);
+        }
         exchange->reply(refusal.m_head, refusal.m_body);
     };
     sink.m_buffered = [exchange]
@@ -66,6 +75,16 @@
                 exchange_ptr const& exchange)
 {
     begin_pass(h);
+    if (h.m_stop == stop_stage::finishing || h.m_stop == stop_stage::finished)
+    {
+        // It might not be answered before the process ends.
+        auto refusal = net::make_refusal(result_code::host_leaving);
+        close_when_leaving(h, refusal.m_head);
+        h.m_adapter.m_interface.m_add_retry_after(refusal.m_head.m_headers,
+                                                  elsewhere_delay);
+        exchange->reply(refusal.m_head, refusal.m_body);
+        return;
+    }
     if (request.m_uri.starts_with(address_path))
     {
         answer_addresses(h, request, *exchange);
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -105,6 +105,12 @@
         retries.m_burst = budget_safety *
                           bounds.m_retry_burst.value_or(retries.m_burst) /
                           static_cast<double>(owners);
+        for (auto& kind : service.m_kinds)
+        {
+            // Such documents have no shares. Requests that only try a route
+            // take no time, so that the usual ones would look long.
+            kind.m_share_declared = true;
+        }
         auto& probes = service.m_probe_budget;
         if (bounds.m_probes_per_second)
         {
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -284,6 +284,7 @@
                               refusal.m_code == result_code::ok
                           ? result_code::peer_link_lost
                           : refusal.m_code;
+    c->m_retry_after = refusal.m_retry_after;
     bool const did_not_run =
         !c->m_is_answer_started && info(code).m_execution == execution::not_run;
     if (did_not_run && forwarded.m_purpose == net::forward_purpose::spill)
--- a/src/serve/incoming.cpp
+++ b/src/serve/incoming.cpp
@@ -17,9 +17,11 @@
 /// Bodies above this are refused before they are held.
 constexpr std::uint64_t max_forwarded_body_bytes = std::uint64_t{64} << 20U;
 
-void send_refusal(host& h, incoming_id const& id, result_code code)
+void send_refusal(host& h, incoming_id const& id, result_code code,
+                  core::duration retry_after = core::duration(0))
 {
-    static_cast<void>(h.m_peers->send(id.first, net::refusal{id.second, code}));
+    static_cast<void>(
+        h.m_peers->send(id.first, net::refusal{id.second, code, retry_after}));
 }
 
 /// A piece of the answer could not be queued: the answer must not look whole
@@ -103,10 +105,10 @@
             flush_answer(h, id);
         }
     };
-    sink.m_fail = [&h, id](result_code code)
+    sink.m_fail = [&h, id](result_code code, core::duration retry_after)
     {
         h.m_outgoing.erase(id);
-        send_refusal(h, id, code);
+        send_refusal(h, id, code, retry_after);
     };
     sink.m_buffered = [&h, id]() -> std::size_t
     {
--- a/src/serve/limits.hpp
+++ b/src/serve/limits.hpp
@@ -1,8 +1,18 @@
 #ifndef HAWTHORNSPUR_SERVE_LIMITS_HPP
 #define HAWTHORNSPUR_SERVE_LIMITS_HPP
 
+#include <chrono>
 #include <cstddef>
 
+namespace hawthornspur::serve
+{
+
+/// A caller that another host can serve may come back this soon; it opens a new
+/// connection anyway.
+inline constexpr std::chrono::milliseconds elsewhere_delay{50};
+
+} // namespace hawthornspur::serve
+
 namespace hawthornspur::serve::limits
 {
 
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -8,6 +8,7 @@
 #include "serve/dispatch.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
+#include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/pools.hpp"
 #include "serve/relay.hpp"
@@ -156,12 +157,32 @@
     }
 }
 
+namespace
+{
+
+/// When the caller of a refused call may come back. A host that forwarded the
+/// request passes on what the owner of the pool said.
+core::duration return_delay(host& h, call const& c)
+{
+    if (c.m_retry_after > core::duration(0))
+    {
+        return c.m_retry_after;
+    }
+    auto const* hosted = find_pool(h, c.m_pool);
+    return hosted == nullptr
+               ? elsewhere_delay
+               : core::return_delay(*hosted->m_pool, c.m_classified.m_kind_id,
+                                    now());
+}
+
+} // namespace
+
 void fail_call(host& h, call& c, result_code code)
 {
     settle_key(h, c, code);
     if (c.m_sink.m_fail)
     {
-        c.m_sink.m_fail(code);
+        c.m_sink.m_fail(code, return_delay(h, c));
     }
     end_call(h, c, code);
 }
--- a/src/serve/stop.cpp
+++ b/src/serve/stop.cpp
@@ -17,11 +17,33 @@
 /// Time for the last answers and messages to leave the socket buffers.
 constexpr auto linger = std::chrono::milliseconds(200);
 
-core::duration answer_lifetime(host const& h)
+/// Between the end of the stop and the platform's signal that ends the process.
+constexpr auto kill_margin = std::chrono::milliseconds(500);
+
+/// Share of the bound in which new requests are taken; the longest route has a
+/// third of the usual bound of 6 s.
+constexpr double leaving_share = 0.6;
+
+/// How long the stop may take: within the settings, and early enough before the
+/// platform ends the process.
+core::duration stop_bound(host const& h)
+{
+    auto const& grace = h.m_bounds.m_stop_grace;
+    return grace ? std::min(h.m_settings.m_stop_bound,
+                            std::max(core::duration(0), *grace - kill_margin))
+                 : h.m_settings.m_stop_bound;
+}
+
+/// How long callers that hold an old address answer are served. The rest of the
+/// bound is for requests in flight.
+core::duration leaving_time(host const& h)
 {
-    return h.m_configuration.m_in_force == nullptr
-               ? core::duration(0)
-               : h.m_configuration.m_in_force->m_address_lifetime;
+    auto const lifetime =
+        h.m_configuration.m_in_force == nullptr
+            ? core::duration(0)
+            : h.m_configuration.m_in_force->m_address_lifetime;
+    return std::min(lifetime, std::chrono::duration_cast<core::duration>(
+                                  stop_bound(h) * leaving_share));
 }
 
 void cut_remaining_calls(host& h)
@@ -66,8 +88,8 @@
     logging::write(logging::level::info, "serve.stop", "planned stop begins",
                    {{"reason", reason}});
     h.m_stop = stop_stage::leaving;
-    h.m_stop_deadline = now() + h.m_settings.m_stop_bound;
-    h.m_answers_expire = now() + answer_lifetime(h);
+    h.m_stop_deadline = now() + stop_bound(h);
+    h.m_answers_expire = now() + leaving_time(h);
     announce_self(h);
 }
 
