Log refusals and failed attempts with their inputs

Cause: a failed request left one line that named its code but neither the target, the attempts nor what the pool knew.

Now a refusal by a pool, an attempt without an answer and the end of a call are a line each, all with the caller's request id; other hosts' lines of the same request are found by the same id.

--- a/src/serve/account.cpp
+++ b/src/serve/account.cpp
@@ -18,6 +18,22 @@
     return std::to_string(duration<double, std::milli>(value).count());
 }
 
+std::string_view to_string(call_origin origin)
+{
+    switch (origin)
+    {
+    case call_origin::caller:
+        return "caller";
+    case call_origin::forwarded_to_owner:
+        return "forwarded_to_owner";
+    case call_origin::spilled:
+        return "spilled";
+    case call_origin::forwarded_to_home:
+        break;
+    }
+    return "forwarded_to_home";
+}
+
 void log_call(call const& c, result_code code, core::duration total)
 {
     auto const severity =
@@ -26,15 +42,26 @@
     {
         return;
     }
-    auto const id =
-        net::find_header(c.m_accepted.m_request.m_headers, "X-Request-Id");
-    logging::write(severity, "serve.account", "call ended",
-                   {{"request", std::to_string(c.m_id.m_value)},
-                    {"request_id", std::string(id.value_or(""))},
-                    {"service", c.m_accepted.m_service},
-                    {"code", std::to_string(static_cast<unsigned>(code))},
-                    {"name", std::string(info(code).m_name)},
-                    {"total_ms", in_milliseconds(total)}});
+    auto const& classified = c.m_classified;
+    logging::write(
+        severity, "serve.account", "call ended",
+        {{"request", std::to_string(c.m_id.m_value)},
+         {"request_id", c.m_accepted.m_request_id},
+         {"service", c.m_accepted.m_service},
+         {"kind", classified.m_kind == nullptr ? std::string()
+                                               : classified.m_kind->m_name},
+         {"zone", c.m_pool.m_zone},
+         {"generation",
+          classified.m_configuration == nullptr
+              ? std::string()
+              : std::to_string(classified.m_configuration->m_generation)},
+         {"attempts", std::to_string(c.m_attempts_made)},
+         {"last_target", c.m_last_target},
+         {"returned_spills", std::to_string(c.m_spills_returned)},
+         {"origin", std::string(to_string(c.m_origin))},
+         {"code", std::to_string(static_cast<unsigned>(code))},
+         {"name", std::string(info(code).m_name)},
+         {"total_ms", in_milliseconds(total)}});
 }
 
 } // namespace
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -137,6 +137,8 @@
     /// Times that another zone refused the request.
     int m_spills_returned = 0;
     std::map<core::attempt_number, call_attempt> m_attempts;
+    int m_attempts_made = 0;
+    std::string m_last_target;
     core::attempt_number m_relayed_attempt = 0;
     bool m_is_answer_started = false;
     core::duration m_target_time{0};
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -135,6 +135,34 @@
     announce_answer(h, *c, number);
 }
 
+/// Why an attempt gave no answer.
+std::string_view describe(net::exchange_outcome outcome,
+                          call_attempt const& attempt)
+{
+    if (attempt.m_is_other_target)
+    {
+        return "attempt reached another target";
+    }
+    switch (outcome)
+    {
+    case net::exchange_outcome::complete:
+        return "attempt refused by its target as not run";
+    case net::exchange_outcome::connect_failed:
+        return "attempt found no connection";
+    case net::exchange_outcome::silent:
+        return "attempt got no answer in time";
+    case net::exchange_outcome::malformed:
+        return "attempt got an answer that cannot be parsed";
+    case net::exchange_outcome::truncated:
+        return "attempt got a part of an answer";
+    case net::exchange_outcome::too_large:
+        return "attempt got an answer above the cap";
+    case net::exchange_outcome::closed:
+        break;
+    }
+    return "attempt lost its connection";
+}
+
 /// The answer that is being relayed ended.
 void finish_relayed(host& h, call& c, net::exchange_outcome outcome)
 {
@@ -172,6 +200,11 @@
     auto const attempt = std::move(c->m_attempts.at(number));
     c->m_attempts.erase(number);
     c->m_target_time += now() - attempt.m_started;
+    if (outcome != net::exchange_outcome::complete || attempt.m_is_shed ||
+        attempt.m_is_other_target)
+    {
+        log_attempt(*c, number, attempt, describe(outcome, attempt));
+    }
     core::attempt_end const end{id, number, outcome_of(outcome, attempt),
                                 attempt.m_load, attempt.m_is_draining};
     auto const pool = c->m_pool;
@@ -202,6 +235,8 @@
     attempt.m_target = effect.m_target;
     attempt.m_started = now();
     attempt.m_target_name = target->second.m_name;
+    ++c.m_attempts_made;
+    c.m_last_target = attempt.m_target_name;
     mark_key_dispatched(h, c);
     h.m_metrics.count_attempt(c.m_classified.m_service->m_name,
                               effect.m_reason);
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -113,6 +113,31 @@
     }
 }
 
+/// The inputs of a refusal by the pool.
+void log_refusal(hosted_pool const& hosted, call const& c, result_code code)
+{
+    auto const summary =
+        core::summarize(*hosted.m_pool, hosted.m_id.m_zone, now());
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    logging::write(
+        logging::level::info, "serve.pools", "request refused",
+        {{"request_id", c.m_accepted.m_request_id},
+         {"service", hosted.m_id.m_service},
+         {"zone", hosted.m_id.m_zone},
+         {"name", std::string(info(code).m_name)},
+         {"queued", std::to_string(summary.m_queued)},
+         {"in_flight", std::to_string(core::in_flight(*hosted.m_pool))},
+         {"slots", std::to_string(summary.m_slots)},
+         {"free_slots", std::to_string(summary.m_free_slots)},
+         {"time_left_ms", std::to_string(duration_cast<milliseconds>(
+                                             c.m_classified.m_deadline - now())
+                                             .count())},
+         {"waited_ms",
+          std::to_string(
+              duration_cast<milliseconds>(now() - c.m_arrived).count())}});
+}
+
 /// One effect of a pool on the host. Follow-up effects are appended.
 struct effect_visitor
 {
@@ -134,6 +159,7 @@
         if (auto* c = find_call(m_host, e.m_request))
         {
             c->m_is_queued = false;
+            log_refusal(m_hosted, *c, e.m_code);
             bool const is_late = e.m_code == result_code::target_silent &&
                                  now() >= c->m_classified.m_deadline;
             fail_call(m_host, *c,
