--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -128,7 +128,10 @@
     if (h.m_store != nullptr)
     {
         complete_document(h, document);
-        document = core::with_targets(document, h.m_store->m_directory);
+        if (knows_targets(h))
+        {
+            document = core::with_targets(document, h.m_store->m_directory);
+        }
     }
     auto shared =
         std::make_shared<core::configuration const>(std::move(document));
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -5,6 +5,7 @@
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
 #include "serve/pools.hpp"
+#include "serve/store_follower.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -196,6 +197,12 @@
     apply_membership(h, effects);
 }
 
+bool may_route(host const& h) noexcept
+{
+    return h.m_is_ready ||
+           (h.m_store != nullptr && core::is_current(h.m_configuration));
+}
+
 bool is_ready(host const& h) noexcept
 {
     return h.m_is_ready;
@@ -205,7 +212,8 @@
 {
     // Once ready, a host stays ready: a newer generation that it does not have
     // yet is no reason to stop serving under the old one.
-    h.m_is_ready = h.m_is_ready || core::is_current(h.m_configuration);
+    h.m_is_ready = h.m_is_ready ||
+                   (core::is_current(h.m_configuration) && knows_targets(h));
     auto state = core::host_state::joining;
     if (h.m_stop != stop_stage::running)
     {
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -39,6 +39,11 @@
 /// The state as it stands in logs and in /status.
 std::string_view to_string(core::host_state state) noexcept;
 
+/// Whether the host may pass requests on to owners of pools. A host that starts
+/// without reaching the store knows the document of its peers, but owns no pool
+/// before it has read the targets itself.
+bool may_route(host const& h) noexcept;
+
 /// Whether this host has a configuration and takes part.
 bool is_ready(host const& h) noexcept;
 
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -38,7 +38,7 @@
 /// Classify, deduplicate and admit. The call may have ended on return.
 void run_filters(host& h, call& c)
 {
-    if (!is_ready(h))
+    if (!may_route(h))
     {
         fail_call(h, c, result_code::host_not_ready);
         return;
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -177,7 +177,9 @@
                    {{"targets", std::to_string(targets.size())},
                     {"revision", std::to_string(range.m_as_of)}});
     core::replace_targets(h.m_store->m_directory, std::move(targets), now());
+    h.m_store->m_has_read_targets = true;
     apply_targets(h);
+    announce_self(h);
 }
 
 void take_target_changes(host& h, platform::range_changes const& changes)
@@ -436,6 +438,11 @@
 
 } // namespace
 
+bool knows_targets(host const& h) noexcept
+{
+    return h.m_store == nullptr || h.m_store->m_has_read_targets;
+}
+
 status start_store_follower(host& h)
 {
     h.m_store = std::make_unique<store_follower>();
--- a/src/serve/store_follower.hpp
+++ b/src/serve/store_follower.hpp
@@ -38,6 +38,7 @@
     range_feed m_configuration;
     range_feed m_targets;
     core::target_directory m_directory;
+    bool m_has_read_targets = false;
     std::unique_ptr<net::timer> m_drop_timer;
 
     /// Registration of this host and the list of the others.
@@ -48,6 +49,9 @@
     int m_host_reads = 0;
 };
 
+/// Whether the host has read the targets, or takes them from its document.
+bool knows_targets(host const& h) noexcept;
+
 /// Starts following the store and registers this host there.
 status start_store_follower(host& h);
 
