Keep the capacity of targets that refuse although they have room

Each refusal lowered the target's limit and held a slot for the usual time of a request, so that the pool lost more capacity than the targets refused; then the retry budget, half of what is allowed, was empty.

Ruled out: a queue that is served in the wrong order (the queue was short outside of the refusals), slow targets (two, from 9 s to 15 s).

Such a refusal now only makes the target a later choice, and a target that refuses four in five is ejected. Retries use four fifths of the allowed ratio. Hosts that own no pool read changes of targets every 1.2 s.

--- a/src/core/pool_accounting.cpp
+++ b/src/core/pool_accounting.cpp
@@ -13,6 +13,10 @@
 constexpr double largest_load_without = 0.9;
 // Below this share of the others' slots, its own work does not count.
 constexpr double smallest_contribution = 0.05;
+// About five attempts tell how much a target refuses at the moment.
+constexpr double refusal_weight = 0.2;
+// A target that still serves one attempt in five is better than none.
+constexpr double largest_refusal_share = 0.8;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Whether the pool does without the target: the others can carry the present
@@ -128,6 +132,23 @@
     }
 }
 
+bool has_free_slots(std::optional<reported_load> const& load)
+{
+    return load && load->m_waiting == 0 && load->m_in_flight < load->m_slots;
+}
+
+/// The target refused although it had room, so that neither a lower limit nor a
+/// held slot would help: it is only chosen less, and left alone for a while
+/// when it refuses nearly everything.
+void note_groundless_refusal(pool& p, target_entry& target, time_point now)
+{
+    target.m_refusal_share += refusal_weight * (1 - target.m_refusal_share);
+    if (target.m_refusal_share > largest_refusal_share)
+    {
+        eject_if_allowed(p, target, now);
+    }
+}
+
 } // namespace
 
 void note_load(target_entry& target, std::optional<reported_load> const& load,
@@ -153,6 +174,7 @@
     if (end.m_outcome == attempt_outcome::ok)
     {
         target.m_heard = now;
+        target.m_refusal_share -= refusal_weight * target.m_refusal_share;
         note_whole_answer(p, target, kind, attempt, now);
         return;
     }
@@ -161,6 +183,12 @@
         note_cancelled(p, target, kind, attempt, now);
         return;
     }
+    if (end.m_outcome == attempt_outcome::shed && has_free_slots(end.m_load))
+    {
+        target.m_heard = now;
+        note_groundless_refusal(p, target, now);
+        return;
+    }
     hold_slot(target, kind, attempt.m_dispatched, now);
     if (end.m_outcome == attempt_outcome::shed)
     {
--- a/src/core/pool_binding.cpp
+++ b/src/core/pool_binding.cpp
@@ -76,7 +76,7 @@
         auto const own =
             static_cast<double>(target.m_in_flight) / target.m_spec.m_slots;
         candidate const next{&target, is_slow(target, median, now), slowness,
-                             slowness + own +
+                             slowness + own + target.m_refusal_share +
                                  0.1 * target.m_reported_utilization};
         if (is_better(next, best))
         {
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -281,6 +281,56 @@
     CHECK(count_probes(f) > before);
 }
 
+// Load: targets refuse part of their requests although they have free slots.
+// Guards against limits and held slots that take the rest of the capacity too.
+TEST_CASE("refusals with free slots do not shrink a target")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    reported_load const free_slots{0, 2, 0, 1.0};
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const id = arrive(f);
+        REQUIRE(find_effect<dispatch_effect>(f, id));
+        on_attempt_ended(*f.m_pool,
+                         {id, 1, attempt_outcome::shed, free_slots, false},
+                         f.m_now, f.m_budgets, f.m_out);
+    }
+    auto const first = arrive(f);
+    auto const second = arrive(f);
+    CHECK(find_effect<dispatch_effect>(f, first));
+    CHECK(find_effect<dispatch_effect>(f, second));
+}
+
+// Load: one target refuses everything at once and so always has a free slot.
+// Guards against a target that attracts the requests which it refuses.
+TEST_CASE("a target that refuses is chosen after one that serves")
+{
+    auto f = make_fixture(2, 2);
+    learn_usual_time(f);
+    reported_load const free_slots{0, 2, 0, 1.0};
+    auto const id = arrive(f);
+    auto const refusing = find_effect<dispatch_effect>(f, id)->m_target;
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const next = arrive(f);
+        auto const dispatch = find_effect<dispatch_effect>(f, next);
+        REQUIRE(dispatch);
+        bool const is_refused = dispatch->m_target == refusing;
+        on_attempt_ended(
+            *f.m_pool,
+            {next, 1, is_refused ? attempt_outcome::shed : attempt_outcome::ok,
+             free_slots, false},
+            f.m_now, f.m_budgets, f.m_out);
+    }
+    on_attempt_ended(*f.m_pool,
+                     {id, 1, attempt_outcome::shed, free_slots, false}, f.m_now,
+                     f.m_budgets, f.m_out);
+    auto const last = arrive(f);
+    REQUIRE(find_effect<dispatch_effect>(f, last));
+    CHECK(find_effect<dispatch_effect>(f, last)->m_target != refusing);
+}
+
 // Guards against a Retry-After beyond what callers can follow.
 TEST_CASE("the time to come back grows with the queue within bounds")
 {
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -47,6 +47,9 @@
     /// Last load that the target reported with an answer, as a share.
     double m_reported_utilization = 0;
     target_speed m_speed;
+    /// Moving share of attempts that the target refused although it had slots
+    /// free.
+    double m_refusal_share = 0;
     time_point m_dispatched{};
     /// Last answer, to a request or a probe.
     time_point m_heard{};
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -38,9 +38,10 @@
 /// answer costs this host about as much as a request.
 constexpr core::duration longest_address_lifetime = std::chrono::seconds(4);
 
-/// Share of a bound on all hosts that they use: owners may change within one
-/// window of the bound.
-constexpr double budget_safety = 0.5;
+/// Share of a bound on all hosts that they use. Retries are earned by answers,
+/// so that the ratio holds however many hosts there are; the rest is for
+/// attempts that cross the end of a window.
+constexpr double budget_safety = 0.8;
 
 std::string_view to_string(core::configuration_source source)
 {
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -23,8 +23,13 @@
 constexpr auto watch_wait = std::chrono::seconds(25);
 
 /// Changes that come together are read with one call: targets that start write
-/// one after the other. Well below the time in which a change has to be known.
-constexpr auto change_interval = std::chrono::milliseconds(300);
+/// one after the other. Well below the 2 s in which a change has to be known;
+/// a host that owns no pool uses its targets only after it has become an owner.
+constexpr auto owner_change_interval = std::chrono::milliseconds(300);
+constexpr auto other_change_interval = std::chrono::milliseconds(1200);
+
+/// A document is in force with the next pass.
+constexpr auto document_change_interval = std::chrono::milliseconds(50);
 
 /// Pause before a call that failed is made again. The limiter adds pauses of
 /// its own in an outage.
@@ -254,6 +259,18 @@
     }
 }
 
+core::duration change_interval(host const& h, range_feed const& feed)
+{
+    if (&feed != &h.m_store->m_targets)
+    {
+        return document_change_interval;
+    }
+    bool const is_owner =
+        std::any_of(h.m_pools.begin(), h.m_pools.end(),
+                    [](auto const& entry) { return entry.second->m_is_owned; });
+    return is_owner ? owner_change_interval : other_change_interval;
+}
+
 void read_snapshot(host& h, range_feed& feed)
 {
     h.m_platform.m_get_range(
@@ -298,7 +315,7 @@
                 read_feed(h, feed);
                 return;
             }
-            feed.m_timer->start(change_interval);
+            feed.m_timer->start(change_interval(h, feed));
         });
 }
 
