--- /dev/null
+++ b/tests/store_platform_test.cpp
@@ -0,0 +1,402 @@
+#include "base/logging.hpp"
+#include "base/text.hpp"
+#include "config/document.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "serve/host.hpp"
+#include "serve/membership_driver.hpp"
+#include "serve/store_follower.hpp"
+#include "target_emulator/target_emulator.hpp"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hawthornspur::test
+{
+
+namespace
+{
+
+constexpr char const* document_key = "conf/document";
+constexpr char const* target_prefix = "targets/";
+constexpr auto hang_bound = std::chrono::seconds(30);
+
+/// A store in memory that all hosts of a test share.
+struct memory_store
+{
+    struct item
+    {
+        std::string m_value;
+        std::uint64_t m_revision = 0;
+    };
+    struct watch
+    {
+        std::string m_prefix;
+        platform::callback<platform::range_changes> m_done;
+    };
+    net::event_loop* m_loop = nullptr;
+    std::map<std::string, item> m_items;
+    std::vector<watch> m_watches;
+    std::uint64_t m_revision = 1;
+    int m_snapshots = 0;
+};
+
+/// What one host's calls meet.
+struct store_view
+{
+    memory_store* m_store = nullptr;
+    /// The store gives this host neither the document nor the targets.
+    bool m_is_refused = false;
+};
+
+void answer_watches(memory_store& s, std::string const& key,
+                    std::optional<std::string> const& value)
+{
+    std::vector<memory_store::watch> rest;
+    for (auto& watch : s.m_watches)
+    {
+        if (!key.starts_with(watch.m_prefix))
+        {
+            rest.push_back(std::move(watch));
+            continue;
+        }
+        platform::range_changes changes;
+        changes.m_events = {{key, value, s.m_revision}};
+        changes.m_as_of = s.m_revision;
+        s.m_loop->post([done = watch.m_done, changes] { done(changes); });
+    }
+    s.m_watches = std::move(rest);
+}
+
+void put(memory_store& s, std::string const& key, std::string const& value)
+{
+    s.m_items[key] = {value, ++s.m_revision};
+    answer_watches(s, key, value);
+}
+
+void remove(memory_store& s, std::string const& key)
+{
+    s.m_items.erase(key);
+    ++s.m_revision;
+    answer_watches(s, key, std::nullopt);
+}
+
+void lose_history(memory_store& s)
+{
+    for (auto const& watch : std::exchange(s.m_watches, {}))
+    {
+        s.m_loop->post(
+            [done = watch.m_done]
+            { done(make_error(result_code::history_lost, "compacted")); });
+    }
+}
+
+platform::stored_range read_range(memory_store& s, std::string const& prefix)
+{
+    platform::stored_range range;
+    range.m_as_of = s.m_revision;
+    for (auto const& [key, item] : s.m_items)
+    {
+        if (key.starts_with(prefix))
+        {
+            range.m_items.push_back({key, item.m_value, item.m_revision});
+        }
+    }
+    return range;
+}
+
+platform::platform_calls make_calls(store_view& view)
+{
+    auto& s = *view.m_store;
+    platform::platform_calls calls;
+    calls.m_create_lease =
+        [&s](core::duration, platform::callback<std::string> done)
+    {
+        s.m_loop->post([done] { done(std::string("1")); });
+    };
+    calls.m_renew_lease =
+        [&s](std::string const&, platform::callback<std::monostate> done)
+    {
+        s.m_loop->post([done] { done(std::monostate{}); });
+    };
+    calls.m_put_leased = [&s](std::string const& key, std::string const& value,
+                              std::string const&,
+                              platform::callback<std::uint64_t> done)
+    {
+        put(s, key, value);
+        s.m_loop->post([done, revision = s.m_revision] { done(revision); });
+    };
+    calls.m_get_range =
+        [&view, &s](std::string const& prefix, platform::freshness,
+                    platform::callback<platform::stored_range> done)
+    {
+        if (view.m_is_refused && (prefix == target_prefix || prefix == "conf/"))
+        {
+            s.m_loop->post(
+                [done] {
+                    done(make_error(result_code::store_unavailable, "refused"));
+                });
+            return;
+        }
+        s.m_snapshots += prefix == target_prefix ? 1 : 0;
+        s.m_loop->post([done, range = read_range(s, prefix)] { done(range); });
+    };
+    calls.m_watch_range = [&s](std::string const& prefix, std::uint64_t after,
+                               core::duration,
+                               platform::callback<platform::range_changes> done)
+    {
+        platform::range_changes changes;
+        changes.m_as_of = s.m_revision;
+        for (auto const& item : read_range(s, prefix).m_items)
+        {
+            if (item.m_revision > after)
+            {
+                changes.m_events.push_back(
+                    {item.m_key, item.m_value, item.m_revision});
+            }
+        }
+        if (changes.m_events.empty())
+        {
+            s.m_watches.push_back({prefix, std::move(done)});
+            return;
+        }
+        s.m_loop->post([done, changes] { done(changes); });
+    };
+    return calls;
+}
+
+result<core::configuration> read_document(std::string_view text)
+{
+    auto parsed = config::parse_document(text);
+    if (auto* document = std::get_if<core::configuration>(&parsed))
+    {
+        return std::move(*document);
+    }
+    return make_error(result_code::store_answer_malformed, "document");
+}
+
+/// An entry is the target's port.
+result<core::registered_target> read_target(std::string_view key,
+                                            std::string_view value)
+{
+    auto const port = parse_number<std::uint16_t>(value);
+    if (!port)
+    {
+        return make_error(result_code::store_answer_malformed, "entry");
+    }
+    core::registered_target target;
+    target.m_name = key.substr(std::string_view(target_prefix).size());
+    target.m_service = "map";
+    target.m_zone = "a";
+    target.m_address = "127.0.0.1";
+    target.m_port = *port;
+    target.m_slots = 3;
+    return target;
+}
+
+serve::platform_adapter make_adapter(store_view& view)
+{
+    auto adapter = serve::make_own_platform();
+    adapter.m_make_calls = [&view](net::http_client&, net::endpoint const&)
+    {
+        return make_calls(view);
+    };
+    platform::store_layout layout;
+    layout.m_configuration_prefix = "conf/";
+    layout.m_configuration_key = document_key;
+    layout.m_target_prefix = target_prefix;
+    layout.m_read_configuration = read_document;
+    layout.m_read_target = read_target;
+    adapter.m_store = std::move(layout);
+    return adapter;
+}
+
+std::string make_document()
+{
+    core::configuration document;
+    document.m_generation = 3;
+    document.m_change_id = "3";
+    document.m_zones = {{"a", "r", {}, {}}};
+    core::service_config service;
+    service.m_name = "map";
+    core::kind_config read;
+    read.m_name = "read";
+    read.m_method = "GET";
+    read.m_path_prefix = "/";
+    read.m_execution = core::execution_rule::idempotent;
+    service.m_kinds = {read};
+    document.m_services = {service};
+    return config::print_document(document);
+}
+
+struct fixture
+{
+    std::unique_ptr<net::event_loop> m_loop;
+    std::unique_ptr<net::http_client> m_client;
+    memory_store m_store;
+    std::unique_ptr<tools::target_emulator> m_target;
+    std::vector<std::unique_ptr<store_view>> m_views;
+    std::vector<std::unique_ptr<serve::host>> m_hosts;
+};
+
+void run_until(fixture& f, std::function<bool()> const& condition)
+{
+    auto const start = net::event_loop::now();
+    while (!condition())
+    {
+        REQUIRE(net::event_loop::now() - start < hang_bound);
+        f.m_loop->run_pending();
+        std::this_thread::sleep_for(std::chrono::microseconds(50));
+    }
+}
+
+std::unique_ptr<fixture> make_fixture()
+{
+    logging::start(logging::level::error);
+    auto f = std::make_unique<fixture>();
+    f->m_loop = take(net::event_loop::create());
+    f->m_client = take(net::http_client::create(*f->m_loop));
+    f->m_store.m_loop = f->m_loop.get();
+    tools::target_settings settings;
+    settings.m_name = "t1";
+    f->m_target = take(tools::target_emulator::create(*f->m_loop, settings));
+    put(f->m_store, document_key, make_document());
+    put(f->m_store, "targets/t1", std::to_string(f->m_target->port()));
+    return f;
+}
+
+void start_host(fixture& f, std::string const& name, bool is_refused = false)
+{
+    auto view = std::make_unique<store_view>();
+    view->m_store = &f.m_store;
+    view->m_is_refused = is_refused;
+    config::host_settings settings;
+    settings.m_name = name;
+    settings.m_zone = "a";
+    settings.m_max_owners_per_zone = 1;
+    settings.m_platform_calls_per_second = 1000;
+    f.m_hosts.push_back(
+        take(serve::create_host(*f.m_loop, settings, make_adapter(*view))));
+    f.m_views.push_back(std::move(view));
+}
+
+int ask(fixture& f, std::size_t host)
+{
+    std::optional<int> status;
+    int head_status = 0;
+    net::http_request const request{
+        "GET", "/x", {{"Hawthornspur-Service", "map"}}, {}};
+    f.m_client->send({"127.0.0.1", f.m_hosts[host]->m_callers->port()}, request,
+                     {},
+                     {.m_on_head = [&](net::http_response_head const& head,
+                                       std::optional<std::uint64_t>)
+                      { head_status = head.m_status; },
+                      .m_on_data = {},
+                      .m_on_end =
+                          [&](net::exchange_outcome)
+                      {
+                          status = head_status;
+                      }});
+    run_until(f, [&] { return status.has_value(); });
+    return *status;
+}
+
+} // namespace
+
+// Guards against hosts that need the project's own store format or host list.
+TEST_CASE("hosts find document, targets and each other in a platform's store")
+{
+    auto const f = make_fixture();
+    start_host(*f, "entry-1");
+    start_host(*f, "entry-2");
+    run_until(*f,
+              [&]
+              {
+                  return serve::is_ready(*f->m_hosts[0]) &&
+                         serve::is_ready(*f->m_hosts[1]) &&
+                         f->m_hosts[0]->m_peers->is_linked("entry-2") &&
+                         f->m_hosts[1]->m_peers->is_linked("entry-1");
+              });
+    CHECK(ask(*f, 0) == 200);
+    CHECK(ask(*f, 1) == 200);
+    CHECK(f->m_hosts[0]->m_configuration.m_in_force->m_generation == 3);
+}
+
+// Guards against a host that cannot read the targets, takes the document of a
+// peer, owns its zone's pools and refuses everything.
+TEST_CASE("a host that has not read the targets passes requests on")
+{
+    auto const f = make_fixture();
+    start_host(*f, "entry-1");
+    start_host(*f, "entry-2", true);
+    run_until(*f,
+              [&]
+              {
+                  return serve::is_ready(*f->m_hosts[0]) &&
+                         serve::may_route(*f->m_hosts[1]) &&
+                         f->m_hosts[1]->m_peers->is_linked("entry-1");
+              });
+    run_until(*f,
+              [&]
+              {
+                  auto const* other =
+                      core::find_host(f->m_hosts[1]->m_routing, "entry-1");
+                  return other != nullptr &&
+                         other->m_state == core::host_state::live;
+              });
+    CHECK(!serve::is_ready(*f->m_hosts[1]));
+    CHECK(ask(*f, 1) == 200);
+    f->m_views[1]->m_is_refused = false;
+    run_until(*f, [&] { return serve::is_ready(*f->m_hosts[1]); });
+    CHECK(ask(*f, 1) == 200);
+}
+
+// Guards against requests to a target whose entry is gone.
+TEST_CASE("a target without entry gets no request")
+{
+    auto const f = make_fixture();
+    start_host(*f, "entry-1");
+    run_until(*f, [&] { return serve::is_ready(*f->m_hosts[0]); });
+    CHECK(ask(*f, 0) == 200);
+    remove(f->m_store, "targets/t1");
+    run_until(*f,
+              [&]
+              {
+                  auto const& document =
+                      *f->m_hosts[0]->m_configuration.m_in_force;
+                  return document.m_services[0].m_targets.empty();
+              });
+    CHECK(ask(*f, 0) == 503);
+    put(f->m_store, "targets/t1", std::to_string(f->m_target->port()));
+    run_until(*f, [&] { return ask(*f, 0) == 200; });
+}
+
+// Guards against a host that goes on with what it knew when the store has
+// forgotten the changes since.
+TEST_CASE("a lost history leads to a new snapshot")
+{
+    auto const f = make_fixture();
+    start_host(*f, "entry-1");
+    run_until(*f, [&] { return serve::is_ready(*f->m_hosts[0]); });
+    auto const before = f->m_store.m_snapshots;
+    run_until(*f, [&] { return f->m_store.m_watches.size() >= 2; });
+    f->m_store.m_items["targets/t2"] = {"9", ++f->m_store.m_revision};
+    lose_history(f->m_store);
+    run_until(*f, [&] { return f->m_store.m_snapshots > before; });
+    run_until(*f,
+              [&]
+              {
+                  auto const& document =
+                      *f->m_hosts[0]->m_configuration.m_in_force;
+                  return document.m_services[0].m_targets.size() == 2;
+              });
+}
+
+} // namespace hawthornspur::test
