Send the calls of both platforms with one function

Cause: the client of the users' store repeated the sending, escaping and time formatting of the client of our own platform.

--- /dev/null
+++ b/src/platform/http_call.hpp
@@ -0,0 +1,47 @@
+#ifndef HAWTHORNSPUR_PLATFORM_HTTP_CALL_HPP
+#define HAWTHORNSPUR_PLATFORM_HTTP_CALL_HPP
+
+#include "core/time.hpp"
+#include "net/http_client.hpp"
+#include "platform/platform_calls.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace hawthornspur::platform
+{
+
+/// One HTTP call to a platform.
+struct http_call
+{
+    std::string m_method;
+    std::string m_uri;
+    /// JSON, or empty for a call without body.
+    std::string m_body;
+    core::duration m_timeout = std::chrono::seconds(2);
+    std::size_t m_max_answer_bytes = std::size_t{8} << 20U;
+};
+
+struct http_answer
+{
+    int m_status = 0;
+    std::string m_body;
+};
+
+/// Sends the call and answers once, from the loop. The client must outlive the
+/// answer. Errors: store_unavailable without a whole answer,
+/// store_answer_malformed for one that is not HTTP or too large.
+void send_call(net::http_client& client, net::endpoint const& server,
+               http_call call, callback<http_answer> done);
+
+/// Percent-encodes everything but the unreserved characters of RFC 3986 and
+/// the slash, which separates the parts of a key.
+std::string escape_key(std::string_view text);
+
+/// The time in whole milliseconds, as a number in decimal digits.
+std::string milliseconds_text(core::duration time);
+
+} // namespace hawthornspur::platform
+
+#endif
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,5 +1,7 @@
 #include "platform/http_platform.hpp"
 
+#include "platform/http_call.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <memory>
@@ -25,82 +27,20 @@
 
 constexpr core::duration no_wait{0};
 
-struct http_answer
-{
-    int m_status = 0;
-    std::string m_body;
-};
-
 struct connection
 {
     net::http_client* m_client = nullptr;
     http_platform_settings m_settings;
 };
 
-std::string hex_escape(unsigned char byte)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    return {'%', digits[byte >> 4U], digits[byte & 0xFU]};
-}
-
-/// Percent-encodes everything but the unreserved characters of RFC 3986 and
-/// the slash, which separates the parts of a key.
-std::string escape(std::string_view text)
-{
-    std::string out;
-    for (auto const c : text)
-    {
-        auto const is_plain = (c >= 'a' && c <= 'z') ||
-                              (c >= 'A' && c <= 'Z') ||
-                              (c >= '0' && c <= '9') || c == '-' || c == '_' ||
-                              c == '.' || c == '~' || c == '/';
-        out += is_plain ? std::string(1, c)
-                        : hex_escape(static_cast<unsigned char>(c));
-    }
-    return out;
-}
-
 void send(connection const& c, std::string method, std::string uri,
           std::string body, core::duration extra_wait,
           callback<http_answer> done)
 {
-    auto const& server = c.m_settings.m_server;
-    net::http_request request{std::move(method), std::move(uri), {}, {}};
-    net::set_header(request.m_headers, "Host", server.m_address);
-    if (!body.empty())
-    {
-        net::set_header(request.m_headers, "Content-Type", "application/json");
-        request.m_body = std::move(body);
-    }
-    net::exchange_options options;
-    options.m_timeout = c.m_settings.m_timeout + extra_wait;
-    options.m_max_answer_bytes = max_answer_bytes;
-    auto answer = std::make_shared<http_answer>();
-    net::exchange_handlers handlers;
-    handlers.m_on_head =
-        [answer](net::http_response_head head, std::optional<std::uint64_t>)
-    {
-        answer->m_status = head.m_status;
-    };
-    handlers.m_on_data = [answer](std::string_view data)
-    {
-        answer->m_body += data;
-    };
-    handlers.m_on_end =
-        [answer, done = std::move(done)](net::exchange_outcome outcome)
-    {
-        if (outcome == net::exchange_outcome::complete)
-        {
-            done(std::move(*answer));
-            return;
-        }
-        done(make_error(outcome == net::exchange_outcome::too_large ||
-                                outcome == net::exchange_outcome::malformed
-                            ? result_code::store_answer_malformed
-                            : result_code::store_unavailable,
-                        "the platform did not give a whole answer"));
-    };
-    c.m_client->send(server, request, options, std::move(handlers));
+    send_call(*c.m_client, c.m_settings.m_server,
+              {std::move(method), std::move(uri), std::move(body),
+               c.m_settings.m_timeout + extra_wait, max_answer_bytes},
+              std::move(done));
 }
 
 error unexpected(http_answer const& answer)
@@ -288,13 +228,6 @@
     };
 }
 
-std::string milliseconds_text(core::duration time)
-{
-    using std::chrono::milliseconds;
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 } // namespace
 
 platform_calls make_http_platform(net::http_client& client,
@@ -305,7 +238,7 @@
     platform_calls calls;
     calls.m_get = [c](std::string const& key, callback<stored_value> done)
     {
-        send(*c, "GET", "/v1/kv/" + escape(key), {}, no_wait,
+        send(*c, "GET", "/v1/kv/" + escape_key(key), {}, no_wait,
              reading(std::move(done), read_stored_value));
     };
     calls.m_compare_and_swap =
@@ -316,15 +249,16 @@
         auto body = json{{"value", value}}.dump(-1, ' ', false,
                                                 json::error_handler_t::replace);
         send(*c, "PUT",
-             "/v1/kv/" + escape(key) + "?revision=" + std::to_string(revision),
+             "/v1/kv/" + escape_key(key) +
+                 "?revision=" + std::to_string(revision),
              std::move(body), no_wait, reading(std::move(done), read_revision));
     };
     calls.m_watch = [c](std::string const& key, std::uint64_t after,
                         core::duration wait, callback<stored_value> done)
     {
         send(*c, "GET",
-             "/v1/watch/" + escape(key) + "?after=" + std::to_string(after) +
-                 "&wait_ms=" + milliseconds_text(wait),
+             "/v1/watch/" + escape_key(key) + "?after=" +
+                 std::to_string(after) + "&wait_ms=" + milliseconds_text(wait),
              {}, wait, reading(std::move(done), read_stored_value));
     };
     calls.m_create_lease =
@@ -337,7 +271,7 @@
     calls.m_renew_lease =
         [c](std::string const& lease, callback<std::monostate> done)
     {
-        send(*c, "PUT", "/v1/leases/" + escape(lease), {}, no_wait,
+        send(*c, "PUT", "/v1/leases/" + escape_key(lease), {}, no_wait,
              reading(std::move(done), read_renewal));
     };
     calls.m_list_hosts = [c](callback<std::vector<listed_host>> done)
