Split the registration of a host from the following of the store

Cause: one file followed two ranges and also kept this host's own entry. The code is moved as it is.

--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -5,7 +5,7 @@
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
-#include "serve/host_entry.hpp"
+#include "serve/host_registration.hpp"
 #include "serve/membership_driver.hpp"
 
 #include <algorithm>
@@ -38,19 +38,6 @@
 /// Shorter gaps than this cannot have made entries of targets lapse.
 constexpr auto shortest_outage = std::chrono::milliseconds(1500);
 
-/// Outlives an outage of a few seconds; a host that died is forgotten by
-/// membership long before.
-constexpr auto registration_lifetime = std::chrono::seconds(30);
-constexpr auto renewal_interval = std::chrono::seconds(10);
-
-/// Hosts that start together find each other in the first reads; later ones
-/// heal what a partition separated.
-constexpr int early_host_reads = 3;
-constexpr auto early_read_interval = std::chrono::milliseconds(700);
-constexpr auto host_read_interval = std::chrono::seconds(10);
-
-constexpr std::string_view host_prefix = "hawthornspur/hosts/";
-
 /// In an outage a host tries again this often, well within the time in which a
 /// change has to be in force after it.
 constexpr auto longest_pause = std::chrono::milliseconds(1000);
@@ -319,123 +306,6 @@
         });
 }
 
-void read_hosts(host& h)
-{
-    auto& follower = *h.m_store;
-    bool const is_early = follower.m_host_reads < early_host_reads;
-    follower.m_hosts_read = now();
-    ++follower.m_host_reads;
-    h.m_platform.m_get_range(
-        std::string(host_prefix),
-        is_early ? platform::freshness::latest
-                 : platform::freshness::may_be_stale,
-        [&h](result<platform::stored_range> const& answer)
-        {
-            begin_pass(h);
-            if (!has_value(answer))
-            {
-                h.m_metrics.count_event("host_list_unavailable");
-                return;
-            }
-            std::vector<platform::listed_host> listed;
-            for (auto const& item : value(answer).m_items)
-            {
-                if (auto entry = read_host_entry(item.m_value))
-                {
-                    listed.push_back(std::move(*entry));
-                }
-            }
-            on_listed_entry_hosts(h, listed);
-        });
-}
-
-void write_registration(host& h)
-{
-    auto& follower = *h.m_store;
-    h.m_platform.m_put_leased(
-        std::string(host_prefix) + h.m_settings.m_name, write_host_entry(h),
-        follower.m_lease,
-        [&h](result<std::uint64_t> const& written)
-        {
-            auto& state = *h.m_store;
-            state.m_is_registered = has_value(written);
-            if (!state.m_is_registered)
-            {
-                h.m_metrics.count_event("registration_failed");
-                state.m_lease.clear();
-                state.m_registration_timer->start(retry_interval);
-                return;
-            }
-            logging::write(logging::level::info, "serve.store",
-                           "host registered",
-                           {{"lease", state.m_lease},
-                            {"revision", std::to_string(value(written))}});
-            read_hosts(h);
-            state.m_registration_timer->start(early_read_interval);
-        });
-}
-
-void create_registration(host& h)
-{
-    h.m_platform.m_create_lease(
-        registration_lifetime,
-        [&h](result<std::string> const& lease)
-        {
-            if (!has_value(lease))
-            {
-                h.m_metrics.count_event("registration_failed");
-                h.m_store->m_registration_timer->start(retry_interval);
-                return;
-            }
-            h.m_store->m_lease = value(lease);
-            write_registration(h);
-        });
-}
-
-void renew_registration(host& h)
-{
-    h.m_platform.m_renew_lease(
-        h.m_store->m_lease,
-        [&h](result<std::monostate> const& renewed)
-        {
-            if (!has_value(renewed) &&
-                failure(renewed).m_code == result_code::not_found)
-            {
-                logging::write(logging::level::warn, "serve.store",
-                               "registration lapsed",
-                               {{"lease", h.m_store->m_lease}});
-                h.m_store->m_lease.clear();
-                h.m_store->m_registration_timer->start(core::duration(0));
-            }
-        });
-}
-
-void keep_registration(host& h)
-{
-    auto& follower = *h.m_store;
-    if (h.m_stop != stop_stage::running)
-    {
-        return;
-    }
-    if (follower.m_lease.empty())
-    {
-        create_registration(h);
-        return;
-    }
-    if (follower.m_host_reads < early_host_reads)
-    {
-        read_hosts(h);
-        follower.m_registration_timer->start(early_read_interval);
-        return;
-    }
-    renew_registration(h);
-    if (now() - follower.m_hosts_read >= host_read_interval)
-    {
-        read_hosts(h);
-    }
-    follower.m_registration_timer->start(renewal_interval);
-}
-
 status make_timer(host& h, std::unique_ptr<net::timer>& out,
                   std::function<void()> action)
 {
