Refuse a request whose kind its pool does not know

Cause: kinds are indexes into a service's list. A request that was classified under an earlier document and comes back, from another zone or a lost link, to a pool created since could bear an index beyond the pool's kinds; a build without assertions then reads past them.

The test fails before (the assertion ends it) and passes after.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -81,6 +81,20 @@
     return entry;
 }
 
+/// A request that was classified under an earlier document may have a kind that
+/// a pool created since does not know. Returns whether it was refused.
+bool refuse_unknown_kind(pool const& p, arrival const& request,
+                         pool_effects& out)
+{
+    if (request.m_kind.m_value < p.m_kinds.size())
+    {
+        return false;
+    }
+    out.emplace_back(
+        refuse_effect{request.m_request, result_code::no_target_available});
+    return true;
+}
+
 /// Targets that the request may be sent to.
 attempt_number attempt_bound(pool const& p, request_entry const& request)
 {
@@ -252,8 +266,8 @@
 void on_arrival(pool& p, arrival const& request, time_point now,
                 service_budgets& /*budgets*/, pool_effects& out)
 {
-    assert(request.m_kind.m_value < p.m_rules.m_kinds.size());
-    if (p.m_requests.contains(request.m_request))
+    if (p.m_requests.contains(request.m_request) ||
+        refuse_unknown_kind(p, request, out))
     {
         return;
     }
@@ -429,7 +443,8 @@
                       service_budgets& /*budgets*/, pool_effects& out)
 {
     auto const sequence = note_spill_refused(p.m_spill, request.m_request, now);
-    if (p.m_requests.contains(request.m_request))
+    if (p.m_requests.contains(request.m_request) ||
+        refuse_unknown_kind(p, request, out))
     {
         return;
     }
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -331,6 +331,24 @@
     CHECK(find_effect<dispatch_effect>(f, last)->m_target != refusing);
 }
 
+// Guards against a process that ends when a request was classified under a
+// document with more kinds than that of a pool which was created since.
+TEST_CASE("a request of a kind that the pool does not know is refused")
+{
+    auto f = make_fixture(1, 2);
+    arrival late;
+    late.m_request = {f.m_next++};
+    late.m_kind = {7};
+    late.m_deadline = f.m_now + seconds(2);
+    on_arrival(*f.m_pool, late, f.m_now, f.m_budgets, f.m_out);
+    REQUIRE(find_effect<refuse_effect>(f, late.m_request));
+    CHECK(info(find_effect<refuse_effect>(f, late.m_request)->m_code)
+              .m_execution == execution::not_run);
+    late.m_request = {f.m_next++};
+    on_spill_refused(*f.m_pool, late, f.m_now, f.m_budgets, f.m_out);
+    CHECK(find_effect<refuse_effect>(f, late.m_request));
+}
+
 // Guards against a Retry-After beyond what callers can follow.
 TEST_CASE("the time to come back grows with the queue within bounds")
 {
