Let an emulated target's lag reach back before the machine's start

Cause: the test "the health endpoint tells the truth, lies or lags" asks for a lag of ten minutes. The first entry of the history stood at the start of the machine's clock, so that on a machine that had run for less the lag reached before it and the present state was answered: 503 instead of 200. That is the failure seen once with other programs running; load had no part in it.

A row with a lag longer than any machine has run fails before and passes after, on any machine.

--- a/tools/target_emulator/target_emulator.cpp
+++ b/tools/target_emulator/target_emulator.cpp
@@ -82,7 +82,8 @@
     s->m_settings = settings;
     s->m_faults = settings.m_faults;
     s->m_faults_set = net::event_loop::now();
-    s->m_health_history.emplace_back(core::time_point{},
+    // A lag may reach back to before the machine was started.
+    s->m_health_history.emplace_back(core::time_point::min(),
                                      settings.m_faults.m_draining);
     s->m_random.seed(settings.m_seed);
     auto tasks = scheduler::create(loop);
--- a/tools/target_emulator/target_emulator_test.cpp
+++ b/tools/target_emulator/target_emulator_test.cpp
@@ -199,6 +199,8 @@
          {row{R"({"draining":true})", 503},
           row{R"({"draining":true,"health":"healthy"})", 200},
           row{R"({"draining":true,"health_lag_ms":600000})", 200},
+          // Longer than any machine has run.
+          row{R"({"draining":true,"health_lag_ms":100000000000})", 200},
           row{R"({"health":"unhealthy"})", 503}})
     {
         CAPTURE(row.m_faults);
