--- a/src/base/result_code_test.cpp
+++ b/src/base/result_code_test.cpp
@@ -67,4 +67,19 @@
     }
 }
 
+// Guards against a status that callers read as "not run" for a request that
+// may have run.
+TEST_CASE("a status that promises not run has a code that says so")
+{
+    for (auto const& row : result_code_table())
+    {
+        for (int const promise : {408, 421, 429, 503})
+        {
+            CAPTURE(row.m_name);
+            CHECK((row.m_http_status != promise ||
+                   row.m_execution == execution::not_run));
+        }
+    }
+}
+
 } // namespace hawthornspur
