Read the change again: one name, one constant, one function each

Ruled out: looking up kinds by name instead of by index; the index is guarded and the change would be larger than a reading should make.

The test of the refusal's code fails before and passes after; the others are new cover.

--- a/src/config/settings_test.cpp
+++ b/src/config/settings_test.cpp
@@ -83,4 +83,45 @@
     }
 }
 
+// Guards against settings of a platform that are read into the wrong place or
+// end the process because the platform states more than is known here.
+TEST_CASE("settings that a platform renders are read")
+{
+    auto const result = parse_settings(R"({
+      "name": "entry-1", "zone": "a", "callers": "10.0.0.1:80",
+      "directory": "10.0.0.1:81", "readiness": "10.0.0.1:82",
+      "peers": {"address": "10.0.0.1", "port": 83},
+      "platform": "10.0.0.9:84", "platform_kind": "users",
+      "trust_peer_network": true, "zones": {"a": "r", "b": "r"},
+      "max_owners_per_zone": 1,
+      "platform_bounds": {"grace_s": 6, "other": "text", "half": 0.5}
+    })");
+    REQUIRE(std::holds_alternative<host_settings>(result));
+    auto const& settings = std::get<host_settings>(result);
+    CHECK(settings.m_callers == listen_address{"10.0.0.1", 80});
+    CHECK(settings.m_directory == listen_address{"10.0.0.1", 81});
+    CHECK(settings.m_readiness == listen_address{"10.0.0.1", 82});
+    CHECK(settings.m_platform == listen_address{"10.0.0.9", 84});
+    CHECK(settings.m_platform_kind == platform_kind::users);
+    CHECK(settings.m_zones.size() == 2);
+    CHECK(settings.m_max_owners_per_zone == 1);
+    CHECK(settings.m_platform_bounds.size() == 2);
+    CHECK(settings.m_platform_bounds.at("half") == 0.5);
+}
+
+// Guards against an address text that opens another port than it names.
+TEST_CASE("an address text needs an address and a port")
+{
+    for (std::string_view const text :
+         {"", "80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536",
+          "127.0.0.1:-1", "host:80", "127.0.0.1:80x"})
+    {
+        CAPTURE(text);
+        auto const result = parse_settings(
+            with("{\"port\": 8080}", "\"" + std::string(text) + "\""));
+        REQUIRE(std::holds_alternative<problems>(result));
+        CHECK(std::get<problems>(result).front().m_path == "callers");
+    }
+}
+
 } // namespace hawthornspur::config
--- a/src/core/ownership_test.cpp
+++ b/src/core/ownership_test.cpp
@@ -163,4 +163,32 @@
     CHECK(zone_owners("a", {}, document).empty());
 }
 
+// Guards against callers of a zone that reach a host which owns only a part of
+// its pools, and against successors that differ from pool to pool.
+TEST_CASE("where one host owns the pools of a zone, one successor takes all")
+{
+    auto document = three_zones();
+    document.m_max_owners_per_zone = 1;
+    for (int i = 0; i < 8; ++i)
+    {
+        document.m_services.emplace_back().m_name =
+            "service-" + std::to_string(i);
+    }
+    std::vector<owner_candidate> hosts;
+    for (int i = 0; i < 5; ++i)
+    {
+        hosts.push_back({"host-" + std::to_string(i), "a"});
+    }
+    auto const first = owner_order({"service-0", "a"}, hosts, document);
+    auto fewer = hosts;
+    std::erase_if(fewer, [&](owner_candidate const& host)
+                  { return host.m_name == first.front(); });
+    for (auto const& service : document.m_services)
+    {
+        CHECK(owner_order({service.m_name, "a"}, hosts, document) == first);
+        CHECK(owner_order({service.m_name, "a"}, fewer, document).front() ==
+              first[1]);
+    }
+}
+
 } // namespace hawthornspur::core
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -85,7 +85,10 @@
     if (is_unreachable(kind, wait, remaining))
     {
         auto const slots = count_slots(p, now);
-        return slots.m_free > 0 && p.m_queued == kind.m_queue.size()
+        bool const is_at_cap =
+            kind.m_in_flight >= kind_cap(p, kind, slots.m_slots);
+        return slots.m_free > 0 && is_at_cap &&
+                       p.m_queued == kind.m_queue.size()
                    ? result_code::kind_share_full
                    : result_code::deadline_unreachable;
     }
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -213,6 +213,20 @@
           execution::not_run);
 }
 
+// Guards against a refusal that blames a share which the kind does not have.
+TEST_CASE("requests that wait for a fast slot are refused for their deadline")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    arrive(f);
+    arrive(f);
+    auto const refused = arrive(f, milliseconds(110));
+    REQUIRE(find_effect<refuse_effect>(f, refused));
+    CHECK(find_effect<refuse_effect>(f, refused)->m_code ==
+          result_code::deadline_unreachable);
+}
+
 // Load: neighbours slow a target down again and again. Guards against a limit
 // that was lowered by their load and stays low when they are gone.
 TEST_CASE("answers slowed by neighbours do not lower a target's limit")
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -73,11 +73,4 @@
     return out;
 }
 
-std::string milliseconds_text(core::duration time)
-{
-    using std::chrono::milliseconds;
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 } // namespace hawthornspur::platform
--- a/src/platform/http_call.hpp
+++ b/src/platform/http_call.hpp
@@ -39,9 +39,6 @@
 /// the slash, which separates the parts of a key.
 std::string escape_key(std::string_view text);
 
-/// The time in whole milliseconds, as a number in decimal digits.
-std::string milliseconds_text(core::duration time);
-
 } // namespace hawthornspur::platform
 
 #endif
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include "platform/http_platform.hpp"
 
+#include "base/text.hpp"
 #include "platform/http_call.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "serve/dispatch.hpp"
 
 #include "base/logging.hpp"
+#include "base/text.hpp"
 #include "core/pool_effects.hpp"
 #include "serve/account.hpp"
 #include "serve/deduplicate.hpp"
@@ -41,10 +42,7 @@
         {{"request_id", c.m_accepted.m_request_id},
          {"attempt", std::to_string(number)},
          {"target", attempt.m_target_name},
-         {"after_ms",
-          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now() - attempt.m_started)
-                             .count())}});
+         {"after_ms", milliseconds_text(now() - attempt.m_started)}});
 }
 
 net::http_request request_for_target(host const& h, call const& c,
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -29,9 +29,6 @@
 
 constexpr std::string_view host_prefix = "hawthornspur/hosts/";
 
-/// Pause before a call that failed is made again.
-constexpr auto retry_interval = std::chrono::milliseconds(100);
-
 void read_hosts(host& h)
 {
     auto& follower = *h.m_store;
@@ -76,7 +73,7 @@
             {
                 h.m_metrics.count_event("registration_failed");
                 state.m_lease.clear();
-                state.m_registration_timer->start(retry_interval);
+                state.m_registration_timer->start(store_retry_interval);
                 return;
             }
             logging::write(logging::level::info, "serve.store",
@@ -97,7 +94,7 @@
             if (!has_value(lease))
             {
                 h.m_metrics.count_event("registration_failed");
-                h.m_store->m_registration_timer->start(retry_interval);
+                h.m_store->m_registration_timer->start(store_retry_interval);
                 return;
             }
             h.m_store->m_lease = value(lease);
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -1,6 +1,7 @@
 #include "serve/pools.hpp"
 
 #include "base/logging.hpp"
+#include "base/text.hpp"
 #include "core/ownership.hpp"
 #include "serve/dispatch.hpp"
 #include "serve/forwarding.hpp"
@@ -113,15 +114,15 @@
     }
 }
 
-/// The inputs of a refusal by the pool.
-void log_refusal(hosted_pool const& hosted, call const& c, result_code code)
+/// The inputs with which the pool ended a request without an answer.
+void log_end(hosted_pool const& hosted, call const& c, result_code code)
 {
     auto const summary =
         core::summarize(*hosted.m_pool, hosted.m_id.m_zone, now());
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
+    bool const has_not_run = info(code).m_execution == execution::not_run;
     logging::write(
-        logging::level::info, "serve.pools", "request refused",
+        logging::level::info, "serve.pools",
+        has_not_run ? "request refused" : "request given up",
         {{"request_id", c.m_accepted.m_request_id},
          {"service", hosted.m_id.m_service},
          {"zone", hosted.m_id.m_zone},
@@ -130,12 +131,8 @@
          {"in_flight", std::to_string(core::in_flight(*hosted.m_pool))},
          {"slots", std::to_string(summary.m_slots)},
          {"free_slots", std::to_string(summary.m_free_slots)},
-         {"time_left_ms", std::to_string(duration_cast<milliseconds>(
-                                             c.m_classified.m_deadline - now())
-                                             .count())},
-         {"waited_ms",
-          std::to_string(
-              duration_cast<milliseconds>(now() - c.m_arrived).count())}});
+         {"time_left_ms", milliseconds_text(c.m_classified.m_deadline - now())},
+         {"waited_ms", milliseconds_text(now() - c.m_arrived)}});
 }
 
 /// One effect of a pool on the host. Follow-up effects are appended.
@@ -159,7 +156,7 @@
         if (auto* c = find_call(m_host, e.m_request))
         {
             c->m_is_queued = false;
-            log_refusal(m_hosted, *c, e.m_code);
+            log_end(m_hosted, *c, e.m_code);
             bool const is_late = e.m_code == result_code::target_silent &&
                                  now() >= c->m_classified.m_deadline;
             fail_call(m_host, *c,
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -31,10 +31,6 @@
 /// A document is in force with the next pass.
 constexpr auto document_change_interval = std::chrono::milliseconds(50);
 
-/// Pause before a call that failed is made again. The limiter adds pauses of
-/// its own in an outage.
-constexpr auto retry_interval = std::chrono::milliseconds(100);
-
 /// Shorter gaps than this cannot have made entries of targets lapse.
 constexpr auto shortest_outage = std::chrono::milliseconds(1500);
 
@@ -57,12 +53,10 @@
 {
     if (!feed.m_failing_since)
     {
-        feed.m_last_answer = now();
         return;
     }
     auto const outage = now() - *feed.m_failing_since;
     feed.m_failing_since.reset();
-    feed.m_last_answer = now();
     h.m_metrics.count_event("store_regained");
     log_feed(feed, logging::level::info, "store regained", "");
     if (outage >= shortest_outage)
@@ -84,7 +78,7 @@
         log_feed(feed, logging::level::info, "store forgot its history", "");
         feed.m_revision.reset();
     }
-    feed.m_timer->start(retry_interval);
+    feed.m_timer->start(store_retry_interval);
 }
 
 /// The targets changed: the document in force is completed anew.
@@ -99,11 +93,10 @@
     }
 }
 
-void log_target(core::registered_target const& target, std::string_view message,
-                std::uint64_t revision)
+void log_target(core::registered_target const& target, std::uint64_t revision)
 {
     logging::write(
-        logging::level::info, "serve.store", message,
+        logging::level::info, "serve.store", "target entry",
         {{"target", target.m_name},
          {"service", target.m_service},
          {"address", target.m_address + ":" + std::to_string(target.m_port)},
@@ -144,7 +137,7 @@
         core::put_target(h.m_store->m_directory, std::move(read), now());
     if (is_changed)
     {
-        log_target(logged, "target entry", revision);
+        log_target(logged, revision);
     }
     return is_changed;
 }
--- a/src/serve/store_follower.hpp
+++ b/src/serve/store_follower.hpp
@@ -8,6 +8,7 @@
 #include "platform/call_limiter.hpp"
 #include "platform/platform_calls.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,6 +19,10 @@
 
 struct host;
 
+/// Pause before a failed call to the store is made again. The limiter adds
+/// pauses of its own in an outage.
+inline constexpr std::chrono::milliseconds store_retry_interval{100};
+
 /// How a host follows one range of the platform's store: a snapshot, then one
 /// watch after the other, and a new snapshot when the history is lost.
 struct range_feed
@@ -27,7 +32,6 @@
     /// Revision to continue from; nothing before the first snapshot.
     std::optional<std::uint64_t> m_revision;
     std::optional<core::time_point> m_failing_since;
-    core::time_point m_last_answer{};
 };
 
 /// A host's dealings with a store that holds configuration, targets and hosts.
