Never send a request after it was given up as not sent

Ruled out: two owners, spills and hedges (both arrivals came from one host, and the kind is not idempotent). Change: a request of which nothing was sent is taken back from evhttp, and its socket closed, in the moment it is given up or cancelled. Before: 50 bytes arrive in both cases of the new test; after: none. 65 network tests pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -199,6 +199,7 @@
     }
     auto* c = found->second->m_connection;
     c->m_exchange = 0;
+    detail::withdraw_unsent(c);
     found->second->m_timeout->stop();
     m_state->m_ended.push_back(std::move(found->second));
     m_state->m_exchanges.erase(found);
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -124,6 +124,7 @@
 
 void on_error(evhttp_request_error what, void* argument)
 {
+    static_cast<connection*>(argument)->m_request = nullptr;
     if (auto* e = current(static_cast<connection*>(argument)))
     {
         e->m_error = what;
@@ -133,6 +134,7 @@
 void on_done(evhttp_request* request, void* argument)
 {
     auto* c = static_cast<connection*>(argument);
+    c->m_request = nullptr;
     auto* e = current(c);
     if (e == nullptr)
     {
@@ -267,6 +269,14 @@
     client.m_deferred->start(core::duration(0));
 }
 
+void withdraw_unsent(connection* c)
+{
+    if (c->m_request != nullptr && c->m_bytes_sent == 0)
+    {
+        evhttp_cancel_request(std::exchange(c->m_request, nullptr));
+    }
+}
+
 void finish(http_client::state& client, exchange_id id,
             exchange_outcome outcome)
 {
@@ -283,6 +293,7 @@
     ended->m_timeout->stop();
     auto* c = ended->m_connection;
     c->m_exchange = 0;
+    withdraw_unsent(c);
     auto* transport = evhttp_connection_get_bufferevent(c->m_evcon);
     // Bytes after the answer would be taken for the next one.
     auto const is_clean =
@@ -370,6 +381,7 @@
     {
         return false;
     }
+    c->m_request = made;
     auto const fd =
         bufferevent_getfd(evhttp_connection_get_bufferevent(c->m_evcon));
     set_no_delay(fd);
--- a/src/net/http_client_state.hpp
+++ b/src/net/http_client_state.hpp
@@ -29,6 +29,8 @@
     endpoint m_server;
     evhttp_connection* m_evcon = nullptr;
     exchange_id m_exchange = 0;
+    /// The request in evhttp's hands, until evhttp reports its end.
+    evhttp_request* m_request = nullptr;
     core::time_point m_last_answer{};
     /// Bytes that the kernel has taken, from which on a request may have run.
     std::size_t m_bytes_sent = 0;
@@ -56,6 +58,10 @@
 /// Frees a connection after the current evhttp callback has returned.
 void destroy_later(http_client::state& client, connection* c);
 
+/// Takes a request of which nothing was sent back from evhttp and closes its
+/// socket at once: a connection that opens later would still send it.
+void withdraw_unsent(connection* c);
+
 /// Ends an exchange, if it is still known, and tells its handlers.
 void finish(http_client::state& client, exchange_id id,
             exchange_outcome outcome);
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -3,7 +3,11 @@
 #include "net/net_test_support.hpp"
 
 #include <doctest/doctest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <optional>
 #include <string>
 #include <vector>
@@ -57,6 +61,103 @@
 
 constexpr auto whole_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// A listener whose queue of new connections is full, so that the opening
+/// packet of the next one is lost and sent again about a second later.
+class full_listener
+{
+public:
+    full_listener()
+        : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        auto const any_port = parse_address("127.0.0.1", 0);
+        ::bind(m_fd, any_port->get(), any_port->m_length);
+        ::listen(m_fd, 0);
+        auto const own = *local_address(m_fd);
+        m_port = port_of(own);
+        while (m_fillers.empty() || is_connected(m_fillers.back()))
+        {
+            m_fillers.push_back(
+                ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            ::connect(m_fillers.back(), own.get(), own.m_length);
+        }
+    }
+    ~full_listener()
+    {
+        for (auto const fd : m_fillers)
+        {
+            ::close(fd);
+        }
+        for (auto const fd : m_accepted)
+        {
+            ::close(fd);
+        }
+        ::close(m_fd);
+    }
+    full_listener(full_listener const&) = delete;
+    full_listener& operator=(full_listener const&) = delete;
+
+    /// Accepts what waits. Without the fillers only the client connects.
+    void accept_waiting()
+    {
+        for (int fd = ::accept(m_fd, nullptr, nullptr); fd >= 0;
+             fd = ::accept(m_fd, nullptr, nullptr))
+        {
+            m_accepted.push_back(fd);
+        }
+    }
+    void make_room()
+    {
+        ::close(m_fillers.back());
+        m_fillers.pop_back();
+        accept_waiting();
+        m_accepted_before = m_accepted.size();
+    }
+    /// Blocks until a lost opening packet has been sent again.
+    void wait_for_repeated_packet() const
+    {
+        constexpr int bound_ms = 1500;
+        pollfd wanted{m_fd, POLLIN, 0};
+        ::poll(&wanted, 1, bound_ms);
+    }
+    /// Bytes that arrived on connections after make_room.
+    std::size_t received() const
+    {
+        std::size_t total = 0;
+        for (auto i = m_accepted_before; i < m_accepted.size(); ++i)
+        {
+            std::array<char, 4096> bytes{};
+            auto const read =
+                ::recv(m_accepted[i], bytes.data(), bytes.size(), MSG_DONTWAIT);
+            total += read > 0 ? static_cast<std::size_t>(read) : 0;
+        }
+        return total;
+    }
+
+    std::uint16_t m_port = 0;
+
+private:
+    static bool is_connected(int fd)
+    {
+        constexpr int bound_ms = 50;
+        pollfd wanted{fd, POLLOUT, 0};
+        return ::poll(&wanted, 1, bound_ms) > 0;
+    }
+
+    int m_fd;
+    std::vector<int> m_fillers;
+    std::vector<int> m_accepted;
+    std::size_t m_accepted_before = 0;
+};
+
+void run_some_turns(event_loop& loop)
+{
+    constexpr int turns = 20;
+    for (int i = 0; i < turns; ++i)
+    {
+        event_base_loop(loop.base(), EVLOOP_NONBLOCK);
+    }
+}
+
 } // namespace
 
 // Guards against an answer that is passed on although it is not whole or not
@@ -208,6 +309,46 @@
     CHECK(*unknown_method.m_outcome == exchange_outcome::connect_failed);
 }
 
+// Guards against a request that runs although it was given up as not sent: its
+// connection opens between the decision and the end of the loop's turn, as on
+// a host without processor time.
+TEST_CASE("a request given up before its connection opened is never sent")
+{
+    auto loop = take(event_loop::create());
+    auto client = take(http_client::create(*loop));
+    full_listener server;
+    exchange_options options;
+    options.m_connect_timeout = std::chrono::milliseconds(100);
+    SUBCASE("after its connect timeout")
+    {
+        std::optional<exchange_outcome> outcome;
+        client->send({"127.0.0.1", server.m_port}, post(), options,
+                     {.m_on_head = {},
+                      .m_on_data = {},
+                      .m_on_end = [&](exchange_outcome end)
+                      {
+                          outcome = end;
+                          server.make_room();
+                          server.wait_for_repeated_packet();
+                      }});
+        REQUIRE(run_until(*loop, [&] { return outcome.has_value(); }));
+        CHECK(*outcome == exchange_outcome::connect_failed);
+    }
+    SUBCASE("by a cancellation")
+    {
+        options.m_connect_timeout = hang_bound;
+        auto const id =
+            client->send({"127.0.0.1", server.m_port}, post(), options, {});
+        run_some_turns(*loop);
+        client->cancel(id);
+        server.make_room();
+        server.wait_for_repeated_packet();
+    }
+    run_some_turns(*loop);
+    server.accept_waiting();
+    CHECK(server.received() == 0);
+}
+
 // Guards against an answer that is lost because the server gave it before it
 // had read the request.
 TEST_CASE("an answer before the end of the request is passed on")
