Let the hosts with most processor time own the pools of a zone

Cause: on the grown Tiza deployment, hosts have 0.1 or 0.5 cores, and rendezvous order chose owners with 0.1 of one. The owners of all zones had no processor time left: 8,423 of 16,097 requests took more than half of their objective to reach a target, and the connect timers of the owners ended attempts whose connections stood. Ruled out: links (10 Mbit/s carry the traffic of a zone), the store's rates. Change: hosts tell each other how much of a core they may use; where few hosts own the pools of a zone, those with most come first. Records of earlier versions without the field are still read.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -155,6 +155,13 @@
     constexpr std::uint64_t most_owners = 10'000;
     read_integer(reader, "max_owners_per_zone", need::optional, 0, most_owners,
                  out.m_max_owners_per_zone);
+    constexpr double fewest_cores = 0.01;
+    constexpr double most_cores = 1024;
+    constexpr double smallest_share = 0.001;
+    read_number(reader, "processor_share", need::optional, smallest_share, 1,
+                out.m_processor_share);
+    read_number(reader, "cores", need::optional, fewest_cores, most_cores,
+                out.m_cores);
     read_boolean(reader, "trust_peer_network", need::optional,
                  out.m_is_peer_network_trusted);
     read_bounds(reader, out.m_platform_bounds);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -65,6 +65,10 @@
     core::duration m_zone_delay = std::chrono::milliseconds(5);
     /// Hosts of a zone that own its pools, for such documents; 0 is all.
     int m_max_owners_per_zone = 0;
+    /// Cores of the host's machine and the share of them that it may use. Of
+    /// few owners in a zone, those with most processor time are chosen.
+    double m_cores = 1;
+    double m_processor_share = 1;
     /// The network between entry hosts is closed to others, so that no peer
     /// key is needed.
     bool m_is_peer_network_trusted = false;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -50,6 +50,8 @@
     host_state m_state = host_state::joining;
     std::uint64_t m_generation = 0;
     std::uint64_t m_once_epoch = 0;
+    /// Processor time that the host may use, in thousandths of a core.
+    int m_millicores = 1000;
 };
 
 enum class membership_message_kind : std::uint8_t
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -75,12 +75,12 @@
 }
 
 // The hosts of the zone, or of the nearest zone that has a host.
-std::vector<std::string const*>
+std::vector<owner_candidate const*>
 hosts_near(std::string const& zone, std::span<owner_candidate const> hosts,
            configuration const& document)
 {
     auto const zones = nearest_zones(document, zone);
-    std::vector<std::string const*> found;
+    std::vector<owner_candidate const*> found;
     auto best = zones.size() + 1;
     for (auto const& host : hosts)
     {
@@ -93,15 +93,40 @@
         }
         if (rank == best)
         {
-            found.push_back(&host.m_name);
+            found.push_back(&host);
         }
     }
     return found;
 }
 
+/// The order in which hosts own all pools of a zone where their number is
+/// bounded: a small host could not carry the traffic of a whole zone.
+struct bounded_rank
+{
+    int m_millicores;
+    std::uint64_t m_weight;
+    std::string const* m_name;
+};
+
+bounded_rank rank_in_zone(owner_candidate const& host, std::string const& zone)
+{
+    return {host.m_millicores,
+            rendezvous_weight(pool_key("", zone), host.m_name), &host.m_name};
+}
+
+bool goes_first(bounded_rank const& a, bounded_rank const& b)
+{
+    if (a.m_millicores != b.m_millicores)
+    {
+        return a.m_millicores > b.m_millicores;
+    }
+    return a.m_weight != b.m_weight ? a.m_weight > b.m_weight
+                                    : *a.m_name < *b.m_name;
+}
+
 /// Keeps the hosts that may own pools of the zone where their number is
 /// bounded.
-void keep_first_hosts(std::vector<std::string const*>& hosts,
+void keep_first_hosts(std::vector<owner_candidate const*>& hosts,
                       std::string const& zone, int most)
 {
     auto const bound = static_cast<std::size_t>(most);
@@ -109,14 +134,10 @@
     {
         return;
     }
-    auto const key = pool_key("", zone);
-    std::sort(hosts.begin(), hosts.end(),
-              [&](std::string const* a, std::string const* b)
-              {
-                  auto const weight_a = rendezvous_weight(key, *a);
-                  auto const weight_b = rendezvous_weight(key, *b);
-                  return weight_a != weight_b ? weight_a > weight_b : *a < *b;
-              });
+    std::sort(
+        hosts.begin(), hosts.end(),
+        [&](owner_candidate const* a, owner_candidate const* b)
+        { return goes_first(rank_in_zone(*a, zone), rank_in_zone(*b, zone)); });
     hosts.resize(bound);
 }
 
@@ -148,20 +169,21 @@
         for (std::size_t host = 0; host < near.size(); ++host)
         {
             pairings.push_back(
-                {rendezvous_weight(key, *near[host]), service, host});
+                {rendezvous_weight(key, near[host]->m_name), service, host});
         }
     }
-    std::sort(
-        pairings.begin(), pairings.end(),
-        [&](pairing const& a, pairing const& b)
-        {
-            if (a.m_weight != b.m_weight)
-            {
-                return a.m_weight > b.m_weight;
-            }
-            return std::tie(services[a.m_service].m_name, *near[a.m_host]) <
-                   std::tie(services[b.m_service].m_name, *near[b.m_host]);
-        });
+    std::sort(pairings.begin(), pairings.end(),
+              [&](pairing const& a, pairing const& b)
+              {
+                  if (a.m_weight != b.m_weight)
+                  {
+                      return a.m_weight > b.m_weight;
+                  }
+                  return std::tie(services[a.m_service].m_name,
+                                  near[a.m_host]->m_name) <
+                         std::tie(services[b.m_service].m_name,
+                                  near[b.m_host]->m_name);
+              });
     auto const bound = largest_number_of_pools(services.size(), near.size());
     std::vector<std::size_t> load(near.size());
     std::vector<bool> has_owner(services.size());
@@ -171,7 +193,7 @@
         {
             has_owner[each.m_service] = true;
             ++load[each.m_host];
-            owners[services[each.m_service].m_name] = *near[each.m_host];
+            owners[services[each.m_service].m_name] = near[each.m_host]->m_name;
         }
     }
     return owners;
@@ -193,41 +215,36 @@
     struct ranked
     {
         std::size_t m_zone_rank;
-        std::uint64_t m_weight;
-        std::string const* m_name;
+        bounded_rank m_rank;
     };
     auto const zones = nearest_zones(document, pool.m_zone);
     // Where few hosts own all pools of a zone, one successor takes all of them.
-    auto const key = document.m_max_owners_per_zone > 0
-                         ? pool_key("", pool.m_zone)
-                         : pool_key(pool.m_service, pool.m_zone);
+    bool const is_bounded = document.m_max_owners_per_zone > 0;
+    auto const key = pool_key(pool.m_service, pool.m_zone);
     std::vector<ranked> order;
     order.reserve(hosts.size());
     for (auto const& host : hosts)
     {
-        auto const rank = static_cast<std::size_t>(
+        auto const zone_rank = static_cast<std::size_t>(
             std::find(zones.begin(), zones.end(), host.m_zone) - zones.begin());
-        order.push_back(
-            {rank, rendezvous_weight(key, host.m_name), &host.m_name});
+        auto const rank =
+            is_bounded ? rank_in_zone(host, pool.m_zone)
+                       : bounded_rank{0, rendezvous_weight(key, host.m_name),
+                                      &host.m_name};
+        order.push_back({zone_rank, rank});
     }
     std::sort(order.begin(), order.end(),
               [](ranked const& a, ranked const& b)
               {
-                  if (a.m_zone_rank != b.m_zone_rank)
-                  {
-                      return a.m_zone_rank < b.m_zone_rank;
-                  }
-                  if (a.m_weight != b.m_weight)
-                  {
-                      return a.m_weight > b.m_weight;
-                  }
-                  return *a.m_name < *b.m_name;
+                  return a.m_zone_rank != b.m_zone_rank
+                             ? a.m_zone_rank < b.m_zone_rank
+                             : goes_first(a.m_rank, b.m_rank);
               });
     std::vector<std::string> names;
     names.reserve(order.size());
     for (auto const& entry : order)
     {
-        names.push_back(*entry.m_name);
+        names.push_back(*entry.m_rank.m_name);
     }
     auto const owner = owners.find(pool.m_service);
     if (owner != owners.end())
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -19,6 +19,9 @@
 {
     std::string m_name;
     std::string m_zone;
+    /// Processor time that the host may use, in thousandths of a core. It
+    /// counts where only few hosts of a zone own its pools.
+    int m_millicores = 1000;
 };
 
 /// Rendezvous weight of a host for a key; the highest weight comes first.
@@ -44,9 +47,10 @@
 
 /// All candidates in the order in which they own the pool: the one that
 /// zone_owners() names, then the other hosts of the pool's zone by rendezvous
-/// weight, then those of the nearest zones. The first one is the owner, the
-/// others are its likely successors. The pool of a service that is not in the
-/// document is owned by rendezvous weight alone.
+/// weight, then those of the nearest zones. Where few hosts own all pools of a
+/// zone, hosts with more processor time come first. The first one is the owner,
+/// the others are its likely successors. The pool of a service that is not in
+/// the document is owned by rendezvous weight alone.
 std::vector<std::string> owner_order(pool_id const& pool,
                                      std::span<owner_candidate const> hosts,
                                      configuration const& document);
--- a/src/core/ownership_test.cpp
+++ b/src/core/ownership_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace hawthornspur::core
 {
@@ -191,4 +192,29 @@
     }
 }
 
+// Guards against a small host that owns the pools of a zone and runs out of
+// processor time while large hosts stand by.
+TEST_CASE("the hosts with most processor time own the pools of a zone")
+{
+    auto document = three_zones();
+    document.m_max_owners_per_zone = 1;
+    document.m_services.emplace_back().m_name = "map";
+    std::vector<owner_candidate> hosts;
+    for (int i = 0; i < 40; ++i)
+    {
+        auto const number = std::to_string(i);
+        hosts.push_back({"small-a-" + number, "a", 100});
+        hosts.push_back({"small-b-" + number, "b", 100});
+    }
+    hosts.push_back({"large-1", "a", 500});
+    hosts.push_back({"large-2", "a", 500});
+    hosts.push_back({"large-b", "b", 500});
+    auto const order = owner_order({"map", "a"}, hosts, document);
+    std::set<std::string> const first(order.begin(), order.begin() + 2);
+    CHECK(first == std::set<std::string>{"large-1", "large-2"});
+    // A small host of the zone still goes before a large one of another.
+    CHECK(order[2].starts_with("small-a"));
+    CHECK(zone_owners("a", hosts, document).at("map") == order.front());
+}
+
 } // namespace hawthornspur::core
--- a/src/net/datagram_codec.cpp
+++ b/src/net/datagram_codec.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Hosts of earlier versions send records of this length.
+constexpr std::size_t record_fields_before_millicores = 10;
+
 constexpr std::size_t tag_bytes = message_authenticator::truncated_bytes;
 
 /// Datagrams use a key of their own, so that no frame of a link can be
@@ -25,7 +28,7 @@
 
 void put_record(field_writer& writer, core::host_record const& record)
 {
-    writer.begin_array(10);
+    writer.begin_array(11);
     writer.put(record.m_name);
     writer.put(record.m_zone);
     writer.put(record.m_address);
@@ -36,6 +39,7 @@
     writer.put(static_cast<std::uint8_t>(record.m_state));
     writer.put(record.m_generation);
     writer.put(record.m_once_epoch);
+    writer.put(record.m_millicores);
 }
 
 core::host_record get_record(field_reader& reader)
@@ -52,6 +56,10 @@
     record.m_state = fields.get_enum(core::host_state::dead);
     record.m_generation = fields.get<std::uint64_t>();
     record.m_once_epoch = fields.get<std::uint64_t>();
+    if (fields.size() > record_fields_before_millicores)
+    {
+        record.m_millicores = fields.get<int>();
+    }
     return record;
 }
 
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -8,6 +8,7 @@
 #include "serve/store_follower.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hawthornspur::serve
@@ -112,6 +113,9 @@
     self.m_peer_port = h.m_peers->port();
     self.m_incarnation = h.m_incarnation;
     self.m_state = core::host_state::joining;
+    constexpr double thousandths = 1000;
+    self.m_millicores = static_cast<int>(std::lround(
+        h.m_settings.m_cores * h.m_settings.m_processor_share * thousandths));
     return self;
 }
 
