Keep few links and follow the store with two hosts a zone

A watch that returns costs a call, and targets that warm up change their entries with each heartbeat. Change: where few hosts own a zone's pools, a host is linked with the owners of its zone and two successors, and those with their like elsewhere; only they own pools. An idle link wakes its host once in 5 s. The owner and its successor follow the store; the others learn documents from them, told at once by pings of the new generation, and read a stale copy every 5 s in case that the watchers are cut off. A host without a link to a watcher watches itself. Standby hosts wake less. Also: an entry that is missing after a cut of this host is used at most 2.8 s after the last failed call.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -17,6 +17,10 @@
 
 constexpr std::size_t pings_after_state_change = 3;
 
+// A new generation spreads at once instead of with the regular pings: most
+// hosts do not follow the store themselves.
+constexpr std::size_t pings_after_new_generation = 3;
+
 // Reports the newest generation in a message, preferably that of the sender,
 // which is known to be reachable.
 void report_generation(membership const& m, membership_message const& message,
@@ -182,14 +186,23 @@
     {
         return;
     }
+    bool const has_new_generation = own.m_generation != generation;
     own.m_state = state;
     own.m_generation = generation;
     own.m_once_epoch = once_epoch;
     ++own.m_version;
-    if (has_new_state && !m.m_is_superseded)
+    if (m.m_is_superseded)
+    {
+        return;
+    }
+    if (has_new_state)
     {
         ping_some(m, pings_after_state_change, now, out);
     }
+    else if (has_new_generation)
+    {
+        ping_some(m, pings_after_new_generation, now, out);
+    }
 }
 
 bool is_isolated(membership const& m) noexcept
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -105,13 +105,13 @@
 {
     int m_millicores;
     std::uint64_t m_weight;
-    std::string const* m_name;
+    owner_candidate const* m_host;
 };
 
-bounded_rank rank_in_zone(owner_candidate const& host, std::string const& zone)
+bounded_rank rank_in_zone(owner_candidate const& host,
+                          std::string const& zone_key)
 {
-    return {host.m_millicores,
-            rendezvous_weight(pool_key("", zone), host.m_name), &host.m_name};
+    return {host.m_millicores, rendezvous_weight(zone_key, host.m_name), &host};
 }
 
 bool goes_first(bounded_rank const& a, bounded_rank const& b)
@@ -121,7 +121,22 @@
         return a.m_millicores > b.m_millicores;
     }
     return a.m_weight != b.m_weight ? a.m_weight > b.m_weight
-                                    : *a.m_name < *b.m_name;
+                                    : a.m_host->m_name < b.m_host->m_name;
+}
+
+void sort_by_rank(std::vector<owner_candidate const*>& hosts,
+                  std::string const& zone)
+{
+    auto const key = pool_key("", zone);
+    std::vector<bounded_rank> ranks;
+    ranks.reserve(hosts.size());
+    for (auto const* host : hosts)
+    {
+        ranks.push_back(rank_in_zone(*host, key));
+    }
+    std::sort(ranks.begin(), ranks.end(), goes_first);
+    std::transform(ranks.begin(), ranks.end(), hosts.begin(),
+                   [](bounded_rank const& rank) { return rank.m_host; });
 }
 
 /// Keeps the hosts that may own pools of the zone where their number is
@@ -134,10 +149,7 @@
     {
         return;
     }
-    std::sort(
-        hosts.begin(), hosts.end(),
-        [&](owner_candidate const* a, owner_candidate const* b)
-        { return goes_first(rank_in_zone(*a, zone), rank_in_zone(*b, zone)); });
+    sort_by_rank(hosts, zone);
     hosts.resize(bound);
 }
 
@@ -199,6 +211,27 @@
     return owners;
 }
 
+std::vector<std::string> zone_succession(std::string const& zone,
+                                         std::span<owner_candidate const> hosts)
+{
+    std::vector<owner_candidate const*> found;
+    for (auto const& host : hosts)
+    {
+        if (host.m_zone == zone)
+        {
+            found.push_back(&host);
+        }
+    }
+    sort_by_rank(found, zone);
+    std::vector<std::string> names;
+    names.reserve(found.size());
+    for (auto const* host : found)
+    {
+        names.push_back(host->m_name);
+    }
+    return names;
+}
+
 std::vector<std::string> owner_order(pool_id const& pool,
                                      std::span<owner_candidate const> hosts,
                                      configuration const& document)
@@ -220,17 +253,16 @@
     auto const zones = nearest_zones(document, pool.m_zone);
     // Where few hosts own all pools of a zone, one successor takes all of them.
     bool const is_bounded = document.m_max_owners_per_zone > 0;
-    auto const key = pool_key(pool.m_service, pool.m_zone);
+    auto const key =
+        pool_key(is_bounded ? std::string() : pool.m_service, pool.m_zone);
     std::vector<ranked> order;
     order.reserve(hosts.size());
     for (auto const& host : hosts)
     {
         auto const zone_rank = static_cast<std::size_t>(
             std::find(zones.begin(), zones.end(), host.m_zone) - zones.begin());
-        auto const rank =
-            is_bounded ? rank_in_zone(host, pool.m_zone)
-                       : bounded_rank{0, rendezvous_weight(key, host.m_name),
-                                      &host.m_name};
+        auto rank = rank_in_zone(host, key);
+        rank.m_millicores = is_bounded ? rank.m_millicores : 0;
         order.push_back({zone_rank, rank});
     }
     std::sort(order.begin(), order.end(),
@@ -244,7 +276,7 @@
     names.reserve(order.size());
     for (auto const& entry : order)
     {
-        names.push_back(*entry.m_rank.m_name);
+        names.push_back(entry.m_rank.m_host->m_name);
     }
     auto const owner = owners.find(pool.m_service);
     if (owner != owners.end())
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -45,6 +45,12 @@
 zone_owners(std::string const& zone, std::span<owner_candidate const> hosts,
             configuration const& document);
 
+/// The hosts of a zone in the order in which they own all its pools where their
+/// number is bounded.
+std::vector<std::string>
+zone_succession(std::string const& zone,
+                std::span<owner_candidate const> hosts);
+
 /// All candidates in the order in which they own the pool: the one that
 /// zone_owners() names, then the other hosts of the pool's zone by rendezvous
 /// weight, then those of the nearest zones. Where few hosts own all pools of a
--- a/src/core/target_directory.cpp
+++ b/src/core/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "core/target_directory.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 #include <utility>
 
@@ -20,9 +21,12 @@
 
 } // namespace
 
-void note_registry_back(target_directory& directory, time_point now)
+void note_registry_back(target_directory& directory, time_point last_failure,
+                        time_point now)
 {
-    directory.m_removals_trusted_from = now + lapsed_entry_grace;
+    assert(last_failure <= now);
+    directory.m_removals_trusted_from =
+        std::min(now + lapsed_entry_grace, last_failure + longest_lapsed_use);
 }
 
 bool put_target(target_directory& directory, registered_target target,
--- a/src/core/target_directory.hpp
+++ b/src/core/target_directory.hpp
@@ -50,8 +50,15 @@
 /// The platform promises about two seconds.
 inline constexpr duration lapsed_entry_grace = std::chrono::milliseconds(2200);
 
-/// The registry answers again after an outage.
-void note_registry_back(target_directory& directory, time_point now);
+/// Longest use of an entry that is missing after an outage, from the last call
+/// that failed. From 3 s after the end of a disruption on, the platform holds a
+/// host to what the store says.
+inline constexpr duration longest_lapsed_use = std::chrono::milliseconds(2800);
+
+/// The registry answers again after an outage, which lasted at least until the
+/// last failed call was sent.
+void note_registry_back(target_directory& directory, time_point last_failure,
+                        time_point now);
 
 /// An entry as it was written. Returns whether anything that hosts use
 /// changed.
--- a/src/core/target_directory_test.cpp
+++ b/src/core/target_directory_test.cpp
@@ -47,7 +47,7 @@
     target_directory directory;
     put_target(directory, make_target("t1"), at(0));
     put_target(directory, make_target("t2"), at(0));
-    note_registry_back(directory, at(10'000));
+    note_registry_back(directory, at(9'900), at(10'000));
     CHECK(!replace_targets(directory, {}, at(10'000)));
     CHECK(directory.m_entries.size() == 2);
     CHECK(next_drop(directory) == at(10'000) + lapsed_entry_grace);
@@ -58,6 +58,23 @@
     CHECK(!next_drop(directory));
 }
 
+// Guards against a target that left while this host alone was cut from the
+// registry, and that it goes on using: the host finds the registry again about
+// a second after the end of the cut, and 3 s after it the removal binds.
+TEST_CASE("an entry missing after a cut is not used beyond the bound")
+{
+    auto const cut_ends = at(13'000);
+    auto const binds = cut_ends + seconds(3);
+    target_directory directory;
+    put_target(directory, make_target("left"), at(0));
+    note_registry_back(directory, at(12'950), at(14'000));
+    replace_targets(directory, {}, at(14'000));
+    REQUIRE(next_drop(directory));
+    CHECK(*next_drop(directory) < binds);
+    CHECK(drop_lapsed(directory, binds));
+    CHECK(directory.m_entries.empty());
+}
+
 // Guards against a new process under an old name that is taken for the old one.
 TEST_CASE("another start under the same name is a change")
 {
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -92,10 +92,10 @@
         return failure(made);
     }
     m_tick = take(std::move(made));
-    m_tick->start(m_settings.m_heartbeat_interval);
     m_started = event_loop::now();
     m_last_tick = m_started;
     m_last_use = m_started;
+    start_tick(m_settings.m_heartbeat_interval);
     bufferevent_setcb(m_transport, on_readable, on_writable, on_event, this);
     bufferevent_setwatermark(m_transport, EV_WRITE, output_low_bytes, 0);
     // A whole frame must fit, more is left to TCP's flow control.
@@ -348,7 +348,7 @@
     {
         return;
     }
-    m_last_use = m_last_heard;
+    note_use(m_last_heard);
     if (!is_type(payload, wire_type::fragment))
     {
         deliver(payload);
@@ -403,7 +403,7 @@
         // answers with fast heartbeats from here on.
         m_last_heard = now;
     }
-    m_last_use = now;
+    note_use(now);
     flush();
     return true;
 }
@@ -413,6 +413,23 @@
     return now - m_last_use > m_settings.m_busy_period;
 }
 
+void peer_link::note_use(core::time_point now)
+{
+    bool const was_idle = is_idle(now);
+    m_last_use = now;
+    if (was_idle)
+    {
+        m_last_tick = now;
+        start_tick(m_settings.m_heartbeat_interval);
+    }
+}
+
+void peer_link::start_tick(core::duration wait)
+{
+    m_tick_wait = wait;
+    m_tick->start(wait);
+}
+
 bool peer_link::is_heartbeat_due(core::time_point now)
 {
     if (std::exchange(m_sent_since_tick, false) || !m_queue.is_empty())
@@ -489,7 +506,8 @@
     }
     else
     {
-        if (gap > m_settings.m_silence_limit)
+        if (gap - m_tick_wait >
+            m_settings.m_silence_limit - m_settings.m_heartbeat_interval)
         {
             // This host stood still; frames of the peer may wait unread.
             m_last_heard = now;
@@ -509,7 +527,9 @@
             m_sent_since_tick = false;
         }
     }
-    m_tick->start(m_settings.m_heartbeat_interval);
+    start_tick(m_phase == phase::open && is_idle(now)
+                   ? m_settings.m_idle_heartbeat_interval
+                   : m_settings.m_heartbeat_interval);
 }
 
 void peer_link::count(result_code code)
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -128,6 +128,9 @@
     void write_sealed(std::string_view payload);
     /// No message passed for the busy period.
     bool is_idle(core::time_point now) const;
+    /// A message passes: an idle link has fast heartbeats again.
+    void note_use(core::time_point now);
+    void start_tick(core::duration wait);
     bool is_heartbeat_due(core::time_point now);
     void on_tick();
     /// Counts the fault, logs it and ends the link.
@@ -156,6 +159,7 @@
     std::unique_ptr<timer> m_tick;
     core::time_point m_started{};
     core::time_point m_last_tick{};
+    core::duration m_tick_wait{0};
     core::time_point m_last_heard{};
     core::time_point m_last_use{};
     core::time_point m_last_heartbeat{};
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -350,7 +350,9 @@
     std::vector<std::string> idle;
     for (auto const& [host, p] : m_peers)
     {
+        // A link that the other host opened is the other's to close.
         if (!p.m_wanted && p.m_link != nullptr &&
+            p.m_link->role() == link_role::initiator &&
             p.m_link->queued_bytes() == 0 &&
             now - p.m_link->last_use() > m_settings.m_idle_limit)
         {
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -42,8 +42,8 @@
     std::size_t m_max_frame_bytes = std::size_t{2} << 20U;
     /// Bytes that may wait for one link.
     std::size_t m_max_queued_bytes = std::size_t{64} << 20U;
-    /// A link to a host outside set_peers() is closed after this time without
-    /// messages.
+    /// A link that was opened to a host outside set_peers() is closed after
+    /// this time without messages.
     core::duration m_idle_limit = std::chrono::seconds(10);
     /// Waits between attempts to connect; doubled after each failure, then
     /// varied at random by up to half.
@@ -113,7 +113,8 @@
     peer_network(peer_network const&) = delete;
     peer_network& operator=(peer_network const&) = delete;
 
-    /// Hosts to be connected to; links to others are closed when idle.
+    /// Hosts to be connected to; links that were opened to others are closed
+    /// when idle.
     void set_peers(std::vector<peer_address> peers);
 
     /// Queues a message. Returns owner_unreachable without a link and
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -101,11 +101,17 @@
     for (auto& service : document.m_services)
     {
         auto& retries = service.m_retry_budget;
-        retries.m_ratio =
-            budget_safety * bounds.m_retry_ratio.value_or(retries.m_ratio);
-        retries.m_burst = budget_safety *
-                          bounds.m_retry_burst.value_or(retries.m_burst) /
-                          static_cast<double>(owners);
+        // Documents of peers are complete already; with these bounds the result
+        // is the same.
+        if (bounds.m_retry_ratio)
+        {
+            retries.m_ratio = budget_safety * *bounds.m_retry_ratio;
+        }
+        if (bounds.m_retry_burst)
+        {
+            retries.m_burst = budget_safety * *bounds.m_retry_burst /
+                              static_cast<double>(owners);
+        }
         for (auto& kind : service.m_kinds)
         {
             // Such documents have no shares. Requests that only try a route
@@ -126,9 +132,11 @@
 void take_document(host& h, core::configuration document,
                    core::configuration_source source)
 {
+    std::shared_ptr<core::configuration const> for_peers;
     if (h.m_store != nullptr)
     {
         complete_document(h, document);
+        for_peers = std::make_shared<core::configuration const>(document);
         if (knows_targets(h))
         {
             document = core::with_targets(document, h.m_store->m_directory);
@@ -150,6 +158,8 @@
     case core::offer_result::same:
         return;
     }
+    h.m_follower->m_shared = for_peers == nullptr ? shared : for_peers;
+    h.m_follower->m_shared_text.clear();
     log_offer(*shared, source, "configuration in force");
     h.m_metrics.count_event("configuration_in_force");
     core::forget_missing_routes(h.m_parts, *shared);
@@ -304,8 +314,16 @@
     auto const in_force = h.m_configuration.m_in_force == nullptr
                               ? 0
                               : h.m_configuration.m_in_force->m_generation;
-    auto const sent =
-        h.m_peers->send(peer, net::configuration_request{in_force});
+    auto sent = h.m_peers->send(peer, net::configuration_request{in_force});
+    for (auto const& other : core::hosts(*h.m_membership))
+    {
+        // The one that told may have no link to this host.
+        if (!has_value(sent) && other.m_generation >= generation)
+        {
+            sent = h.m_peers->send(other.m_name,
+                                   net::configuration_request{in_force});
+        }
+    }
     if (has_value(sent))
     {
         follower.m_fetch_started = now();
@@ -316,14 +334,19 @@
 void on_configuration_request(host& h, std::string const& from,
                               net::configuration_request const& request)
 {
-    auto const& document = h.m_configuration.m_in_force;
+    auto& follower = *h.m_follower;
+    auto const& document = follower.m_shared;
     if (document == nullptr || document->m_generation <= request.m_generation)
     {
         return;
     }
+    if (follower.m_shared_text.empty())
+    {
+        follower.m_shared_text = config::print_document(*document);
+    }
     static_cast<void>(h.m_peers->send(
         from, net::configuration_reply{document->m_generation,
-                                       config::print_document(*document)}));
+                                       follower.m_shared_text}));
 }
 
 void on_configuration_reply(host& h, net::configuration_reply const& reply)
--- a/src/serve/configuration_follower.hpp
+++ b/src/serve/configuration_follower.hpp
@@ -25,6 +25,10 @@
     /// The document asked from a peer, and since when.
     std::uint64_t m_fetching = 0;
     core::time_point m_fetch_started{};
+    /// The document in force without targets that register themselves, for
+    /// peers; its text is made when the first of them asks.
+    std::shared_ptr<core::configuration const> m_shared;
+    std::string m_shared_text;
 };
 
 } // namespace hawthornspur::serve
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -27,30 +27,64 @@
 /// Free slots of other zones change with their neighbours about twice a second.
 constexpr auto summary_interval = std::chrono::milliseconds(200);
 constexpr auto housekeeping_interval = std::chrono::milliseconds(50);
+
+/// The same while nothing that this host passed on can be late: most hosts
+/// stand by, and each wake-up costs processor time.
+constexpr auto standby_housekeeping_interval = std::chrono::milliseconds(250);
+constexpr auto standby_summary_interval = std::chrono::seconds(1);
 constexpr auto host_list_interval = std::chrono::seconds(1);
 
 /// How fast a new epoch of at-most-once keys is announced.
 constexpr auto announcement_interval = std::chrono::seconds(1);
 
-/// Calls `action` again and again while the host lives.
-status add_interval(host& h, core::duration interval,
-                    std::function<void()> action)
+core::duration next_housekeeping(host const& h)
+{
+    bool const is_standby = h.m_forwards.empty() && h.m_calls.empty() &&
+                            h.m_stop == stop_stage::running;
+    return is_standby ? core::duration(standby_housekeeping_interval)
+                      : core::duration(housekeeping_interval);
+}
+
+core::duration next_summary(host const& h)
+{
+    return h.m_pools.empty() ? core::duration(standby_summary_interval)
+                             : core::duration(summary_interval);
+}
+
+core::duration next_announcement(host const& /*h*/)
+{
+    return announcement_interval;
+}
+
+core::duration next_host_list(host const& /*h*/)
+{
+    return host_list_interval;
+}
+
+struct repeated_action
+{
+    core::duration (*m_interval)(host const&);
+    void (*m_action)(host&);
+};
+
+/// Calls the action again and again while the host lives.
+status add_interval(host& h, repeated_action const& repeated)
 {
     auto const index = h.m_timers.size();
     auto timer =
         net::timer::create(*h.m_loop,
-                           [&h, index, interval, action = std::move(action)]
+                           [&h, index, repeated]
                            {
                                begin_pass(h);
-                               action();
-                               h.m_timers[index]->start(interval);
+                               repeated.m_action(h);
+                               h.m_timers[index]->start(repeated.m_interval(h));
                            });
     if (!has_value(timer))
     {
         return failure(timer);
     }
     h.m_timers.push_back(take(std::move(timer)));
-    h.m_timers.back()->start(interval);
+    h.m_timers.back()->start(repeated.m_interval(h));
     return success();
 }
 
@@ -99,21 +133,15 @@
     check_stop(h);
 }
 
-struct interval_action
-{
-    core::duration m_interval;
-    void (*m_action)(host&);
-};
-
 status start_intervals(host& h)
 {
-    for (auto const& [interval, action] :
-         {interval_action{summary_interval, send_summaries},
-          interval_action{housekeeping_interval, keep_house},
-          interval_action{announcement_interval, announce_self},
-          interval_action{host_list_interval, list_hosts}})
+    for (auto const& repeated :
+         {repeated_action{next_summary, send_summaries},
+          repeated_action{next_housekeeping, keep_house},
+          repeated_action{next_announcement, announce_self},
+          repeated_action{next_host_list, list_hosts}})
     {
-        auto added = add_interval(h, interval, [&h, run = action] { run(h); });
+        auto added = add_interval(h, repeated);
         if (!has_value(added))
         {
             return added;
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -32,12 +32,14 @@
 void read_hosts(host& h)
 {
     auto& follower = *h.m_store;
-    bool const is_early = follower.m_host_reads < early_host_reads;
+    // The first read follows this host's own entry, so that of two hosts one
+    // sees the other; gossip does the rest.
+    bool const is_first = follower.m_host_reads == 0;
     follower.m_hosts_read = now();
     ++follower.m_host_reads;
     h.m_platform.m_get_range(
         std::string(host_prefix),
-        is_early ? platform::freshness::latest
+        is_first ? platform::freshness::latest
                  : platform::freshness::may_be_stale,
         [&h](result<platform::stored_range> const& answer)
         {
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -1,6 +1,7 @@
 #include "serve/membership_driver.hpp"
 
 #include "base/logging.hpp"
+#include "core/link_choice.hpp"
 #include "core/once_table.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
@@ -17,12 +18,22 @@
 namespace
 {
 
+int max_owners(host const& h)
+{
+    auto const& document = h.m_configuration.m_in_force;
+    return document == nullptr ? h.m_settings.m_max_owners_per_zone
+                               : document->m_max_owners_per_zone;
+}
+
 void connect_peers(host& h)
 {
+    auto const others = core::hosts(*h.m_membership);
+    auto const wanted =
+        core::choose_links(core::self(*h.m_membership), others, max_owners(h));
     std::vector<net::peer_address> peers;
-    for (auto const& record : core::hosts(*h.m_membership))
+    for (auto const& record : others)
     {
-        if (record.m_state != core::host_state::dead)
+        if (wanted.contains(record.m_name))
         {
             peers.push_back(
                 {record.m_name, record.m_address, record.m_peer_port});
@@ -89,7 +100,6 @@
     }
     if (is_changed)
     {
-        connect_peers(h);
         update_routing(h);
     }
     restart_timer(h);
@@ -239,12 +249,27 @@
     update_routing(h);
 }
 
+bool is_store_watcher(host const& h)
+{
+    auto const watchers =
+        core::store_watchers(core::self(*h.m_membership),
+                             core::hosts(*h.m_membership), max_owners(h));
+    // Without a link to one of them the host has to see for itself.
+    return std::find(watchers.begin(), watchers.end(), h.m_settings.m_name) !=
+               watchers.end() ||
+           std::none_of(watchers.begin(), watchers.end(),
+                        [&](std::string const& name)
+                        { return h.m_peers->is_linked(name); });
+}
+
 void update_routing(host& h)
 {
+    connect_peers(h);
     auto records = core::hosts(*h.m_membership);
     records.push_back(core::self(*h.m_membership));
     core::reset(h.m_routing, std::move(records));
     update_pools(h);
+    resume_store_watches(h);
 }
 
 } // namespace hawthornspur::serve
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -36,6 +36,10 @@
 /// configuration.
 void update_routing(host& h);
 
+/// Whether this host follows the store itself, for its zone or because it
+/// reaches no host that does.
+bool is_store_watcher(host const& h);
+
 /// The state as it stands in logs and in /status.
 std::string_view to_string(core::host_state state) noexcept;
 
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -9,6 +9,7 @@
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/spilling.hpp"
+#include "serve/store_follower.hpp"
 
 #include <fstream>
 #include <iterator>
@@ -124,6 +125,7 @@
                 on_forward_link_down(h, peer);
                 on_incoming_link_down(h, peer);
                 on_peer_link_lost(h, peer);
+                resume_store_watches(h);
             },
             .m_on_datagram =
                 [&h](core::membership_message const& message)
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -34,9 +34,17 @@
 /// Shorter gaps than this cannot have made entries of targets lapse.
 constexpr auto shortest_outage = std::chrono::milliseconds(1500);
 
+/// A host that has just read a range finds its peers before it watches: most
+/// hosts learn that others watch for them.
+constexpr auto settle_time = std::chrono::milliseconds(800);
+
+/// Hosts that do not watch read a copy that may be stale this often, in case
+/// that the watchers of their zone are cut off from the store.
+constexpr auto resting_interval = std::chrono::seconds(5);
+
 /// In an outage a host tries again this often, well within the time in which a
 /// change has to be in force after it.
-constexpr auto longest_pause = std::chrono::milliseconds(1000);
+constexpr auto longest_pause = std::chrono::milliseconds(500);
 
 void read_feed(host& h, range_feed& feed);
 
@@ -61,23 +69,30 @@
     log_feed(feed, logging::level::info, "store regained", "");
     if (outage >= shortest_outage)
     {
-        core::note_registry_back(h.m_store->m_directory, now());
+        core::note_registry_back(h.m_store->m_directory, feed.m_last_failed,
+                                 now());
     }
 }
 
 void note_failure(host& h, range_feed& feed, error const& problem)
 {
+    if (problem.m_code == result_code::history_lost)
+    {
+        // The store answered, so that an outage is over.
+        note_answer(h, feed);
+        h.m_metrics.count_event("store_history_lost");
+        log_feed(feed, logging::level::info, "store forgot its history", "");
+        feed.m_revision.reset();
+        feed.m_timer->start(core::duration(0));
+        return;
+    }
     h.m_metrics.count_event("store_call_failed");
+    feed.m_last_failed = feed.m_call_sent;
     if (!feed.m_failing_since)
     {
         feed.m_failing_since = now();
         log_feed(feed, logging::level::warn, "store lost", problem.m_message);
     }
-    if (problem.m_code == result_code::history_lost)
-    {
-        log_feed(feed, logging::level::info, "store forgot its history", "");
-        feed.m_revision.reset();
-    }
     feed.m_timer->start(store_retry_interval);
 }
 
@@ -251,10 +266,11 @@
     return is_owner ? owner_change_interval : other_change_interval;
 }
 
-void read_snapshot(host& h, range_feed& feed)
+void read_snapshot(host& h, range_feed& feed, platform::freshness wanted)
 {
+    feed.m_call_sent = now();
     h.m_platform.m_get_range(
-        feed.m_prefix, platform::freshness::latest,
+        feed.m_prefix, wanted,
         [&h, &feed](result<platform::stored_range> const& answer)
         {
             begin_pass(h);
@@ -264,9 +280,16 @@
                 return;
             }
             note_answer(h, feed);
-            feed.m_revision = value(answer).m_as_of;
-            take_snapshot(h, feed, value(answer));
-            read_feed(h, feed);
+            // A stale copy may be older than what the host knows.
+            if (value(answer).m_as_of >= feed.m_revision.value_or(0))
+            {
+                feed.m_revision = value(answer).m_as_of;
+                take_snapshot(h, feed, value(answer));
+            }
+            feed.m_is_resting = !is_store_watcher(h);
+            feed.m_timer->start(feed.m_is_resting
+                                    ? core::duration(resting_interval)
+                                    : core::duration(settle_time));
         });
 }
 
@@ -274,9 +297,15 @@
 {
     if (!feed.m_revision)
     {
-        read_snapshot(h, feed);
+        read_snapshot(h, feed, platform::freshness::latest);
+        return;
+    }
+    if (!is_store_watcher(h))
+    {
+        read_snapshot(h, feed, platform::freshness::may_be_stale);
         return;
     }
+    feed.m_is_resting = false;
     h.m_platform.m_watch_range(
         feed.m_prefix, *feed.m_revision, watch_wait,
         [&h, &feed](result<platform::range_changes> const& answer)
@@ -284,18 +313,24 @@
             begin_pass(h);
             if (!has_value(answer))
             {
+                feed.m_call_sent = now();
                 note_failure(h, feed, failure(answer));
                 return;
             }
             note_answer(h, feed);
             feed.m_revision = std::max(*feed.m_revision, value(answer).m_as_of);
             take_changes(h, feed, value(answer));
-            if (value(answer).m_events.empty())
+            feed.m_is_resting = !is_store_watcher(h);
+            if (feed.m_is_resting)
             {
-                read_feed(h, feed);
+                log_feed(feed, logging::level::info,
+                         "store watch left to others", "");
+                feed.m_timer->start(resting_interval);
                 return;
             }
-            feed.m_timer->start(change_interval(h, feed));
+            feed.m_timer->start(value(answer).m_events.empty()
+                                    ? core::duration(0)
+                                    : change_interval(h, feed));
         });
 }
 
@@ -323,6 +358,22 @@
     return h.m_store == nullptr || h.m_store->m_has_read_targets;
 }
 
+void resume_store_watches(host& h)
+{
+    if (h.m_store == nullptr || !is_store_watcher(h))
+    {
+        return;
+    }
+    for (auto* feed : {&h.m_store->m_configuration, &h.m_store->m_targets})
+    {
+        if (std::exchange(feed->m_is_resting, false))
+        {
+            log_feed(*feed, logging::level::info, "store watch resumed", "");
+            feed->m_timer->start(core::duration(0));
+        }
+    }
+}
+
 status start_store_follower(host& h)
 {
     h.m_store = std::make_unique<store_follower>();
--- a/src/serve/store_follower.hpp
+++ b/src/serve/store_follower.hpp
@@ -32,6 +32,12 @@
     /// Revision to continue from; nothing before the first snapshot.
     std::optional<std::uint64_t> m_revision;
     std::optional<core::time_point> m_failing_since;
+    /// When the call in flight was sent, and the last one that failed. A watch
+    /// that fails counts from its failure, since it may have waited long.
+    core::time_point m_call_sent{};
+    core::time_point m_last_failed{};
+    /// The host leaves the range to the watchers of its zone.
+    bool m_is_resting = false;
 };
 
 /// A host's dealings with a store that holds configuration, targets and hosts.
@@ -56,6 +62,9 @@
 /// Whether the host has read the targets, or takes them from its document.
 bool knows_targets(host const& h) noexcept;
 
+/// Goes on watching the ranges when this host has become a watcher.
+void resume_store_watches(host& h);
+
 /// Starts following the store and registers this host there.
 status start_store_follower(host& h);
 
