Use slow slots for late requests, all slots of new targets, second attempts

Load patterns, each with a replay test in pool_speed_test.cpp that failed before: - Neighbours keep targets slow while requests arrive: requests in time wait for a fast slot and held back the late ones behind them, which take slow slots now. - Half of a service is replaced at a peak: targets that tell their speed start with all slots instead of one, and regain one with each answer. - A peak while most targets are slow: slots of slow targets count for the work that they do, so that requests which cannot be served are refused at once. - A target turns slow under an idempotent request: it gets a second attempt at a fast spare target from the retry budget, while its objective can be met. Tests: store_platform_test.cpp, which failed before.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -37,10 +37,12 @@
 
 double first_limit(pool const& p, int slots)
 {
-    // Targets listed when the pool starts are warm; later ones are cold.
+    // Targets listed when the pool starts are warm; later ones are cold. Those
+    // that tell their speed are chosen by it, and when half of a service is
+    // replaced at a peak all slots are needed at once.
     if (p.m_targets_known)
     {
-        return 1;
+        return p.m_tells_speed ? slots : 1;
     }
     return p.m_start == pool_start::after_crash
                ? std::max(1.0, slots * crash_start_share)
@@ -175,11 +177,19 @@
             }
             return;
         }
-        if (request.m_hedge && live_attempts(request) == 1 &&
-            request.m_count < attempt_bound(p, request))
+        if (live_attempts(request) != 1 ||
+            request.m_count >= attempt_bound(p, request))
+        {
+            return;
+        }
+        if (request.m_hedge)
         {
             hedge(p, request, now, budgets, out);
         }
+        else if (request.m_hedges_slow)
+        {
+            hedge_slow(p, request, now, budgets, out);
+        }
         return;
     }
     if (request.m_queued)
@@ -243,6 +253,8 @@
     for (auto& entry : p.m_targets)
     {
         entry.m_listed = false;
+        p.m_tells_speed =
+            p.m_tells_speed || entry.m_speed.m_reported.has_value();
     }
     for (auto const& spec : targets)
     {
--- a/src/core/pool_accounting.cpp
+++ b/src/core/pool_accounting.cpp
@@ -17,6 +17,8 @@
 constexpr double refusal_weight = 0.2;
 // A target that still serves one attempt in five is better than none.
 constexpr double largest_refusal_share = 0.8;
+// A target that tells its speed needs no trial of each slot.
+constexpr double raise_of_telling_target = 1;
 constexpr duration shortest_hold = std::chrono::milliseconds(1);
 
 /// Whether the pool does without the target: the others can carry the present
@@ -64,7 +66,9 @@
         note_success(target.m_outlier);
         if (!target.m_outlier.m_on_trial)
         {
-            raise(target.m_limit, target.m_spec.m_slots);
+            raise(target.m_limit, target.m_spec.m_slots,
+                  target.m_speed.m_reported ? raise_of_telling_target
+                                            : raise_per_answer);
         }
         return;
     }
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -117,6 +117,7 @@
     entry.m_sequence = sequence;
     entry.m_idempotent = config.m_execution == execution_rule::idempotent;
     entry.m_hedge = config.m_hedge && entry.m_idempotent;
+    entry.m_hedges_slow = entry.m_idempotent && request.m_objective.has_value();
     push(p.m_timers, {request.m_deadline, request.m_request});
     if (config.m_target_latency > duration::zero())
     {
--- a/src/core/pool_binding.cpp
+++ b/src/core/pool_binding.cpp
@@ -15,6 +15,10 @@
 constexpr int most_returns = 1;
 constexpr duration shortest_hedge_delay = std::chrono::milliseconds(2);
 constexpr int hedge_delay_factor = 2;
+// An answer that takes this much longer than usual was slowed down, or its
+// request is a long one; the target's report tells which.
+constexpr double slow_hedge_delay_factor = 1.3;
+constexpr duration slow_hedge_interval = std::chrono::milliseconds(50);
 // Hedges may use slots only while a fifth of the pool is free.
 constexpr int spare_divisor = 5;
 
@@ -191,6 +195,14 @@
     target.m_dispatched = now;
     auto& kind = p.m_kinds[request.m_arrival.m_kind.m_value];
     ++kind.m_in_flight;
+    if (request.m_hedges_slow && !request.m_hedge && request.m_count == 1)
+    {
+        auto const delay =
+            std::max(slow_hedge_interval, std::chrono::duration_cast<duration>(
+                                              slow_hedge_delay_factor *
+                                              seconds(median(kind.m_times))));
+        push(p.m_timers, {now + delay, request.m_arrival.m_request});
+    }
     if (request.m_hedge && request.m_count == 1)
     {
         auto const delay = std::max(shortest_hedge_delay,
@@ -271,6 +283,47 @@
     return front(kind.m_queue, p.m_rules.m_order, now);
 }
 
+/// Whether the request would be late even if a fast target took it now.
+bool is_late(pool const& p, request_entry const& request, time_point now)
+{
+    auto const& objective = request.m_arrival.m_objective;
+    return objective && now + usual_time(p, request) > *objective;
+}
+
+/// While the requests that are in time wait for a fast target, the free slots
+/// of slow ones serve those that are late anyway. Returns whether one was
+/// bound.
+bool bind_late(pool& p, int slots, time_point now, pool_effects& out)
+{
+    for (auto& kind : p.m_kinds)
+    {
+        if (is_kind_at_cap(p, kind, slots))
+        {
+            continue;
+        }
+        for (auto const& waiting : kind.m_queue)
+        {
+            auto& request = p.m_requests.at(waiting.m_request);
+            if (!is_late(p, request, now))
+            {
+                continue;
+            }
+            auto const best = pick_target(p, request, now);
+            if (best.m_target == nullptr || should_wait(p, best, request, now))
+            {
+                continue;
+            }
+            auto const id = waiting.m_request;
+            remove(kind.m_queue, id);
+            --p.m_queued;
+            dispatch(p, request, *best.m_target, attempt_reason::first, now,
+                     out);
+            return true;
+        }
+    }
+    return false;
+}
+
 void bind_retries(pool& p, int slots, time_point now, pool_effects& out)
 {
     for (std::size_t i = 0; i < p.m_retries.size();)
@@ -365,16 +418,24 @@
             --p.m_queued;
             continue;
         }
-        if (best.m_target != nullptr)
+        if (best.m_target == nullptr)
+        {
+            return;
+        }
+        if (!bind_late(p, slots, now, out))
         {
             p.m_bind_again = now + bind_again_interval;
+            return;
         }
-        return;
     }
 }
 
-void hedge(pool& p, request_entry& request, time_point now,
-           service_budgets& budgets, pool_effects& out)
+namespace
+{
+
+/// A target for a second attempt, while nothing else needs its slot.
+candidate pick_spare_target(pool& p, request_entry const& request,
+                            time_point now)
 {
     auto const slots = count_slots(p, now);
     auto const& kind = p.m_kinds[request.m_arrival.m_kind.m_value];
@@ -382,7 +443,45 @@
                            slots.m_free > 0 &&
                            slots.m_free * spare_divisor >= slots.m_limit &&
                            !is_kind_at_cap(p, kind, slots.m_slots);
-    auto const best = has_spare ? pick_target(p, request, now) : candidate{};
+    return has_spare ? pick_target(p, request, now) : candidate{};
+}
+
+bool is_at_slow_target(pool& p, request_entry const& request, time_point now)
+{
+    auto const* target =
+        find_target(p, request.m_attempts[request.m_count - 1].m_target);
+    return target != nullptr && says_slow(target->m_speed, now);
+}
+
+} // namespace
+
+void hedge_slow(pool& p, request_entry& request, time_point now,
+                service_budgets& budgets, pool_effects& out)
+{
+    if (is_late(p, request, now))
+    {
+        return;
+    }
+    auto const best = is_at_slow_target(p, request, now)
+                          ? pick_spare_target(p, request, now)
+                          : candidate{};
+    if (best.m_target != nullptr && !best.m_slow)
+    {
+        if (try_spend(budgets.m_retry))
+        {
+            dispatch(p, request, *best.m_target, attempt_reason::hedge, now,
+                     out);
+        }
+        return;
+    }
+    push(p.m_timers, {now + slow_hedge_interval, request.m_arrival.m_request});
+}
+
+void hedge(pool& p, request_entry& request, time_point now,
+           service_budgets& budgets, pool_effects& out)
+{
+    auto const& kind = p.m_kinds[request.m_arrival.m_kind.m_value];
+    auto const best = pick_spare_target(p, request, now);
     if (best.m_target == nullptr || best.m_slow)
     {
         auto const delay = std::max(shortest_hedge_delay, p95(kind.m_times));
--- a/src/core/pool_binding.hpp
+++ b/src/core/pool_binding.hpp
@@ -10,6 +10,12 @@
 /// Requests that can no longer finish in time are refused.
 void bind(pool& p, time_point now, pool_effects& out);
 
+/// Sends a second attempt when the target of the first one turned slow, if a
+/// fast one would still meet the objective. Load pattern: neighbours that make
+/// a target seven times slower for half a second while it works.
+void hedge_slow(pool& p, request_entry& request, time_point now,
+                service_budgets& budgets, pool_effects& out);
+
 /// Sends a second attempt of a request that takes unusually long, if a slot
 /// is spare and the budget allows it; otherwise looks again later.
 void hedge(pool& p, request_entry& request, time_point now,
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -32,9 +32,11 @@
     std::uint64_t m_next = 1;
 };
 
-fixture make_fixture(std::uint32_t targets, int slots)
+fixture make_fixture(std::uint32_t targets, int slots,
+                     execution_rule execution = execution_rule::at_most_once)
 {
     kind_config kind;
+    kind.m_execution = execution;
     kind.m_name = "claim";
     kind.m_target_latency = objective;
     kind.m_max_attempts = 2;
@@ -100,11 +102,8 @@
         f.m_now, f.m_budgets, f.m_out);
 }
 
-/// A probe of the target was answered with this slowness.
-void report(fixture& f, std::uint32_t target, double slowness)
+void answer_probe(fixture& f, std::uint32_t target, double slowness)
 {
-    // The pool takes answers only to probes that it asked for.
-    wait(f, seconds(2));
     probe_answer answer;
     answer.m_target = {target};
     answer.m_healthy = true;
@@ -112,6 +111,14 @@
     on_probe_answer(*f.m_pool, answer, f.m_now, f.m_budgets, f.m_out);
 }
 
+/// A probe of the target was answered with this slowness.
+void report(fixture& f, std::uint32_t target, double slowness)
+{
+    // The pool takes answers only to probes that it asked for.
+    wait(f, seconds(2));
+    answer_probe(f, target, slowness);
+}
+
 /// Serves a few requests so that the kind's usual time is known.
 void learn_usual_time(fixture& f)
 {
@@ -378,4 +385,104 @@
     CHECK(busy <= seconds(2));
 }
 
+// Load: neighbours keep all targets slow while requests go on arriving. Guards
+// against late requests that wait behind those in time, which do not want the
+// slow slots, until they are refused.
+TEST_CASE("late requests take slow slots while others wait for a fast one")
+{
+    auto f = make_fixture(1, 2);
+    learn_usual_time(f);
+    report(f, 0, slow);
+    auto const late = arrive(f);
+    f.m_now += milliseconds(290);
+    auto const in_time = arrive(f);
+    CHECK(!find_effect<dispatch_effect>(f, late));
+    wait(f, milliseconds(20));
+    CHECK(find_effect<dispatch_effect>(f, late));
+    CHECK(!find_effect<dispatch_effect>(f, in_time));
+}
+
+// Load: all targets of a service are replaced at a peak. Guards against new
+// ones that take one request each until they have proved every slot.
+TEST_CASE("targets that replace others take work for all their slots")
+{
+    auto f = make_fixture(2, 3);
+    learn_usual_time(f);
+    std::vector<pool_target> const list{{{10}, 3, false, {}},
+                                        {{11}, 3, false, {}}};
+    set_targets(*f.m_pool, {}, f.m_now, f.m_budgets, f.m_out);
+    set_targets(*f.m_pool, list, f.m_now, f.m_budgets, f.m_out);
+    for (int i = 0; i < 6; ++i)
+    {
+        CHECK(find_effect<dispatch_effect>(f, arrive(f)));
+    }
+}
+
+// Load: a peak while three of four targets are slow. Guards against requests
+// that are admitted for slots which take seven times as long.
+TEST_CASE("slots of slow targets count for the work that they do")
+{
+    auto f = make_fixture(4, 1);
+    learn_usual_time(f);
+    wait(f, seconds(2));
+    for (std::uint32_t target = 0; target < 3; ++target)
+    {
+        answer_probe(f, target, slow);
+    }
+    answer_probe(f, 3, 1);
+    for (int i = 0; i < 4; ++i)
+    {
+        arrive(f);
+    }
+    auto const hopeless = arrive(f, milliseconds(250));
+    REQUIRE(find_effect<refuse_effect>(f, hopeless));
+    CHECK(find_effect<refuse_effect>(f, hopeless)->m_code ==
+          result_code::deadline_unreachable);
+    CHECK(find_effect<dispatch_effect>(f, hopeless) == std::nullopt);
+}
+
+// Load: a neighbour makes a target seven times slower while it works on a
+// request. Guards against a request that may be repeated and misses its
+// objective there although a fast target is free.
+TEST_CASE("a request whose target turns slow gets a second attempt")
+{
+    for (auto const execution :
+         {execution_rule::idempotent, execution_rule::at_most_once})
+    {
+        auto f = make_fixture(2, 2, execution);
+        learn_usual_time(f);
+        wait(f, milliseconds(200));
+        answer_probe(f, 0, 1);
+        answer_probe(f, 1, 1);
+        auto const id = arrive(f);
+        auto const first = find_effect<dispatch_effect>(f, id);
+        REQUIRE(first);
+        wait(f, milliseconds(160));
+        answer_probe(f, first->m_target.m_value, slow);
+        answer_probe(f, 1 - first->m_target.m_value, 1);
+        wait(f, milliseconds(60));
+        auto const last = find_effect<dispatch_effect>(f, id);
+        bool const is_repeated = last->m_attempt == 2;
+        CHECK(is_repeated == (execution == execution_rule::idempotent));
+        CHECK((last->m_target == first->m_target) != is_repeated);
+    }
+}
+
+// Guards against second attempts that cannot meet the objective any more.
+TEST_CASE("a request that is late gets no second attempt for a slow target")
+{
+    auto f = make_fixture(2, 2, execution_rule::idempotent);
+    learn_usual_time(f);
+    wait(f, milliseconds(200));
+    answer_probe(f, 0, 1);
+    answer_probe(f, 1, 1);
+    auto const id = arrive(f);
+    auto const first = find_effect<dispatch_effect>(f, id);
+    REQUIRE(first);
+    wait(f, milliseconds(310));
+    answer_probe(f, first->m_target.m_value, slow);
+    wait(f, milliseconds(60));
+    CHECK(find_effect<dispatch_effect>(f, id)->m_attempt == 1);
+}
+
 } // namespace hawthornspur::core
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -54,7 +54,10 @@
         }
         if (is_usable(target))
         {
-            count.m_limit += whole_limit(target.m_limit, target.m_spec.m_slots);
+            auto const limit =
+                whole_limit(target.m_limit, target.m_spec.m_slots);
+            count.m_limit += limit;
+            count.m_effective += limit / expected_slowness(target.m_speed, now);
             auto const free = free_slots(target, now);
             count.m_free += free;
             bool const is_healthy =
@@ -93,7 +96,7 @@
                          other.m_times.m_mean_seconds;
             }
         }
-        wait = ahead / slots.m_limit;
+        wait = ahead / slots.m_effective;
     }
     auto const cap = kind_cap(p, kind, slots.m_slots);
     if (kind.m_in_flight >= cap)
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -77,6 +77,8 @@
     /// Rules that the request arrived under.
     bool m_idempotent = false;
     bool m_hedge = false;
+    /// Gets a second attempt when its target turns slow under it.
+    bool m_hedges_slow = false;
     bool m_queued = false;
     bool m_answered = false;
     /// Set for a request that waits for its next attempt.
@@ -113,6 +115,8 @@
     pool_rules m_rules;
     pool_start m_start = pool_start::fresh;
     bool m_targets_known = false;
+    /// A target has told how fast it works, as all of a service do or do not.
+    bool m_tells_speed = false;
     std::vector<target_entry> m_targets;
     std::vector<kind_entry> m_kinds;
     request_map m_requests;
@@ -156,6 +160,9 @@
     int m_limit = 0;
     /// All slots of targets that are not leaving.
     int m_slots = 0;
+    /// Work that usable slots do in the time in which one usual slot does one
+    /// request: slots of slow targets count for less.
+    double m_effective = 0;
 };
 slot_count count_slots(pool const& p, time_point now);
 
--- a/src/core/target_limit.cpp
+++ b/src/core/target_limit.cpp
@@ -23,7 +23,6 @@
 constexpr double smallest_spread = 0.5;
 constexpr double lowering_factor = 0.7;
 constexpr double strongest_lowering_factor = 0.2;
-constexpr double raise_per_answer = 0.25;
 constexpr duration lowering_interval = std::chrono::milliseconds(20);
 
 double fading(target_limit const& limit, time_point now)
@@ -87,10 +86,9 @@
           now);
 }
 
-void raise(target_limit& limit, int slots)
+void raise(target_limit& limit, int slots, double by)
 {
-    limit.m_limit =
-        std::min(static_cast<double>(slots), limit.m_limit + raise_per_answer);
+    limit.m_limit = std::min(static_cast<double>(slots), limit.m_limit + by);
 }
 
 void lower_after_shed(target_limit& limit, time_point now)
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -48,8 +48,11 @@
 void lower_after_slow_answer(target_limit& limit, double log_relative_slowness,
                              time_point now);
 
-/// Raises the limit slowly. Called after a whole answer in usual time.
-void raise(target_limit& limit, int slots);
+/// Slots that a target gains with an answer when each slot has to prove itself.
+inline constexpr double raise_per_answer = 0.25;
+
+/// Raises the limit after a whole answer in usual time.
+void raise(target_limit& limit, int slots, double by = raise_per_answer);
 
 /// The target refused work although the owner counted a free slot.
 void lower_after_shed(target_limit& limit, time_point now);
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -5,6 +5,7 @@
 #include "serve/host.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/pools.hpp"
+#include "serve/store_follower.hpp"
 
 namespace hawthornspur::serve
 {
@@ -20,6 +21,19 @@
            c.m_origin == call_origin::spilled;
 }
 
+/// Gives the request to a target of this host's choice, unless the host does
+/// not know which targets are leaving: another host may.
+void serve_here(host& h, call& c)
+{
+    if (knows_current_targets(h))
+    {
+        enqueue_call(h, c);
+        return;
+    }
+    h.m_metrics.count_event("targets_not_current");
+    fail_call(h, c, result_code::host_not_ready);
+}
+
 } // namespace
 
 void admit_call(host& h, call& c)
@@ -33,11 +47,16 @@
     if (is_bound_to_this_host(c))
     {
         c.m_pool = {c.m_accepted.m_service, c.m_accepted.m_zone};
-        enqueue_call(h, c);
+        serve_here(h, c);
         return;
     }
-    auto const& zone = core::pool_zone(
-        h.m_routing, document, *c.m_classified.m_service, c.m_accepted.m_zone);
+    // Documents of peers come without targets; a host that has not read them
+    // leaves it to the owner in the caller's zone.
+    auto const& zone =
+        knows_targets(h)
+            ? core::pool_zone(h.m_routing, document, *c.m_classified.m_service,
+                              c.m_accepted.m_zone)
+            : c.m_accepted.m_zone;
     if (zone.empty())
     {
         fail_call(h, c, result_code::no_target_available);
@@ -58,7 +77,7 @@
     }
     // Without a reachable owner this host serves the pool itself, also while
     // it is leaving: another owner at the same time is harmless.
-    enqueue_call(h, c);
+    serve_here(h, c);
 }
 
 } // namespace hawthornspur::serve
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -144,7 +144,7 @@
     }
     auto shared =
         std::make_shared<core::configuration const>(std::move(document));
-    switch (core::offer(h.m_configuration, shared))
+    switch (core::offer(h.m_configuration, shared, source))
     {
     case core::offer_result::in_force:
         break;
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -46,6 +46,10 @@
 /// change has to be in force after it.
 constexpr auto longest_pause = std::chrono::milliseconds(500);
 
+/// A host that has just become a watcher waits this long for the changes that
+/// it missed; a store that takes longer is slow, and its targets are needed.
+constexpr auto longest_resumption = std::chrono::milliseconds(300);
+
 void read_feed(host& h, range_feed& feed);
 
 void log_feed(range_feed const& feed, logging::level severity,
@@ -87,6 +91,7 @@
         return;
     }
     h.m_metrics.count_event("store_call_failed");
+    feed.m_resumed.reset();
     feed.m_last_failed = feed.m_call_sent;
     if (!feed.m_failing_since)
     {
@@ -280,6 +285,7 @@
                 return;
             }
             note_answer(h, feed);
+            feed.m_resumed.reset();
             // A stale copy may be older than what the host knows.
             if (value(answer).m_as_of >= feed.m_revision.value_or(0))
             {
@@ -295,8 +301,9 @@
 
 void read_feed(host& h, range_feed& feed)
 {
-    if (!feed.m_revision)
+    if (!feed.m_revision || feed.m_resumed)
     {
+        // A watch that has missed nothing would not answer for long.
         read_snapshot(h, feed, platform::freshness::latest);
         return;
     }
@@ -318,6 +325,7 @@
                 return;
             }
             note_answer(h, feed);
+            feed.m_resumed.reset();
             feed.m_revision = std::max(*feed.m_revision, value(answer).m_as_of);
             take_changes(h, feed, value(answer));
             feed.m_is_resting = !is_store_watcher(h);
@@ -368,12 +376,24 @@
     {
         if (std::exchange(feed->m_is_resting, false))
         {
+            feed->m_resumed = now();
             log_feed(*feed, logging::level::info, "store watch resumed", "");
             feed->m_timer->start(core::duration(0));
         }
     }
 }
 
+bool knows_current_targets(host const& h) noexcept
+{
+    if (h.m_store == nullptr)
+    {
+        return true;
+    }
+    auto const& feed = h.m_store->m_targets;
+    return !feed.m_is_resting &&
+           (!feed.m_resumed || now() - *feed.m_resumed >= longest_resumption);
+}
+
 status start_store_follower(host& h)
 {
     h.m_store = std::make_unique<store_follower>();
--- a/src/serve/store_follower.hpp
+++ b/src/serve/store_follower.hpp
@@ -38,6 +38,9 @@
     core::time_point m_last_failed{};
     /// The host leaves the range to the watchers of its zone.
     bool m_is_resting = false;
+    /// Since when the host watches again without having heard from the store;
+    /// nothing once it has, or has found the store unreachable.
+    std::optional<core::time_point> m_resumed;
 };
 
 /// A host's dealings with a store that holds configuration, targets and hosts.
@@ -62,6 +65,10 @@
 /// Whether the host has read the targets, or takes them from its document.
 bool knows_targets(host const& h) noexcept;
 
+/// Whether the host may give work to targets by itself: a host that left the
+/// range to others may not know yet which targets are leaving.
+bool knows_current_targets(host const& h) noexcept;
+
 /// Goes on watching the ranges when this host has become a watcher.
 void resume_store_watches(host& h);
 
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -5,11 +5,13 @@
 #include "net/http_client.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/stop.hpp"
 #include "serve/store_follower.hpp"
 #include "target_emulator/target_emulator.hpp"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +45,9 @@
     };
     net::event_loop* m_loop = nullptr;
     std::map<std::string, item> m_items;
+    /// What happened, oldest first, until the history is lost.
+    std::vector<platform::range_event> m_history;
+    std::uint64_t m_history_from = 0;
     std::vector<watch> m_watches;
     std::uint64_t m_revision = 1;
     int m_snapshots = 0;
@@ -78,6 +83,7 @@
 void put(memory_store& s, std::string const& key, std::string const& value)
 {
     s.m_items[key] = {value, ++s.m_revision};
+    s.m_history.push_back({key, value, s.m_revision});
     answer_watches(s, key, value);
 }
 
@@ -85,11 +91,14 @@
 {
     s.m_items.erase(key);
     ++s.m_revision;
+    s.m_history.push_back({key, std::nullopt, s.m_revision});
     answer_watches(s, key, std::nullopt);
 }
 
 void lose_history(memory_store& s)
 {
+    s.m_history.clear();
+    s.m_history_from = s.m_revision;
     for (auto const& watch : std::exchange(s.m_watches, {}))
     {
         s.m_loop->post(
@@ -154,12 +163,18 @@
     {
         platform::range_changes changes;
         changes.m_as_of = s.m_revision;
-        for (auto const& item : read_range(s, prefix).m_items)
+        if (after < s.m_history_from)
         {
-            if (item.m_revision > after)
+            s.m_loop->post(
+                [done]
+                { done(make_error(result_code::history_lost, "compacted")); });
+            return;
+        }
+        for (auto const& event : s.m_history)
+        {
+            if (event.m_revision > after && event.m_key.starts_with(prefix))
             {
-                changes.m_events.push_back(
-                    {item.m_key, item.m_value, item.m_revision});
+                changes.m_events.push_back(event);
             }
         }
         if (changes.m_events.empty())
@@ -218,11 +233,11 @@
     return adapter;
 }
 
-std::string make_document()
+std::string make_document(std::uint64_t generation = 3)
 {
     core::configuration document;
-    document.m_generation = 3;
-    document.m_change_id = "3";
+    document.m_generation = generation;
+    document.m_change_id = std::to_string(generation);
     document.m_zones = {{"a", "r", {}, {}}};
     core::service_config service;
     service.m_name = "map";
@@ -287,6 +302,29 @@
     f.m_views.push_back(std::move(view));
 }
 
+bool is_resting(serve::host const& h)
+{
+    return h.m_store->m_targets.m_is_resting &&
+           h.m_store->m_configuration.m_is_resting;
+}
+
+/// Starts four hosts and waits until two of them leave the store to the others.
+void start_four_hosts(fixture& f)
+{
+    for (auto const* name : {"entry-1", "entry-2", "entry-3", "entry-4"})
+    {
+        start_host(f, name);
+    }
+    run_until(f,
+              [&]
+              {
+                  return std::count_if(f.m_hosts.begin(), f.m_hosts.end(),
+                                       [](auto const& h)
+                                       { return is_resting(*h); }) == 2 &&
+                         f.m_store.m_watches.size() == 4;
+              });
+}
+
 int ask(fixture& f, std::size_t host)
 {
     std::optional<int> status;
@@ -399,4 +437,64 @@
               });
 }
 
+// Guards against every host paying for watches, and against hosts that learn a
+// change only when they read the store again.
+TEST_CASE("two hosts of a zone watch the store and the others learn from them")
+{
+    auto const f = make_fixture();
+    start_four_hosts(*f);
+    auto const snapshots = f->m_store.m_snapshots;
+    put(f->m_store, document_key, make_document(4));
+    run_until(
+        *f,
+        [&]
+        {
+            return std::all_of(
+                f->m_hosts.begin(), f->m_hosts.end(),
+                [](auto const& h)
+                { return h->m_configuration.m_in_force->m_generation == 4; });
+        });
+    CHECK(f->m_store.m_snapshots == snapshots);
+    for (auto const& h : f->m_hosts)
+    {
+        CHECK((!is_resting(*h) || h->m_configuration.m_source ==
+                                      core::configuration_source::peer));
+    }
+}
+
+// Guards against a host that takes over with the targets that it read seconds
+// before, some of which have left since.
+TEST_CASE("a host that takes over reads the targets before it uses them")
+{
+    auto const f = make_fixture();
+    start_four_hosts(*f);
+    remove(f->m_store, "targets/t1");
+    std::size_t left = 0;
+    for (std::size_t i = 0; i < f->m_hosts.size(); ++i)
+    {
+        if (is_resting(*f->m_hosts[i]))
+        {
+            left = i;
+        }
+    }
+    // The resting host still lists the target.
+    CHECK(!f->m_hosts[left]
+               ->m_configuration.m_in_force->m_services[0]
+               .m_targets.empty());
+    for (std::size_t i = 0; i < f->m_hosts.size(); ++i)
+    {
+        if (i != left)
+        {
+            serve::begin_stop(*f->m_hosts[i], "test");
+        }
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK(ask(*f, left) == 503);
+    }
+    run_until(*f, [&] { return !is_resting(*f->m_hosts[left]); });
+    put(f->m_store, "targets/t1", std::to_string(f->m_target->port()));
+    run_until(*f, [&] { return ask(*f, left) == 200; });
+}
+
 } // namespace hawthornspur::test
