Soak real processes; be ready when a zone's hosts are found

Ready: after a loss of all hosts each of them named itself to callers until it found the others. A host now waits, at most 0.5 s after it read the targets, for a live host of its zone, unless it is the first of those that the store lists. Test: store_platform_test.cpp.

--- a/src/platform/platform_calls.hpp
+++ b/src/platform/platform_calls.hpp
@@ -37,6 +37,8 @@
     /// Port for other entry hosts; 0 for targets.
     std::uint16_t m_peer_port = 0;
     bool m_leaving = false;
+    /// Processor time of an entry host, in thousandths of a core.
+    int m_millicores = 1000;
 };
 
 /// An item of a range of keys.
--- a/src/serve/host_entry.cpp
+++ b/src/serve/host_entry.cpp
@@ -9,11 +9,13 @@
 
 std::string write_host_entry(host const& h)
 {
-    return nlohmann::json{{"name", h.m_settings.m_name},
-                          {"zone", h.m_settings.m_zone},
-                          {"address", h.m_settings.m_peers.m_address},
-                          {"callers_port", h.m_callers->port()},
-                          {"peers_port", h.m_peers->port()}}
+    return nlohmann::json{
+        {"name", h.m_settings.m_name},
+        {"zone", h.m_settings.m_zone},
+        {"address", h.m_settings.m_peers.m_address},
+        {"callers_port", h.m_callers->port()},
+        {"peers_port", h.m_peers->port()},
+        {"millicores", core::self(*h.m_membership).m_millicores}}
         .dump();
 }
 
@@ -29,6 +31,7 @@
         listed.m_address = body.at("address").get<std::string>();
         listed.m_port = body.at("callers_port").get<std::uint16_t>();
         listed.m_peer_port = body.at("peers_port").get<std::uint16_t>();
+        listed.m_millicores = body.value("millicores", listed.m_millicores);
         return listed;
     }
     catch (nlohmann::json::exception const&)
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -1,6 +1,7 @@
 #include "serve/host_registration.hpp"
 
 #include "base/logging.hpp"
+#include "core/ownership.hpp"
 #include "serve/host.hpp"
 #include "serve/host_entry.hpp"
 #include "serve/membership_driver.hpp"
@@ -24,11 +25,29 @@
 /// Hosts that start together find each other in the first reads; later ones
 /// heal what a partition separated.
 constexpr int early_host_reads = 3;
-constexpr auto early_read_interval = std::chrono::milliseconds(700);
+constexpr auto early_read_interval = std::chrono::milliseconds(550);
 constexpr auto host_read_interval = std::chrono::seconds(10);
 
 constexpr std::string_view host_prefix = "hawthornspur/hosts/";
 
+/// Whether this host owns the pools of its zone if all listed hosts live.
+void note_zone_lead(host& h, std::vector<platform::listed_host> const& listed)
+{
+    auto const& self = core::self(*h.m_membership);
+    std::vector<core::owner_candidate> candidates{
+        {self.m_name, self.m_zone, self.m_millicores}};
+    for (auto const& entry : listed)
+    {
+        if (entry.m_name != self.m_name)
+        {
+            candidates.push_back(
+                {entry.m_name, entry.m_zone, entry.m_millicores});
+        }
+    }
+    h.m_store->m_leads_zone =
+        core::zone_succession(self.m_zone, candidates).front() == self.m_name;
+}
+
 void read_hosts(host& h)
 {
     auto& follower = *h.m_store;
@@ -57,7 +76,9 @@
                     listed.push_back(std::move(*entry));
                 }
             }
+            note_zone_lead(h, listed);
             on_listed_entry_hosts(h, listed);
+            announce_self(h);
         });
 }
 
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -103,6 +103,10 @@
         update_routing(h);
     }
     restart_timer(h);
+    if (is_changed && !h.m_is_ready)
+    {
+        announce_self(h);
+    }
 }
 
 void on_membership_timer(host& h)
@@ -226,8 +230,8 @@
 {
     // Once ready, a host stays ready: a newer generation that it does not have
     // yet is no reason to stop serving under the old one.
-    h.m_is_ready = h.m_is_ready ||
-                   (core::is_current(h.m_configuration) && knows_targets(h));
+    h.m_is_ready = h.m_is_ready || (core::is_current(h.m_configuration) &&
+                                    knows_targets(h) && has_found_zone(h));
     auto state = core::host_state::joining;
     if (h.m_stop != stop_stage::running)
     {
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -46,6 +46,10 @@
 /// change has to be in force after it.
 constexpr auto longest_pause = std::chrono::milliseconds(500);
 
+/// Owners start within this time of each other after all hosts were lost; then
+/// a host that found none serves by itself.
+constexpr auto longest_search = std::chrono::milliseconds(500);
+
 /// A host that has just become a watcher waits this long for the changes that
 /// it missed; a store that takes longer is slow, and its targets are needed.
 constexpr auto longest_resumption = std::chrono::milliseconds(300);
@@ -182,7 +186,10 @@
                    {{"targets", std::to_string(targets.size())},
                     {"revision", std::to_string(range.m_as_of)}});
     core::replace_targets(h.m_store->m_directory, std::move(targets), now());
-    h.m_store->m_has_read_targets = true;
+    if (!std::exchange(h.m_store->m_has_read_targets, true))
+    {
+        h.m_store->m_targets_known = now();
+    }
     apply_targets(h);
     announce_self(h);
 }
@@ -383,6 +390,22 @@
     }
 }
 
+bool has_found_zone(host const& h)
+{
+    if (h.m_store == nullptr || h.m_store->m_leads_zone ||
+        now() - h.m_store->m_targets_known >= longest_search)
+    {
+        return true;
+    }
+    auto const others = core::hosts(*h.m_membership);
+    return std::any_of(others.begin(), others.end(),
+                       [&](core::host_record const& other)
+                       {
+                           return other.m_zone == h.m_settings.m_zone &&
+                                  other.m_state == core::host_state::live;
+                       });
+}
+
 bool knows_current_targets(host const& h) noexcept
 {
     if (h.m_store == nullptr)
--- a/src/serve/store_follower.hpp
+++ b/src/serve/store_follower.hpp
@@ -52,6 +52,9 @@
     range_feed m_targets;
     core::target_directory m_directory;
     bool m_has_read_targets = false;
+    core::time_point m_targets_known{};
+    /// Of the hosts of its zone that the store lists, this one owns the pools.
+    bool m_leads_zone = false;
     std::unique_ptr<net::timer> m_drop_timer;
 
     /// Registration of this host and the list of the others.
@@ -65,6 +68,11 @@
 /// Whether the host has read the targets, or takes them from its document.
 bool knows_targets(host const& h) noexcept;
 
+/// Whether the host knows the hosts of its zone well enough to name owners.
+/// When all hosts start together, each one that does not wait names itself, and
+/// callers scatter over hosts that cannot carry them.
+bool has_found_zone(host const& h);
+
 /// Whether the host may give work to targets by itself: a host that left the
 /// range to others may not know yet which targets are leaving.
 bool knows_current_targets(host const& h) noexcept;
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,119 @@
+"""A loopback TCP proxy that delays, resets, cuts or silences connections."""
+
+import asyncio
+import socket
+import struct
+import threading
+
+LOOPBACK = "127.0.0.1"
+CHUNK_BYTES = 64 * 1024
+# A silenced connection is looked at this often, in seconds.
+POLL_INTERVAL = 0.02
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Fault:
+    """What happens to the bytes of one proxy at the moment."""
+
+    def __init__(self):
+        self.delay = 0.0  # seconds
+        self.silent = set()  # directions "up" (to the server) and "down"
+
+
+class Proxy:
+    """Forwards one port to a server. Lives until its ProxyLoop ends."""
+
+    def __init__(self, server_port):
+        self.server_port = server_port
+        self.port = None
+        self.fault = Fault()
+        self.transports = set()
+        # Connections that went silent for good, while new ones work.
+        self.dead = set()
+
+    async def open(self):
+        server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _accept(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                LOOPBACK, self.server_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer.transport, up_writer.transport)
+        self.transports.update(pair)
+        await asyncio.gather(
+            self._pump(reader, up_writer, "up", pair),
+            self._pump(up_reader, writer, "down", pair))
+        self.transports.difference_update(pair)
+        self.dead.difference_update(pair)
+
+    async def _pump(self, reader, writer, direction, pair):
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.fault.delay:
+                    await asyncio.sleep(self.fault.delay)
+                while (direction in self.fault.silent
+                       or pair[0] in self.dead):
+                    if pair[0].is_closing() or pair[1].is_closing():
+                        return
+                    await asyncio.sleep(POLL_INTERVAL)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def reset_connections(self):
+        for transport in list(self.transports):
+            connection = transport.get_extra_info("socket")
+            if connection is not None:
+                try:
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                          RESET_ON_CLOSE)
+                except OSError:
+                    continue  # It has just closed by itself.
+            transport.abort()
+
+    def silence_open_connections(self):
+        self.dead.update(self.transports)
+
+
+class ProxyLoop:
+    """Runs proxies on a thread of its own; use it in a `with` block."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever,
+                                        daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        asyncio.run_coroutine_threadsafe(self._cancel_all(),
+                                         self._loop).result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    @staticmethod
+    async def _cancel_all():
+        own = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not own]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def open(self, server_port):
+        proxy = Proxy(server_port)
+        asyncio.run_coroutine_threadsafe(proxy.open(), self._loop).result()
+        return proxy
+
+    def call(self, action):
+        """Runs an action on the proxies' thread."""
+        self._loop.call_soon_threadsafe(action)
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -497,4 +497,32 @@
     run_until(*f, [&] { return ask(*f, left) == 200; });
 }
 
+// Load: all hosts were lost and start again while callers ask for addresses.
+// Guards against each of them naming itself before it has found the others.
+TEST_CASE("a host is ready when it has found a host of its zone or leads it")
+{
+    auto const f = make_fixture();
+    SUBCASE("another host is listed before it")
+    {
+        put(f->m_store, "hawthornspur/hosts/large",
+            R"({"name":"large","zone":"a","address":"127.0.0.1",)"
+            R"("callers_port":9,"peers_port":9,"millicores":4000})");
+        start_host(*f, "entry-1");
+        auto const& h = *f->m_hosts[0];
+        run_until(*f, [&]
+                  { return serve::knows_targets(h) && serve::may_route(h); });
+        CHECK(!serve::is_ready(h));
+        // It serves by itself when nobody answers.
+        run_until(*f, [&] { return serve::is_ready(h); });
+        CHECK(ask(*f, 0) == 200);
+    }
+    SUBCASE("it is the first")
+    {
+        start_host(*f, "entry-1");
+        auto const& h = *f->m_hosts[0];
+        run_until(*f, [&] { return serve::is_ready(h); });
+        CHECK(h.m_store->m_leads_zone);
+    }
+}
+
 } // namespace hawthornspur::test
