Bind late requests by urgency; keep a resumption until the latest read

Found in the reading of the change: late requests of less urgent kinds could take a slow slot first, and a stale copy that was under way when a host became a watcher ended its wait for the latest targets.

--- a/src/core/link_choice.cpp
+++ b/src/core/link_choice.cpp
@@ -3,7 +3,6 @@
 #include "core/ownership.hpp"
 
 #include <algorithm>
-#include <map>
 
 namespace hawthornspur::core
 {
--- a/src/core/pool_binding.cpp
+++ b/src/core/pool_binding.cpp
@@ -291,17 +291,25 @@
 }
 
 /// While the requests that are in time wait for a fast target, the free slots
-/// of slow ones serve those that are late anyway. Returns whether one was
-/// bound.
+/// of slow ones serve those that are late anyway, the most urgent kind first.
+/// Returns whether one was bound.
 bool bind_late(pool& p, int slots, time_point now, pool_effects& out)
 {
+    std::vector<kind_entry*> kinds;
     for (auto& kind : p.m_kinds)
     {
-        if (is_kind_at_cap(p, kind, slots))
+        if (!kind.m_queue.empty() && !is_kind_at_cap(p, kind, slots))
         {
-            continue;
+            kinds.push_back(&kind);
         }
-        for (auto const& waiting : kind.m_queue)
+    }
+    std::stable_sort(kinds.begin(), kinds.end(),
+                     [](kind_entry const* a, kind_entry const* b) {
+                         return a->m_config.m_priority < b->m_config.m_priority;
+                     });
+    for (auto* kind : kinds)
+    {
+        for (auto const& waiting : kind->m_queue)
         {
             auto& request = p.m_requests.at(waiting.m_request);
             if (!is_late(p, request, now))
@@ -314,7 +322,7 @@
                 continue;
             }
             auto const id = waiting.m_request;
-            remove(kind.m_queue, id);
+            remove(kind->m_queue, id);
             --p.m_queued;
             dispatch(p, request, *best.m_target, attempt_reason::first, now,
                      out);
--- a/src/serve/store_follower.cpp
+++ b/src/serve/store_follower.cpp
@@ -283,7 +283,7 @@
     feed.m_call_sent = now();
     h.m_platform.m_get_range(
         feed.m_prefix, wanted,
-        [&h, &feed](result<platform::stored_range> const& answer)
+        [&h, &feed, wanted](result<platform::stored_range> const& answer)
         {
             begin_pass(h);
             if (!has_value(answer))
@@ -292,7 +292,10 @@
                 return;
             }
             note_answer(h, feed);
-            feed.m_resumed.reset();
+            if (wanted == platform::freshness::latest)
+            {
+                feed.m_resumed.reset();
+            }
             // A stale copy may be older than what the host knows.
             if (value(answer).m_as_of >= feed.m_revision.value_or(0))
             {
