Match kinds by name, so that a claim stays a claim under newer rules

It came 28 ms after a configuration; the order had been spilled, and when the other zone refused it, the place of its kind in the pool's rules belonged to an idempotent route. Kinds were known by their place in the document. Ruled out: two owners and the connect fault (both attempts came from one host, and the first one was cut when the second was answered, as for a hedge). Tests: pool_speed_test.cpp, one of which failed before (a second attempt for a returned claim).

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -88,7 +88,7 @@
 bool refuse_unknown_kind(pool const& p, arrival const& request,
                          pool_effects& out)
 {
-    if (request.m_kind.m_value < p.m_kinds.size())
+    if (request.m_kind.m_value < p.m_rules.m_kinds.size())
     {
         return false;
     }
@@ -221,18 +221,74 @@
     return p;
 }
 
-void set_rules(pool& p, pool_rules rules)
+std::optional<kind_id> find_kind(pool const& p, std::string_view name)
 {
-    // Kinds never shrink: requests in flight finish under their old rules.
-    p.m_kinds.resize(std::max(p.m_kinds.size(), rules.m_kinds.size()));
-    for (std::size_t i = 0; i < rules.m_kinds.size(); ++i)
+    for (std::size_t i = 0; i < p.m_rules.m_kinds.size(); ++i)
     {
-        if (p.m_kinds[i].m_config.m_name != rules.m_kinds[i].m_name)
+        if (p.m_rules.m_kinds[i].m_name == name)
         {
-            p.m_kinds[i].m_times = {};
+            return kind_id{static_cast<std::uint32_t>(i)};
         }
-        p.m_kinds[i].m_config = rules.m_kinds[i];
     }
+    return std::nullopt;
+}
+
+namespace
+{
+
+/// Whether a request that waits or runs is of the kind.
+bool is_in_use(pool const& p, std::size_t kind)
+{
+    return std::any_of(p.m_requests.begin(), p.m_requests.end(),
+                       [&](auto const& row)
+                       { return row.second.m_arrival.m_kind.m_value == kind; });
+}
+
+/// Puts the kinds into the order of the rules. Those that the rules no longer
+/// have stay behind them while requests need them.
+void reorder_kinds(pool& p, pool_rules const& rules)
+{
+    std::vector<kind_entry> ordered(rules.m_kinds.size());
+    for (std::size_t i = 0; i < ordered.size(); ++i)
+    {
+        ordered[i].m_config = rules.m_kinds[i];
+    }
+    std::vector<std::size_t> places(p.m_kinds.size());
+    std::vector<bool> is_taken(ordered.size());
+    for (std::size_t old = 0; old < p.m_kinds.size(); ++old)
+    {
+        auto const& name = p.m_kinds[old].m_config.m_name;
+        auto const same = std::find_if(
+            rules.m_kinds.begin(), rules.m_kinds.end(),
+            [&](kind_config const& kind) { return kind.m_name == name; });
+        auto const place =
+            static_cast<std::size_t>(same - rules.m_kinds.begin());
+        if (same != rules.m_kinds.end() && !is_taken[place])
+        {
+            is_taken[place] = true;
+            places[old] = place;
+            ordered[place] = std::move(p.m_kinds[old]);
+            ordered[place].m_config = *same;
+        }
+        else if (is_in_use(p, old))
+        {
+            places[old] = ordered.size();
+            ordered.push_back(std::move(p.m_kinds[old]));
+        }
+    }
+    for (auto& [id, request] : p.m_requests)
+    {
+        auto& kind = request.m_arrival.m_kind;
+        kind = {static_cast<std::uint32_t>(places[kind.m_value])};
+    }
+    p.m_kinds = std::move(ordered);
+}
+
+} // namespace
+
+void set_rules(pool& p, pool_rules rules)
+{
+    reorder_kinds(p, rules);
     if (rules.m_order != p.m_rules.m_order)
     {
         for (auto& kind : p.m_kinds)
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornspur::core
@@ -80,6 +81,9 @@
     std::optional<time_point> m_objective = std::nullopt;
     /// Times that other zones refused the request.
     int m_returns = 0;
+    /// The rules that the caller's request was classified under allow a second
+    /// run. It holds whatever the pool's rules say later.
+    bool m_may_repeat = true;
 };
 
 /// How an attempt ended at its target.
@@ -148,8 +152,13 @@
 
 pool_ptr make_pool(pool_rules rules, pool_start start, time_point now);
 
+/// Replaces the rules. Kinds are matched by name: a newer document may list
+/// them in another order, and requests that wait or run stay what they are.
 void set_rules(pool& p, pool_rules rules);
 
+/// The kind with this name, or nothing if the rules do not have it.
+std::optional<kind_id> find_kind(pool const& p, std::string_view name);
+
 /// Replaces the list of targets. Targets that are no longer listed or are
 /// leaving get no new work; their attempts in flight go on.
 void set_targets(pool& p, std::span<pool_target const> targets, time_point now,
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -115,7 +115,8 @@
     auto& entry = p.m_requests[request.m_request];
     entry.m_arrival = request;
     entry.m_sequence = sequence;
-    entry.m_idempotent = config.m_execution == execution_rule::idempotent;
+    entry.m_idempotent = request.m_may_repeat &&
+                         config.m_execution == execution_rule::idempotent;
     entry.m_hedge = config.m_hedge && entry.m_idempotent;
     entry.m_hedges_slow = entry.m_idempotent && request.m_objective.has_value();
     push(p.m_timers, {request.m_deadline, request.m_request});
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -485,4 +485,79 @@
     CHECK(find_effect<dispatch_effect>(f, id)->m_attempt == 1);
 }
 
+namespace
+{
+
+/// Newer rules that list an idempotent kind before the claim.
+pool_rules reordered_rules()
+{
+    kind_config look;
+    look.m_name = "look";
+    look.m_execution = execution_rule::idempotent;
+    look.m_target_latency = objective;
+    look.m_max_attempts = 2;
+    kind_config last;
+    last.m_name = "claim";
+    last.m_target_latency = objective;
+    last.m_max_attempts = 2;
+    last.m_execution = execution_rule::at_most_once;
+    pool_rules rules;
+    rules.m_kinds = {look, last};
+    return rules;
+}
+
+} // namespace
+
+// Guards against a claim that runs twice since a newer document lists another
+// kind at its place while it waits.
+TEST_CASE(
+    "a request keeps its kind when newer rules list kinds in another order")
+{
+    auto f = make_fixture(2, 1);
+    learn_usual_time(f);
+    auto const first = arrive(f);
+    auto const second = arrive(f);
+    auto const waiting = arrive(f);
+    set_rules(*f.m_pool, reordered_rules());
+    CHECK(find_kind(*f.m_pool, "claim") == kind_id{1});
+    end(f, first, 1);
+    REQUIRE(find_effect<dispatch_effect>(f, waiting));
+    for (auto const id : {second, waiting})
+    {
+        on_attempt_ended(*f.m_pool, {id, 1, attempt_outcome::closed, {}, false},
+                         f.m_now, f.m_budgets, f.m_out);
+        wait(f, milliseconds(50));
+        REQUIRE(find_effect<refuse_effect>(f, id));
+        CHECK(find_effect<dispatch_effect>(f, id)->m_attempt == 1);
+    }
+    CHECK(queue_length(*f.m_pool) == 0);
+}
+
+// Guards against a claim that another zone refused under newer rules, in which
+// its place belongs to a kind that may run twice.
+TEST_CASE("a request that may run once gets one attempt whatever its kind says")
+{
+    auto f = make_fixture(2, 2);
+    learn_usual_time(f);
+    set_rules(*f.m_pool, reordered_rules());
+    wait(f, milliseconds(200));
+    answer_probe(f, 0, 1);
+    answer_probe(f, 1, 1);
+    arrival returned;
+    returned.m_request = {f.m_next++};
+    returned.m_kind = claim;
+    returned.m_deadline = f.m_now + seconds(2);
+    returned.m_objective = f.m_now + objective;
+    returned.m_returns = 1;
+    returned.m_may_repeat = false;
+    on_spill_refused(*f.m_pool, returned, f.m_now, f.m_budgets, f.m_out);
+    auto const id = returned.m_request;
+    REQUIRE(find_effect<dispatch_effect>(f, id));
+    on_attempt_ended(*f.m_pool, {id, 1, attempt_outcome::closed, {}, false},
+                     f.m_now, f.m_budgets, f.m_out);
+    wait(f, milliseconds(200));
+    REQUIRE(find_effect<refuse_effect>(f, id));
+    CHECK(find_effect<dispatch_effect>(f, id)->m_attempt == 1);
+}
+
 } // namespace hawthornspur::core
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -12,6 +12,8 @@
 #include "serve/relay.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace hawthornspur::serve
@@ -81,11 +83,18 @@
     apply_effects(h, *hosted, std::move(effects));
 }
 
-core::arrival arrival_of(call const& c)
+/// The call as its pool sees it. The place of its kind is looked up by name,
+/// since the pool may have newer rules than those that the call was classified
+/// under. A kind that the pool does not know is refused there.
+core::arrival arrival_of(hosted_pool const& hosted, call const& c)
 {
+    constexpr core::kind_id unknown{std::numeric_limits<std::uint32_t>::max()};
     core::arrival made;
     made.m_request = c.m_id;
-    made.m_kind = c.m_classified.m_kind_id;
+    made.m_kind = core::find_kind(*hosted.m_pool, c.m_classified.m_kind->m_name)
+                      .value_or(unknown);
+    made.m_may_repeat =
+        c.m_classified.m_kind->m_execution == core::execution_rule::idempotent;
     made.m_deadline = c.m_classified.m_deadline;
     made.m_earlier_attempts = c.m_accepted.m_earlier_attempts;
     made.m_spilled = c.m_origin == call_origin::spilled;
@@ -102,7 +111,7 @@
         return;
     }
     c->m_is_queued = false;
-    hosted.m_spilled[c->m_id] = arrival_of(*c);
+    hosted.m_spilled[c->m_id] = arrival_of(hosted, *c);
     auto const& order =
         core::owners(h.m_routing, *c->m_classified.m_configuration,
                      {hosted.m_id.m_service, spill.m_zone});
@@ -384,7 +393,7 @@
     }
     c.m_is_queued = true;
     core::pool_effects effects;
-    core::on_arrival(*hosted->m_pool, arrival_of(c), now(),
+    core::on_arrival(*hosted->m_pool, arrival_of(*hosted, c), now(),
                      budgets_of(h, c.m_pool.m_service), effects);
     apply_effects(h, *hosted, std::move(effects));
 }
@@ -438,7 +447,9 @@
         fail_call(h, c, result_code::spill_refused);
         return;
     }
-    auto const arrival = hosted->m_spilled.at(c.m_id);
+    auto arrival = hosted->m_spilled.at(c.m_id);
+    // The rules may have changed while the request was away.
+    arrival.m_kind = arrival_of(*hosted, c).m_kind;
     hosted->m_spilled.erase(c.m_id);
     ++c.m_spills_returned;
     c.m_is_queued = true;
