--- a/src/core/link_choice.cpp
+++ b/src/core/link_choice.cpp
@@ -30,13 +30,13 @@
     std::vector<owner_candidate> candidates;
     if (may_own(self))
     {
-        candidates.push_back({self.m_name, self.m_zone, self.m_millicores});
+        candidates.push_back(to_candidate(self));
     }
     for (auto const& host : others)
     {
         if (may_own(host))
         {
-            candidates.push_back({host.m_name, host.m_zone, host.m_millicores});
+            candidates.push_back(to_candidate(host));
         }
     }
     return zone_succession(zone, candidates);
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -1,6 +1,7 @@
 #include "core/ownership.hpp"
 
 #include "core/configuration.hpp"
+#include "core/membership.hpp"
 
 #include <xxhash.h>
 
@@ -13,6 +14,11 @@
 namespace hawthornspur::core
 {
 
+owner_candidate to_candidate(host_record const& host)
+{
+    return {host.m_name, host.m_zone, host.m_millicores};
+}
+
 std::uint64_t rendezvous_weight(std::string_view key,
                                 std::string_view host) noexcept
 {
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -13,6 +13,7 @@
 {
 
 struct configuration;
+struct host_record;
 
 /// A host as far as the choice of owners is concerned.
 struct owner_candidate
@@ -24,6 +25,9 @@
     int m_millicores = 1000;
 };
 
+/// The host behind a membership record as a candidate.
+owner_candidate to_candidate(host_record const& host);
+
 /// Rendezvous weight of a host for a key; the highest weight comes first.
 std::uint64_t rendezvous_weight(std::string_view key,
                                 std::string_view host) noexcept;
--- a/src/core/pool_speed_test.cpp
+++ b/src/core/pool_speed_test.cpp
@@ -496,6 +496,7 @@
     look.m_execution = execution_rule::idempotent;
     look.m_target_latency = objective;
     look.m_max_attempts = 2;
+    look.m_priority = 5;
     kind_config last;
     last.m_name = "claim";
     last.m_target_latency = objective;
@@ -520,8 +521,18 @@
     auto const waiting = arrive(f);
     set_rules(*f.m_pool, reordered_rules());
     CHECK(find_kind(*f.m_pool, "claim") == kind_id{1});
+    // A claim that comes later waits behind it, since both are claims.
+    arrival later;
+    later.m_request = {f.m_next++};
+    later.m_kind = kind_id{1};
+    later.m_deadline = f.m_now + seconds(2);
+    later.m_objective = f.m_now + objective;
+    on_arrival(*f.m_pool, later, f.m_now, f.m_budgets, f.m_out);
     end(f, first, 1);
     REQUIRE(find_effect<dispatch_effect>(f, waiting));
+    CHECK(!find_effect<dispatch_effect>(f, later.m_request));
+    static_cast<void>(
+        on_cancel(*f.m_pool, later.m_request, f.m_now, f.m_budgets, f.m_out));
     for (auto const id : {second, waiting})
     {
         on_attempt_ended(*f.m_pool, {id, 1, attempt_outcome::closed, {}, false},
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -62,8 +62,7 @@
         {
             if (host.m_state == host_state::live)
             {
-                candidates.push_back(
-                    {host.m_name, host.m_zone, host.m_millicores});
+                candidates.push_back(to_candidate(host));
             }
         }
         auto const [zone, is_new_zone] =
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -76,7 +76,6 @@
     std::shared_ptr<core::configuration const> m_configuration;
     core::service_config const* m_service = nullptr;
     core::kind_config const* m_kind = nullptr;
-    core::kind_id m_kind_id;
     core::time_point m_deadline;
     /// Until then an answer has its full value to the caller.
     std::optional<core::time_point> m_objective;
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -129,8 +129,6 @@
                           "the chain of calls is too deep");
     }
     classified.m_kind = kind;
-    classified.m_kind_id = {static_cast<std::uint32_t>(
-        kind - classified.m_service->m_kinds.data())};
     auto const time_left = std::min(
         kind->m_deadline, accepted.m_time_left.value_or(kind->m_deadline));
     classified.m_deadline = now + time_left;
--- a/src/serve/classify_test.cpp
+++ b/src/serve/classify_test.cpp
@@ -53,7 +53,7 @@
     auto const claim = take(classify_request(request("POST", "/squares/7"),
                                              configuration, parts, now));
     CHECK(claim.m_kind->m_name == "claim");
-    CHECK(claim.m_kind_id.m_value == 1);
+    CHECK(claim.m_kind == &claim.m_service->m_kinds[1]);
     auto const read = take(classify_request(request("GET", "/squares"),
                                             configuration, parts, now));
     CHECK(read.m_kind->m_name == "read");
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -179,7 +179,7 @@
     {
         if (record.m_state == core::host_state::live)
         {
-            candidates.push_back({record.m_name, record.m_zone});
+            candidates.push_back(core::to_candidate(record));
         }
     }
     return core::is_watcher(h.m_settings.m_name, h.m_settings.m_zone,
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -51,16 +51,6 @@
                              : core::duration(summary_interval);
 }
 
-core::duration next_announcement(host const& /*h*/)
-{
-    return announcement_interval;
-}
-
-core::duration next_host_list(host const& /*h*/)
-{
-    return host_list_interval;
-}
-
 struct repeated_action
 {
     core::duration (*m_interval)(host const&);
@@ -138,8 +128,12 @@
     for (auto const& repeated :
          {repeated_action{next_summary, send_summaries},
           repeated_action{next_housekeeping, keep_house},
-          repeated_action{next_announcement, announce_self},
-          repeated_action{next_host_list, list_hosts}})
+          repeated_action{[](host const&) -> core::duration
+                          { return announcement_interval; },
+                          announce_self},
+          repeated_action{[](host const&) -> core::duration
+                          { return host_list_interval; },
+                          list_hosts}})
     {
         auto added = add_interval(h, repeated);
         if (!has_value(added))
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -34,8 +34,7 @@
 void note_zone_lead(host& h, std::vector<platform::listed_host> const& listed)
 {
     auto const& self = core::self(*h.m_membership);
-    std::vector<core::owner_candidate> candidates{
-        {self.m_name, self.m_zone, self.m_millicores}};
+    std::vector candidates{core::to_candidate(self)};
     for (auto const& entry : listed)
     {
         if (entry.m_name != self.m_name)
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -169,10 +169,12 @@
         return c.m_retry_after;
     }
     auto const* hosted = find_pool(h, c.m_pool);
-    return hosted == nullptr
-               ? elsewhere_delay
-               : core::return_delay(*hosted->m_pool, c.m_classified.m_kind_id,
-                                    now());
+    auto const kind =
+        hosted == nullptr || c.m_classified.m_kind == nullptr
+            ? std::nullopt
+            : core::find_kind(*hosted->m_pool, c.m_classified.m_kind->m_name);
+    return kind ? core::return_delay(*hosted->m_pool, *kind, now())
+                : elsewhere_delay;
 }
 
 } // namespace
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -230,8 +230,7 @@
     {
         if (other.m_state == core::host_state::live || is_lost(other))
         {
-            candidates.push_back(
-                {other.m_name, other.m_zone, other.m_millicores});
+            candidates.push_back(core::to_candidate(other));
         }
     }
     auto const order =
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,8 @@
 STOP_SECONDS = 30 + 5
 # Exit codes of docs/command-line.md.
 EXIT_OK = 0
-EXIT_ADDRESS_IN_USE = 8
+EXIT_OTHER_FAILURE = 8
+START_ATTEMPTS = 3
 
 
 class SoakCluster(cluster.Cluster):
@@ -66,11 +67,20 @@
     def replace_ports_in_use(self):
         """A port that was free may be taken before its host opens it."""
         for name, host in list(self.hosts.items()):
-            while not self.status(name):
-                time.sleep(0.02)
-                if self.hosts[name]["process"].poll() == EXIT_ADDRESS_IN_USE:
-                    del self.hosts[name]
-                    self.start_host(name, host["zone"])
+            for _ in range(START_ATTEMPTS):
+                self.wait_until(
+                    lambda each=name: self.status(each) is not None or
+                    self.hosts[each]["process"].poll() is not None,
+                    f"the start of {name}")
+                if (self.hosts[name]["process"].poll() != EXIT_OTHER_FAILURE
+                        or not self.has_lost_port(name)):
+                    break
+                del self.hosts[name]
+                self.start_host(name, host["zone"])
+
+    def has_lost_port(self, name):
+        with open(self.path(name + ".log"), encoding="utf-8") as lines:
+            return "cannot listen on" in lines.read().splitlines()[-1]
 
     def start_host(self, name, zone):
         direct, self.platform = self.platform, self.platform_proxy.port
