Let standby hosts work without the store

Each change of the configuration also rebuilt the routing table of each host once for every other host, since their generations change.

Change: the seeds of the settings and the answers of peers come first. Only the owner and its successor of each zone are registered and watch the store; three more hosts of a zone poll a stale copy for the case that both are lost in an outage; the others read nothing unless they find nobody for 0.6 s or have no link to a watcher for 1 s. A host without targets is ready once it has a link to a live host of its zone that owns the pools before it. A new generation is announced over the links of the zone, also when a link comes up. Routing is rebuilt at once for linked hosts, otherwise after 20 ms for all changes together, and not when only a generation changes. A request that was forwarded to the owner of a zone without targets goes on to the next zone.

The test of a host that cannot read the targets demanded that it is never ready. It now demands this only of the host that would own the pools; a host that comes after the owner must become ready, forward, and own no pool.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -16,28 +16,39 @@
 {
 
 /// Reads an address written as ADDRESS:PORT.
+/// Parses ADDRESS:PORT. Nothing if the text is malformed or the port is below
+/// `min_port`.
+std::optional<listen_address> parse_address(std::string const& text,
+                                            std::uint64_t min_port)
+{
+    auto const colon = text.rfind(':');
+    auto const address = text.substr(0, colon);
+    if (colon == std::string::npos || !ip_address_rule.m_accepts(address))
+    {
+        return std::nullopt;
+    }
+    auto const port =
+        parse_number<std::uint16_t>(std::string_view(text).substr(colon + 1));
+    if (!port || *port < min_port)
+    {
+        return std::nullopt;
+    }
+    return listen_address{address, *port};
+}
+
 void read_address_text(object_reader& parent, std::string_view name,
                        std::uint64_t min_port, listen_address& out)
 {
     std::string text;
     read_text(parent, name, presence::required, any_text_rule, text);
-    auto const colon = text.rfind(':');
-    auto const address = text.substr(0, colon);
-    constexpr std::uint32_t max_port = 65'535;
-    // A missing or malformed port is represented by an invalid one.
-    auto const port = colon == std::string::npos
-                          ? max_port + 1
-                          : parse_number<std::uint32_t>(
-                                std::string_view(text).substr(colon + 1))
-                                .value_or(max_port + 1);
-    if (port < min_port || port > max_port ||
-        !ip_address_rule.m_accepts(address))
+    auto const parsed = parse_address(text, min_port);
+    if (!parsed)
     {
         report(parent, name, result_code::value_out_of_range,
                "found \"" + text + "\"; allowed: ADDRESS:PORT");
         return;
     }
-    out = {address, static_cast<std::uint16_t>(port)};
+    out = *parsed;
 }
 
 void read_listen_address(object_reader& parent, std::string_view name,
@@ -83,6 +94,26 @@
                 });
 }
 
+void read_seeds(object_reader& reader, std::vector<listen_address>& out)
+{
+    constexpr std::size_t max_seeds = 16;
+    read_list(
+        reader, "seeds", presence::optional, 0, max_seeds,
+        [&](nlohmann::json const& entry, std::string const& path)
+        {
+            auto const parsed = entry.is_string()
+                                    ? parse_address(entry.get<std::string>(), 1)
+                                    : std::nullopt;
+            if (!parsed)
+            {
+                report(reader, path, result_code::value_out_of_range,
+                       "found " + entry.dump() + "; allowed: ADDRESS:PORT");
+                return;
+            }
+            out.push_back(*parsed);
+        });
+}
+
 /// Reads the limits stated by the platform. All names are accepted, since the
 /// platform defines them; values that are not numbers are ignored.
 void read_bounds(object_reader& reader, std::map<std::string, double>& out)
@@ -167,6 +198,7 @@
                 out.m_cores);
     read_boolean(reader, "trust_peer_network", presence::optional,
                  out.m_is_peer_network_trusted);
+    read_seeds(reader, out.m_seeds);
     read_bounds(reader, out.m_platform_bounds);
     if (out.m_peer_key_file.empty() && !out.m_is_peer_network_trusted &&
         !is_loopback(out.m_peers.m_address))
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -79,6 +79,9 @@
     /// The network between entry hosts is closed to others: no peer key is
     /// needed.
     bool m_is_peer_network_trusted = false;
+    /// Addresses of hosts that a starting host contacts first. The ports are
+    /// not used: all hosts of a deployment have the same peer port.
+    std::vector<listen_address> m_seeds;
     /// Limits stated by the platform, under the platform's names.
     std::map<std::string, double> m_platform_bounds;
 };
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -35,6 +35,34 @@
     fail_call(host, call, result_code::host_not_ready);
 }
 
+/// Forwards a request that another host forwarded to the owner of a zone in
+/// which its service has no target. The other host has no list of targets.
+/// Returns false if the request stays here.
+bool forward_to_other_zone(entry_host& host, active_call& call)
+{
+    if (call.m_origin != call_origin::forwarded_to_owner ||
+        !has_current_target_list(host))
+    {
+        return false;
+    }
+    auto const& document = *call.m_classified.m_configuration;
+    auto const& zone =
+        core::pool_zone(host.m_routing, document, *call.m_classified.m_service,
+                        call.m_accepted.m_zone);
+    if (zone.empty() || zone == call.m_accepted.m_zone)
+    {
+        return false;
+    }
+    core::pool_id const pool{call.m_accepted.m_service, zone};
+    auto const& order = core::ranked_owners(host.m_routing, document, pool);
+    if (order.empty() || order.front() == host.m_settings.m_name)
+    {
+        return false;
+    }
+    return forward_call(host, call, order.front(),
+                        net::forward_purpose::to_owner, zone);
+}
+
 } // namespace
 
 void admit_call(entry_host& host, active_call& call)
@@ -48,7 +76,10 @@
     if (must_run_here(call))
     {
         call.m_pool = {call.m_accepted.m_service, call.m_accepted.m_zone};
-        enqueue_locally(host, call);
+        if (!forward_to_other_zone(host, call))
+        {
+            enqueue_locally(host, call);
+        }
         return;
     }
     // Documents of peers do not contain targets. A host that has not read the
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logging.hpp"
 #include "config/document.hpp"
+#include "core/document_source.hpp"
 #include "core/ownership.hpp"
 #include "platform/call_limiter.hpp"
 #include "platform/configuration_store.hpp"
@@ -31,8 +32,9 @@
 
 constexpr auto retry_interval = std::chrono::seconds(1);
 
-/// Time after which a document that did not arrive is requested again.
-constexpr auto fetch_timeout = std::chrono::seconds(1);
+/// Time after which a document that did not arrive is requested from another
+/// host. A large document takes a fraction of it on the slowest links.
+constexpr auto fetch_timeout = std::chrono::milliseconds(500);
 
 /// Bounds the time for which callers use the address of a lost host. A shorter
 /// lifetime costs more, since an address answer costs about as much as a
@@ -133,6 +135,27 @@
     }
 }
 
+std::uint64_t generation_in_force(entry_host const& host)
+{
+    auto const& document = host.m_configuration.m_in_force;
+    return document == nullptr ? 0 : document->m_generation;
+}
+
+/// Announces a new generation to the hosts of the zone that keep a link to this
+/// one. Gossip alone takes longer and reaches some of them late.
+void announce_to_zone(entry_host& host)
+{
+    for (auto const& other : core::hosts(*host.m_membership))
+    {
+        if (other.m_zone == host.m_settings.m_zone &&
+            other.m_generation < generation_in_force(host) &&
+            host.m_peer_network->is_linked(other.m_name))
+        {
+            announce_generation(host, other.m_name);
+        }
+    }
+}
+
 void apply_document(entry_host& host, core::configuration document,
                     core::configuration_source source)
 {
@@ -178,6 +201,7 @@
                            host.m_configuration.m_in_force->m_key_lifetime,
                            now());
     announce_self(host);
+    announce_to_zone(host);
 }
 
 bool is_configuration_watcher(entry_host const& host)
@@ -328,24 +352,33 @@
     {
         return;
     }
-    auto const in_force = host.m_configuration.m_in_force == nullptr
-                              ? 0
-                              : host.m_configuration.m_in_force->m_generation;
-    auto sent =
-        host.m_peer_network->send(peer, net::configuration_request{in_force});
-    for (auto const& other : core::hosts(*host.m_membership))
+    if (generation != sync.m_requested_generation)
     {
-        // The peer that announced the generation may have no link to this host.
-        if (!has_value(sent) && other.m_generation >= generation)
-        {
-            sent = host.m_peer_network->send(
-                other.m_name, net::configuration_request{in_force});
-        }
+        sync.m_requests = 0;
+    }
+    auto const source = core::choose_document_source(
+        peer, generation, core::hosts(*host.m_membership),
+        [&](std::string const& name)
+        { return host.m_peer_network->is_linked(name); },
+        sync.m_requests);
+    if (source.empty() ||
+        !has_value(host.m_peer_network->send(
+            source, net::configuration_request{generation_in_force(host)})))
+    {
+        return;
     }
-    if (has_value(sent))
+    sync.m_request_time = now();
+    sync.m_requested_generation = generation;
+    ++sync.m_requests;
+}
+
+void announce_generation(entry_host& host, std::string const& peer)
+{
+    auto const generation = generation_in_force(host);
+    if (generation > 0)
     {
-        sync.m_request_time = now();
-        sync.m_requested_generation = generation;
+        static_cast<void>(host.m_peer_network->send(
+            peer, net::generation_announcement{generation}));
     }
 }
 
--- a/src/serve/configuration_driver.hpp
+++ b/src/serve/configuration_driver.hpp
@@ -14,8 +14,8 @@
 struct entry_host;
 
 /// Starts to keep the configuration up to date. A few hosts of each zone watch
-/// the store. The others poll it, and fetch a newer document from the peer that
-/// announces its generation.
+/// the store and announce each new generation to the hosts linked with them,
+/// which fetch the document.
 status start_configuration_sync(entry_host& host);
 
 /// Applies a document that operators wrote to a store that also holds the
@@ -25,7 +25,11 @@
 /// Replaces the targets of the document in force by those registered now.
 void refresh_targets(entry_host& host);
 
-/// Fetches the document of a newer generation that a peer announced.
+/// Tells a linked host which generation is in force here.
+void announce_generation(entry_host& host, std::string const& peer);
+
+/// Fetches the document of a newer generation that a peer announced, from the
+/// best host with a link.
 void on_newer_generation(entry_host& host, std::string const& peer,
                          std::uint64_t generation);
 
--- a/src/serve/configuration_sync.hpp
+++ b/src/serve/configuration_sync.hpp
@@ -22,9 +22,11 @@
     std::uint64_t m_head_revision = 0;
     /// Why the stored document was rejected, to report each reason only once.
     std::string m_last_rejection_reason;
-    /// Generation last requested from a peer, and the time of the request.
+    /// Generation last requested from a peer, the time of the request and the
+    /// number of requests for it.
     std::uint64_t m_requested_generation = 0;
     core::time_point m_request_time{};
+    std::size_t m_requests = 0;
     /// The document in force as peers receive it, without registered targets.
     /// Its text is printed at the first request.
     std::shared_ptr<core::configuration const> m_peer_document;
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -244,6 +244,8 @@
     current.m_zones = changed.m_zones;
     current.m_zone_delay = changed.m_zone_delay;
     current.m_platform_bounds = changed.m_platform_bounds;
+    current.m_seeds = changed.m_seeds;
+    contact_seeds(host);
     host.m_deployment_bounds =
         host.m_adapter.m_read_bounds(current.m_platform_bounds);
     logging::write(logging::level::info, "serve.host", "settings reloaded",
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -145,6 +145,9 @@
     /// Null if the platform's store does not hold targets and hosts.
     std::unique_ptr<store_sync> m_store_sync;
     std::unique_ptr<net::timer> m_membership_timer;
+    /// Runs out when the routing table is to be rebuilt.
+    std::unique_ptr<net::timer> m_routing_timer;
+    bool m_is_routing_update_pending = false;
     std::vector<std::unique_ptr<net::timer>> m_interval_timers;
     std::vector<std::unique_ptr<net::signal_watch>> m_signal_watches;
 };
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -152,8 +152,11 @@
 void advance_registration(entry_host& host)
 {
     auto& sync = *host.m_store_sync;
-    if (host.m_stop_stage != stop_stage::running)
+    if (host.m_stop_stage != stop_stage::running ||
+        sync.m_role != core::store_role::watcher)
     {
+        // The entry ends with its lease.
+        sync.m_lease.clear();
         return;
     }
     if (sync.m_lease.empty())
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -18,13 +18,6 @@
 namespace
 {
 
-int max_owners_per_zone(entry_host const& host)
-{
-    auto const& document = host.m_configuration.m_in_force;
-    return document == nullptr ? host.m_settings.m_max_owners_per_zone
-                               : document->m_max_owners_per_zone;
-}
-
 void update_peer_links(entry_host& host)
 {
     auto const others = core::hosts(*host.m_membership);
@@ -50,10 +43,19 @@
                    is_isolated ? "isolated after a pause" : "isolation ended");
 }
 
+/// How soon the routing table must follow the effects.
+enum class routing_change
+{
+    none,
+    /// Concerns a host to which this one forwards nothing.
+    remote,
+    linked,
+};
+
 struct effect_visitor
 {
     entry_host& m_host;
-    bool& m_is_changed;
+    routing_change& m_change;
 
     void operator()(core::send_effect const& effect) const
     {
@@ -63,7 +65,18 @@
 
     void operator()(core::host_changed_effect const& effect) const
     {
-        m_is_changed = true;
+        auto const* known =
+            core::find_host(m_host.m_routing, effect.m_record.m_name);
+        if (known != nullptr && core::has_same_route(*known, effect.m_record))
+        {
+            // After a change of the configuration, the generation of each host
+            // changes.
+            return;
+        }
+        m_change = std::max(
+            m_change, m_host.m_peer_network->is_linked(effect.m_record.m_name)
+                          ? routing_change::linked
+                          : routing_change::remote);
         logging::write(
             logging::level::info, "serve.membership", "host changed",
             {{"host", effect.m_record.m_name},
@@ -90,22 +103,45 @@
     }
 }
 
-/// Performs the effects that membership returned. Routing is updated once,
-/// after all effects.
+/// Rebuilds the routing table soon. When many hosts start or end together, one
+/// update covers many changes; each costs time in proportion to the hosts.
+void schedule_routing_update(entry_host& host)
+{
+    constexpr auto max_routing_delay = std::chrono::milliseconds(20);
+    if (!std::exchange(host.m_is_routing_update_pending, true))
+    {
+        host.m_routing_timer->start(max_routing_delay);
+    }
+}
+
+/// Performs the effects that membership returned.
 void apply_membership_effects(entry_host& host,
                               core::membership_effects const& effects)
 {
-    bool is_changed = false;
+    auto change = routing_change::none;
     for (auto const& effect : effects)
     {
-        std::visit(effect_visitor{host, is_changed}, effect);
+        std::visit(effect_visitor{host, change}, effect);
     }
-    if (is_changed)
+    if (change == routing_change::linked)
     {
         update_routing(host);
     }
+    else if (change == routing_change::remote)
+    {
+        schedule_routing_update(host);
+    }
     restart_timer(host);
-    if (is_changed && !host.m_is_ready)
+}
+
+void on_routing_timer(entry_host& host)
+{
+    detect_pause(host);
+    if (host.m_is_ready)
+    {
+        update_routing(host);
+    }
+    else
     {
         announce_self(host);
     }
@@ -138,6 +174,13 @@
 
 } // namespace
 
+int max_owners_per_zone(entry_host const& host)
+{
+    auto const& document = host.m_configuration.m_in_force;
+    return document == nullptr ? host.m_settings.m_max_owners_per_zone
+                               : document->m_max_owners_per_zone;
+}
+
 std::string_view to_string(core::host_state state) noexcept
 {
     switch (state)
@@ -165,12 +208,31 @@
         return failure(timer);
     }
     host.m_membership_timer = take(std::move(timer));
+    auto routing_timer =
+        net::timer::create(*host.m_loop, [&host] { on_routing_timer(host); });
+    if (!has_value(routing_timer))
+    {
+        return failure(routing_timer);
+    }
+    host.m_routing_timer = take(std::move(routing_timer));
     host.m_membership = core::make_membership({}, make_self_record(host),
                                               host.m_random(), now());
-    restart_timer(host);
+    contact_seeds(host);
     return success();
 }
 
+void contact_seeds(entry_host& host)
+{
+    std::vector<core::seed_address> seeds;
+    for (auto const& seed : host.m_settings.m_seeds)
+    {
+        seeds.push_back({seed.m_address, host.m_peer_network->port()});
+    }
+    core::membership_effects effects;
+    core::set_seeds(*host.m_membership, std::move(seeds), now(), effects);
+    apply_membership_effects(host, effects);
+}
+
 void detect_pause(entry_host& host)
 {
     if (host.m_membership == nullptr)
@@ -234,8 +296,8 @@
     // A ready host stays ready. While it fetches a newer generation, it serves
     // under the old one.
     host.m_is_ready =
-        host.m_is_ready || (core::is_current(host.m_configuration) &&
-                            has_target_list(host) && has_discovered_zone(host));
+        host.m_is_ready ||
+        (core::is_current(host.m_configuration) && has_discovered_zone(host));
     auto state = core::host_state::joining;
     if (host.m_stop_stage != stop_stage::running)
     {
@@ -258,27 +320,15 @@
     update_routing(host);
 }
 
-bool is_store_watcher(entry_host const& host)
-{
-    auto const watchers = core::store_watchers(core::self(*host.m_membership),
-                                               core::hosts(*host.m_membership),
-                                               max_owners_per_zone(host));
-    // A host without a link to any watcher has to watch the store itself.
-    return std::find(watchers.begin(), watchers.end(),
-                     host.m_settings.m_name) != watchers.end() ||
-           std::none_of(watchers.begin(), watchers.end(),
-                        [&](std::string const& name)
-                        { return host.m_peer_network->is_linked(name); });
-}
-
 void update_routing(entry_host& host)
 {
+    host.m_is_routing_update_pending = false;
     update_peer_links(host);
     auto records = core::hosts(*host.m_membership);
     records.push_back(core::self(*host.m_membership));
     core::reset(host.m_routing, std::move(records));
     update_pools(host);
-    resume_store_watches(host);
+    update_store_role(host);
 }
 
 } // namespace hawthornspur::serve
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -38,9 +38,11 @@
 /// configuration.
 void update_routing(entry_host& host);
 
-/// Whether this host watches the platform's store, either for its zone or
-/// because it has no link to a host that does.
-bool is_store_watcher(entry_host const& host);
+/// Number of hosts that own the pools of a zone; 0 means all hosts.
+int max_owners_per_zone(entry_host const& host);
+
+/// Pings the hosts that the settings name as first contacts.
+void contact_seeds(entry_host& host);
 
 /// Name of the state in logs and in /status.
 std::string_view to_string(core::host_state state) noexcept;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -79,6 +79,10 @@
     {
         on_target_leaving(m_host, message);
     }
+    void operator()(net::generation_announcement const& message) const
+    {
+        on_newer_generation(m_host, m_from, message.m_generation);
+    }
 };
 
 result<std::string> read_peer_key(std::string const& path)
@@ -112,10 +116,16 @@
                 std::visit(message_visitor{host, from}, message);
             },
             .m_on_link_up =
-                [](std::string const& peer)
+                [&host](std::string const& peer)
             {
                 logging::write(logging::level::info, "serve.peers", "link up",
                                {{"host", peer}});
+                announce_generation(host, peer);
+                update_store_role(host);
+                if (!is_ready(host))
+                {
+                    announce_self(host);
+                }
             },
             .m_on_link_down =
                 [&host](std::string const& peer)
@@ -125,7 +135,7 @@
                 on_forward_link_down(host, peer);
                 on_incoming_link_down(host, peer);
                 on_peer_link_lost(host, peer);
-                resume_store_watches(host);
+                update_store_role(host);
             },
             .m_on_datagram =
                 [&host](core::membership_message const& message)
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -1,6 +1,7 @@
 #include "serve/store_sync.hpp"
 
 #include "base/logging.hpp"
+#include "core/link_choice.hpp"
 #include "platform/scheduler.hpp"
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
@@ -37,8 +38,7 @@
 /// peers. Most hosts then do not watch, since others watch for them.
 constexpr auto watch_start_delay = std::chrono::milliseconds(800);
 
-/// Interval at which hosts that do not watch read a possibly stale copy, in
-/// case the watchers of their zone are cut off from the store.
+/// Interval at which reserve hosts read a possibly stale copy.
 constexpr auto polling_interval = std::chrono::seconds(5);
 
 /// Longest pause between calls in an outage, well within the time in which a
@@ -53,6 +53,14 @@
 /// is slower, the host uses the targets that it has.
 constexpr auto max_catch_up_time = std::chrono::milliseconds(300);
 
+/// A host becomes a reserve at the start of a fleet or after the loss of other
+/// hosts, when the store has more urgent calls to answer.
+constexpr auto reserve_start_delay = std::chrono::seconds(1);
+
+/// Interval at which a host without other hosts or without a watcher decides
+/// anew whether to read the store.
+constexpr auto role_check_interval = std::chrono::milliseconds(100);
+
 void read_range(entry_host& host, range_watch& range);
 
 void log_range(range_watch const& range, logging::level severity,
@@ -287,6 +295,29 @@
     return owns_pool ? owner_change_interval : other_change_interval;
 }
 
+/// Plans the next call for a range: the watch of a watcher after `delay`, or
+/// the next poll of a reserve host.
+void schedule_next_read(entry_host& host, range_watch& range,
+                        core::duration delay)
+{
+    auto const role = host.m_store_sync->m_role;
+    bool const is_polling = role != core::store_role::watcher;
+    if (is_polling && !range.m_is_polling)
+    {
+        log_range(range, logging::level::info, "store watch left to others",
+                  "");
+    }
+    range.m_is_polling = is_polling;
+    if (!is_polling)
+    {
+        range.m_timer->start(delay);
+    }
+    else if (role == core::store_role::reserve)
+    {
+        range.m_timer->start(polling_interval);
+    }
+}
+
 void read_snapshot(entry_host& host, range_watch& range,
                    platform::freshness freshness)
 {
@@ -312,28 +343,30 @@
                 range.m_revision = value(answer).m_store_revision;
                 apply_snapshot(host, range, value(answer));
             }
-            range.m_is_polling = !is_store_watcher(host);
-            range.m_timer->start(range.m_is_polling
-                                     ? core::duration(polling_interval)
-                                     : core::duration(watch_start_delay));
+            schedule_next_read(host, range, watch_start_delay);
         });
 }
 
 void read_range(entry_host& host, range_watch& range)
 {
-    if (!range.m_revision || range.m_catching_up_since)
+    auto const role = host.m_store_sync->m_role;
+    if (role == core::store_role::standby)
     {
-        // A watch does not answer before the next change, so it cannot confirm
-        // that the host is up to date.
-        read_snapshot(host, range, platform::freshness::latest);
+        range.m_is_polling = true;
         return;
     }
-    if (!is_store_watcher(host))
+    if (role == core::store_role::reserve)
     {
         read_snapshot(host, range, platform::freshness::may_be_stale);
         return;
     }
-    range.m_is_polling = false;
+    if (!range.m_revision || range.m_catching_up_since)
+    {
+        // A watch does not answer before the next change, so it cannot confirm
+        // that the host is up to date.
+        read_snapshot(host, range, platform::freshness::latest);
+        return;
+    }
     host.m_platform_calls.m_watch_range(
         range.m_prefix, *range.m_revision, watch_wait,
         [&host, &range](result<platform::range_changes> const& answer)
@@ -350,20 +383,84 @@
             range.m_revision =
                 std::max(*range.m_revision, value(answer).m_store_revision);
             apply_changes(host, range, value(answer));
-            range.m_is_polling = !is_store_watcher(host);
-            if (range.m_is_polling)
-            {
-                log_range(range, logging::level::info,
-                          "store watch left to others", "");
-                range.m_timer->start(polling_interval);
-                return;
-            }
-            range.m_timer->start(value(answer).m_events.empty()
-                                     ? core::duration(0)
-                                     : change_interval(host, range));
+            schedule_next_read(host, range,
+                               value(answer).m_events.empty()
+                                   ? core::duration(0)
+                                   : change_interval(host, range));
         });
 }
 
+std::string_view to_string(core::store_role role)
+{
+    switch (role)
+    {
+    case core::store_role::standby:
+        return "standby";
+    case core::store_role::reserve:
+        return "reserve";
+    case core::store_role::watcher:
+        break;
+    }
+    return "watcher";
+}
+
+bool is_linked_to_watcher(entry_host const& host,
+                          std::span<core::host_record const> others)
+{
+    auto const watchers = core::store_watchers(
+        core::self(*host.m_membership), others, max_owners_per_zone(host));
+    return std::any_of(watchers.begin(), watchers.end(),
+                       [&](std::string const& name)
+                       {
+                           return name == host.m_settings.m_name ||
+                                  host.m_peer_network->is_linked(name);
+                       });
+}
+
+/// Whether the other hosts of the deployment contact this one when they start.
+bool is_seed(config::host_settings const& settings)
+{
+    return settings.m_seeds.empty() ||
+           std::any_of(settings.m_seeds.begin(), settings.m_seeds.end(),
+                       [&](config::listen_address const& seed) {
+                           return seed.m_address == settings.m_peers.m_address;
+                       });
+}
+
+core::store_role_inputs
+observe_role_inputs(entry_host& host, std::span<core::host_record const> others)
+{
+    auto& sync = *host.m_store_sync;
+    if (!core::has_living_peer(*host.m_membership))
+    {
+        sync.m_contact_time.reset();
+    }
+    else if (!sync.m_contact_time)
+    {
+        sync.m_contact_time = now();
+    }
+    if (is_linked_to_watcher(host, others))
+    {
+        sync.m_without_watcher_since.reset();
+    }
+    else if (!sync.m_without_watcher_since)
+    {
+        sync.m_without_watcher_since = now();
+    }
+    core::store_role_inputs inputs;
+    inputs.m_since_start = now() - sync.m_start_time;
+    if (sync.m_contact_time)
+    {
+        inputs.m_since_contact = now() - *sync.m_contact_time;
+    }
+    if (sync.m_without_watcher_since)
+    {
+        inputs.m_without_watcher = now() - *sync.m_without_watcher_since;
+    }
+    inputs.m_is_seed = is_seed(host.m_settings);
+    return inputs;
+}
+
 status make_timer(entry_host& host, std::unique_ptr<net::timer>& out,
                   std::function<void()> action)
 {
@@ -389,40 +486,74 @@
            host.m_store_sync->m_has_read_targets;
 }
 
-void resume_store_watches(entry_host& host)
+void update_store_role(entry_host& host)
 {
-    if (host.m_store_sync == nullptr || !is_store_watcher(host))
+    if (host.m_store_sync == nullptr ||
+        host.m_store_sync->m_role_timer == nullptr)
     {
         return;
     }
-    for (auto* range :
-         {&host.m_store_sync->m_configuration, &host.m_store_sync->m_targets})
+    auto& sync = *host.m_store_sync;
+    auto const others = core::hosts(*host.m_membership);
+    auto const inputs = observe_role_inputs(host, others);
+    auto const role =
+        core::choose_store_role(core::self(*host.m_membership), others,
+                                max_owners_per_zone(host), inputs);
+    if (!core::is_store_role_settled(inputs))
+    {
+        sync.m_role_timer->start(role_check_interval);
+    }
+    auto const previous = std::exchange(sync.m_role, role);
+    if (previous == role || role == core::store_role::standby)
     {
-        if (std::exchange(range->m_is_polling, false))
+        return;
+    }
+    logging::write(logging::level::info, "serve.store", "store role changed",
+                   {{"role", std::string(to_string(role))}});
+    for (auto* range : {&sync.m_configuration, &sync.m_targets})
+    {
+        if (role == core::store_role::reserve)
+        {
+            range->m_timer->start(reserve_start_delay);
+        }
+        else if (std::exchange(range->m_is_polling, false))
         {
             range->m_catching_up_since = now();
             log_range(*range, logging::level::info, "store watch resumed", "");
             range->m_timer->start(core::duration(0));
         }
     }
+    if (role == core::store_role::watcher)
+    {
+        sync.m_registration_timer->start(core::duration(0));
+    }
 }
 
 bool has_discovered_zone(entry_host const& host)
 {
-    if (host.m_store_sync == nullptr ||
-        host.m_store_sync->m_is_preferred_owner ||
-        now() - host.m_store_sync->m_targets_read_time >=
-            max_zone_discovery_time)
+    if (host.m_store_sync == nullptr)
     {
         return true;
     }
     auto const others = core::hosts(*host.m_membership);
-    return std::any_of(others.begin(), others.end(),
-                       [&](core::host_record const& other)
-                       {
-                           return other.m_zone == host.m_settings.m_zone &&
-                                  other.m_state == core::host_state::live;
-                       });
+    bool const has_live_owner =
+        std::any_of(others.begin(), others.end(),
+                    [&](core::host_record const& other)
+                    {
+                        return other.m_zone == host.m_settings.m_zone &&
+                               other.m_state == core::host_state::live &&
+                               host.m_peer_network->is_linked(other.m_name);
+                    });
+    if (!has_target_list(host))
+    {
+        // Requests are forwarded to the owner until this host becomes one.
+        return has_live_owner &&
+               core::zone_order(core::self(*host.m_membership), others)
+                       .front() != host.m_settings.m_name;
+    }
+    return has_live_owner || host.m_store_sync->m_is_preferred_owner ||
+           now() - host.m_store_sync->m_targets_read_time >=
+               max_zone_discovery_time;
 }
 
 bool has_current_target_list(entry_host const& host) noexcept
@@ -461,6 +592,8 @@
                      { read_range(host, host.m_store_sync->m_targets); }),
           make_timer(host, sync.m_registration_timer,
                      [&host] { advance_registration(host); }),
+          make_timer(host, sync.m_role_timer,
+                     [&host] { update_store_role(host); }),
           make_timer(host, sync.m_lapse_timer,
                      [&host]
                      {
@@ -477,9 +610,8 @@
             return created;
         }
     }
-    sync.m_configuration.m_timer->start(core::duration(0));
-    sync.m_targets.m_timer->start(core::duration(0));
-    sync.m_registration_timer->start(core::duration(0));
+    sync.m_start_time = now();
+    update_store_role(host);
     return success();
 }
 
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_SERVE_STORE_SYNC_HPP
 
 #include "base/result.hpp"
+#include "core/store_role.hpp"
 #include "core/target_directory.hpp"
 #include "core/time.hpp"
 #include "net/event_loop.hpp"
@@ -37,8 +38,9 @@
     /// watch the time of its failure is used, since it may have waited long.
     core::time_point m_call_time{};
     core::time_point m_last_failure_time{};
-    /// The host polls the range, which other hosts of its zone watch.
-    bool m_is_polling = false;
+    /// Other hosts of the zone watch the range. This host polls it or does not
+    /// read it at all.
+    bool m_is_polling = true;
     /// Set when the host has become a watcher, until the store has answered or
     /// a call to it has failed.
     std::optional<core::time_point> m_catching_up_since;
@@ -66,6 +68,15 @@
     bool m_is_registered = false;
     core::time_point m_last_host_read_time{};
     int m_host_read_count = 0;
+
+    core::store_role m_role = core::store_role::standby;
+    core::time_point m_start_time{};
+    /// Time at which this host heard of another host, while it knows one.
+    std::optional<core::time_point> m_contact_time;
+    /// Time since which there is no link to a watcher of the zone.
+    std::optional<core::time_point> m_without_watcher_since;
+    /// Runs out when the role may change by the passage of time.
+    std::unique_ptr<net::timer> m_role_timer;
 };
 
 /// Whether the host has read the targets from the store. True if its document
@@ -82,8 +93,9 @@
 /// may not have read yet which of them are leaving.
 bool has_current_target_list(entry_host const& host) noexcept;
 
-/// Resumes the watches if this host has become a watcher.
-void resume_store_watches(entry_host& host);
+/// Determines what this host reads from the store, and starts to read it. To be
+/// called after each change of membership or of a link.
+void update_store_role(entry_host& host);
 
 /// Starts to read the store and registers this host in it.
 status start_store_sync(entry_host& host);
