Count each slot of a pool by what it is used for

Change: core/slot_usage.hpp attributes each slot to one state: free, free at a slow target, in flight, inherited, held after a failure, above the lowered limit, ejected. The line of a request that ends without an answer contains them.

--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "core/ownership.hpp"
+#include "core/slot_usage.hpp"
 #include "serve/dispatch.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
@@ -131,8 +132,7 @@
 void log_request_end(local_pool const& pool, active_call const& call,
                      result_code code)
 {
-    auto const summary =
-        core::summarize(*pool.m_core_pool, pool.m_id.m_zone, now());
+    auto const usage = core::count_slot_usage(*pool.m_core_pool, now());
     bool const is_not_run = info(code).m_execution == execution::not_run;
     logging::write(
         logging::level::info, "serve.pools",
@@ -141,10 +141,14 @@
          {"service", pool.m_id.m_service},
          {"zone", pool.m_id.m_zone},
          {"name", std::string(info(code).m_name)},
-         {"queued", std::to_string(summary.m_queued)},
-         {"in_flight", std::to_string(core::in_flight(*pool.m_core_pool))},
-         {"slots", std::to_string(summary.m_slots)},
-         {"free_slots", std::to_string(summary.m_free_slots)},
+         {"queued", std::to_string(core::queue_length(*pool.m_core_pool))},
+         {"in_flight", std::to_string(usage.m_in_flight)},
+         {"free_slots", std::to_string(usage.m_free)},
+         {"slow_slots", std::to_string(usage.m_free_at_slow_target)},
+         {"inherited_slots", std::to_string(usage.m_inherited)},
+         {"held_slots", std::to_string(usage.m_held)},
+         {"slots_above_limit", std::to_string(usage.m_above_limit)},
+         {"ejected_slots", std::to_string(usage.m_ejected)},
          {"time_left_ms",
           milliseconds_text(call.m_classified.m_deadline - now())},
          {"waited_ms", milliseconds_text(now() - call.m_arrival_time)}});
