--- /dev/null
+++ b/tests/raw_target.hpp
@@ -0,0 +1,68 @@
+#ifndef HAWTHORNSPUR_TESTS_RAW_TARGET_HPP
+#define HAWTHORNSPUR_TESTS_RAW_TARGET_HPP
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace hawthornspur::test
+{
+
+/// The bytes with which a raw target answers each request: the start once, then
+/// the repeated part without end, until the other side closes. Without a
+/// repeated part the connection stays open for the next request.
+struct raw_answer
+{
+    std::string m_start;
+    std::string m_repeated;
+};
+
+/// A target on loopback that sends any bytes, also such that are no answer. It
+/// serves one connection at a time on a thread of its own.
+class raw_target
+{
+public:
+    explicit raw_target(raw_answer answer);
+    ~raw_target();
+    raw_target(raw_target const&) = delete;
+    raw_target& operator=(raw_target const&) = delete;
+
+    std::uint16_t port() const noexcept
+    {
+        return m_port;
+    }
+    /// Bytes that the operating system has taken from the target.
+    std::size_t sent_bytes() const noexcept
+    {
+        return m_sent_bytes;
+    }
+    std::size_t requests() const noexcept
+    {
+        return m_requests;
+    }
+    /// Connections that the other side has closed.
+    std::size_t closed_connections() const noexcept
+    {
+        return m_closed_connections;
+    }
+
+private:
+    void run();
+    void serve_connection(int socket);
+    bool send_all(int socket, std::string const& bytes);
+
+    raw_answer m_answer;
+    int m_listener = -1;
+    std::uint16_t m_port = 0;
+    std::atomic<bool> m_is_stopping = false;
+    std::atomic<std::size_t> m_sent_bytes = 0;
+    std::atomic<std::size_t> m_requests = 0;
+    std::atomic<std::size_t> m_closed_connections = 0;
+    std::thread m_thread;
+};
+
+} // namespace hawthornspur::test
+
+#endif
