Leave an open watch of a former watcher alone

A watcher that becomes a reserve host and then a watcher again, within the wait of its open watch, would start a second watch beside it, and each change would cost two calls.

Change: the timer of a reserve host starts only if no watch is open; the end of the watch schedules the next read by the role of that time.

Conclusion: no test shows the double watch; the system tests pass.

--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -515,7 +515,11 @@
     {
         if (role == core::store_role::reserve)
         {
-            range->m_timer->start(reserve_start_delay);
+            // The end of a watch that is still open schedules the next read.
+            if (range->m_is_polling)
+            {
+                range->m_timer->start(reserve_start_delay);
+            }
         }
         else if (std::exchange(range->m_is_polling, false))
         {
