--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -104,17 +104,6 @@
     }
 }
 
-/// Rebuilds the routing table soon. When many hosts start or end together, one
-/// update covers many changes; each costs time in proportion to the hosts.
-void schedule_routing_update(entry_host& host)
-{
-    constexpr auto max_routing_delay = std::chrono::milliseconds(20);
-    if (!std::exchange(host.m_is_routing_update_pending, true))
-    {
-        host.m_routing_timer->start(max_routing_delay);
-    }
-}
-
 /// Performs the effects that membership returned.
 void apply_membership_effects(entry_host& host,
                               core::membership_effects const& effects)
@@ -222,6 +211,15 @@
     return success();
 }
 
+void schedule_routing_update(entry_host& host)
+{
+    constexpr auto max_routing_delay = std::chrono::milliseconds(20);
+    if (!std::exchange(host.m_is_routing_update_pending, true))
+    {
+        host.m_routing_timer->start(max_routing_delay);
+    }
+}
+
 void contact_seeds(entry_host& host)
 {
     std::vector<core::seed_address> seeds;
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -38,6 +38,11 @@
 /// configuration.
 void update_routing(entry_host& host);
 
+/// Rebuilds the routing table soon, and updates readiness before the host is
+/// ready. When many hosts start or end together, one update covers many
+/// changes; each costs time in proportion to the hosts.
+void schedule_routing_update(entry_host& host);
+
 /// Number of hosts that own the pools of a zone; 0 means all hosts.
 int max_owners_per_zone(entry_host const& host);
 
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -122,10 +122,9 @@
                                {{"host", peer}});
                 announce_generation(host, peer);
                 update_store_role(host);
-                if (!is_ready(host))
-                {
-                    announce_self(host);
-                }
+                // Not at once: it replaces the list of peers, and this is
+                // called by one of their links.
+                schedule_routing_update(host);
             },
             .m_on_link_down =
                 [&host](std::string const& peer)
