--- a/src/core/store_role.cpp
+++ b/src/core/store_role.cpp
@@ -10,10 +10,8 @@
 namespace
 {
 
-/// A host knows the leaders of its zone after this time, since each message to
-/// a new host names them. Of 472 hosts that start within 300 ms, up to four
-/// then take themselves for a leader and read the store without need; all
-/// callers wait for the others.
+/// Nearly all hosts know the leaders of their zone after this time, since each
+/// message to a new host names them. Callers wait for it at a start.
 constexpr duration contact_settling_time = std::chrono::milliseconds(100);
 
 /// Seeds start within 300 ms of the other hosts and answer the next ping.
