Build on aarch64: field_writer without copies, raise_limit

GCC 12 reports in the Release build that string_sink::m_out may be used uninitialized: field_writer holds a reference to its own member and was trivially copyable, so a compiler may return it by a copy in registers, whose packer refers to the sink of the object that is gone. doctest calls raise(SIGTRAP) on this architecture and found core::raise instead.

Change: field_writer is not copyable, so it is constructed in place. core::raise is named raise_limit.

No behaviour is changed.

--- a/src/core/pool_accounting.cpp
+++ b/src/core/pool_accounting.cpp
@@ -86,10 +86,10 @@
         record_success(target.m_outlier);
         if (!target.m_outlier.m_on_trial)
         {
-            raise(target.m_limit, target.m_spec.m_slots,
-                  target.m_slowness_estimate.m_last_report
-                      ? limit_increase_with_reports
-                      : limit_increase_per_answer);
+            raise_limit(target.m_limit, target.m_spec.m_slots,
+                        target.m_slowness_estimate.m_last_report
+                            ? limit_increase_with_reports
+                            : limit_increase_per_answer);
         }
         return;
     }
--- a/src/core/target_limit.cpp
+++ b/src/core/target_limit.cpp
@@ -88,7 +88,7 @@
           now);
 }
 
-void raise(target_limit& limit, int slots, double increase)
+void raise_limit(target_limit& limit, int slots, double increase)
 {
     limit.m_limit =
         std::min(static_cast<double>(slots), limit.m_limit + increase);
--- a/src/core/target_limit.hpp
+++ b/src/core/target_limit.hpp
@@ -55,8 +55,8 @@
 inline constexpr double limit_increase_per_answer = 0.25;
 
 /// Raises the limit after a complete answer in usual time, at most to `slots`.
-void raise(target_limit& limit, int slots,
-           double increase = limit_increase_per_answer);
+void raise_limit(target_limit& limit, int slots,
+                 double increase = limit_increase_per_answer);
 
 /// Lowers the limit after the target refused a request although the owner
 /// counted a free slot.
--- a/src/net/msgpack_fields.hpp
+++ b/src/net/msgpack_fields.hpp
@@ -29,10 +29,13 @@
     }
 };
 
-/// Writes one message array [type, version, fields...].
+/// Writes one message array [type, version, fields...]. Not copyable, since the
+/// packer refers to the sink of the same object.
 class field_writer
 {
 public:
+    field_writer(field_writer const&) = delete;
+    field_writer& operator=(field_writer const&) = delete;
     field_writer(std::string& out, std::uint32_t type, std::uint32_t fields)
         : m_sink{out}
         , m_packer(m_sink)
