Log the rate limits that targets advertise and what is sent under them

Nothing read the header, so neither logs nor metrics showed a limit or who exceeded it.

Change: answers and health answers are searched for a rate limit, which the pool of the target keeps. Each change is logged and counted, and every 4 s each host logs the attempts and probes that it sent to targets with a limit, and whether it owns the pool. No decision uses the limit yet. The target emulator can advertise one.

--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -206,6 +206,7 @@
     request.m_queued = false;
     ++target.m_in_flight;
     target.m_last_dispatch = now;
+    ++target.m_rate.m_attempts;
     auto& kind = pool.m_kinds[request.m_arrival.m_kind.m_value];
     ++kind.m_in_flight;
     if (request.m_hedge_on_slow_target && !request.m_hedge_on_delay &&
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -41,6 +41,7 @@
     }
     target.m_probe_pending = true;
     target.m_last_probe = now;
+    ++target.m_rate.m_probes;
     out.emplace_back(probe_effect{target.m_spec.m_id});
     return true;
 }
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNSPUR_CORE_POOL_STATE_HPP
 #define HAWTHORNSPUR_CORE_POOL_STATE_HPP
 
+#include "core/advertised_rate.hpp"
 #include "core/kind_queue.hpp"
 #include "core/outlier_detection.hpp"
 #include "core/pool.hpp"
@@ -56,6 +57,7 @@
     time_point m_first_listed{};
     time_point m_last_probe{};
     std::vector<held_slot> m_held_slots;
+    advertised_rate m_rate;
 };
 
 struct attempt_entry
--- a/src/serve/accept.hpp
+++ b/src/serve/accept.hpp
@@ -20,6 +20,8 @@
 inline constexpr std::string_view load = "Hawthornspur-Load";
 inline constexpr std::string_view not_run = "Hawthornspur-Not-Run";
 inline constexpr std::string_view draining = "Hawthornspur-Draining";
+/// Requests per second that a target takes from all hosts together.
+inline constexpr std::string_view rate_limit = "Hawthornspur-Rate-Limit";
 } // namespace headers
 
 /// First filter: reads the headers that are addressed to this host and removes
--- a/src/serve/caller_interface.hpp
+++ b/src/serve/caller_interface.hpp
@@ -28,6 +28,8 @@
     /// The answer belongs to another request.
     bool m_is_crossed = false;
     std::optional<core::reported_load> m_load;
+    /// Requests per second that the target takes from all hosts together.
+    std::optional<double> m_rate_limit;
 };
 
 /// Values sent to the target with an attempt.
--- a/src/serve/default_caller_interface.cpp
+++ b/src/serve/default_caller_interface.cpp
@@ -43,6 +43,7 @@
     signals.m_is_not_run = is_not_run(head, kind);
     signals.m_is_draining = is_draining(head);
     signals.m_load = read_load(head);
+    signals.m_rate_limit = read_rate_limit(head.m_headers, headers::rate_limit);
     return signals;
 }
 
@@ -52,6 +53,7 @@
     answer_signals signals;
     signals.m_is_draining = is_draining(head);
     signals.m_load = read_load(head);
+    signals.m_rate_limit = read_rate_limit(head.m_headers, headers::rate_limit);
     return signals;
 }
 
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -10,6 +10,7 @@
 #include "serve/leaving_targets.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/pools.hpp"
+#include "serve/rate_limits.hpp"
 #include "serve/relay.hpp"
 
 #include <algorithm>
@@ -127,6 +128,12 @@
     {
         announce_leaving_target(host, attempt.m_target);
     }
+    if (!attempt.m_is_other_target)
+    {
+        report_rate_limit(host, call->m_pool, attempt.m_target,
+                          signals.m_rate_limit,
+                          !attempt.m_is_shed && !attempt.m_is_server_error);
+    }
     if (attempt.m_is_shed || attempt.m_is_other_target)
     {
         return;
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -11,6 +11,7 @@
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/peer_driver.hpp"
+#include "serve/rate_limits.hpp"
 #include "serve/spilling.hpp"
 #include "serve/start_queue.hpp"
 #include "serve/stop.hpp"
@@ -35,6 +36,8 @@
 constexpr auto standby_housekeeping_interval = std::chrono::milliseconds(250);
 constexpr auto standby_summary_interval = std::chrono::seconds(1);
 constexpr auto host_list_interval = std::chrono::seconds(1);
+// Long enough to count the attempts under a limit of one request per second.
+constexpr auto rate_usage_interval = std::chrono::seconds(4);
 
 /// Longest delay until a new epoch of at-most-once keys is announced.
 constexpr auto announcement_interval = std::chrono::seconds(1);
@@ -133,6 +136,9 @@
     for (auto const& repeated :
          {repeated_action{next_summary_delay, send_summaries},
           repeated_action{next_housekeeping_delay, run_housekeeping},
+          repeated_action{[](entry_host const&) -> core::duration
+                          { return rate_usage_interval; },
+                          log_rate_usage},
           repeated_action{[](entry_host const&) -> core::duration
                           { return announcement_interval; },
                           announce_self},
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -4,6 +4,7 @@
 #include "serve/host.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/pools.hpp"
+#include "serve/rate_limits.hpp"
 
 #include <memory>
 #include <utility>
@@ -60,7 +61,7 @@
                                     service->m_probe_budget.m_path,
                                     {{"Host", pool_id.m_service}},
                                     {}};
-    auto on_head = [&host, answer, name = found->second.m_name](
+    auto on_head = [&host, pool_id, answer, name = found->second.m_name](
                        net::http_response_head const& head,
                        std::optional<std::uint64_t> /*length*/)
     {
@@ -70,6 +71,12 @@
         answer->m_healthy = answer->m_healthy && !signals.m_is_other_target;
         answer->m_draining = signals.m_is_draining;
         answer->m_load = signals.m_load;
+        if (!signals.m_is_other_target)
+        {
+            // Health answers may come without the limit although it holds.
+            report_rate_limit(host, pool_id, answer->m_target,
+                              signals.m_rate_limit, false);
+        }
     };
     auto on_end = [&host, pool_id, answer](net::exchange_outcome outcome)
     {
--- a/src/serve/target_signals.cpp
+++ b/src/serve/target_signals.cpp
@@ -4,6 +4,9 @@
 #include "serve/accept.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <system_error>
 
 namespace hawthornspur::serve
 {
@@ -58,4 +61,17 @@
     return load;
 }
 
+std::optional<double> read_rate_limit(net::http_headers const& headers,
+                                      std::string_view name)
+{
+    auto const header = net::find_header(headers, name);
+    auto const text = header ? trim(*header) : std::string_view();
+    auto const* const end = text.data() + text.size();
+    double limit = 0;
+    auto const [stop, problem] = std::from_chars(text.data(), end, limit);
+    bool const is_valid = problem == std::errc{} && stop == end &&
+                          std::isfinite(limit) && limit >= 0;
+    return is_valid ? std::optional(limit) : std::nullopt;
+}
+
 } // namespace hawthornspur::serve
--- a/src/serve/target_signals.hpp
+++ b/src/serve/target_signals.hpp
@@ -6,6 +6,7 @@
 #include "net/http_message.hpp"
 
 #include <optional>
+#include <string_view>
 
 namespace hawthornspur::serve
 {
@@ -22,6 +23,11 @@
 std::optional<core::reported_load>
 read_load(net::http_response_head const& head);
 
+/// Reads a rate limit in requests per second from the header with this name.
+/// Nothing if the header is missing or is not a finite number of at least 0.
+std::optional<double> read_rate_limit(net::http_headers const& headers,
+                                      std::string_view name);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/target_signals_test.cpp
+++ b/src/serve/target_signals_test.cpp
@@ -51,4 +51,21 @@
     CHECK(!read_load({200, {}}).has_value());
 }
 
+// Guards against a malformed rate limit that would stop or unleash requests.
+TEST_CASE("a malformed rate limit is ignored")
+{
+    auto const read = [](std::string text)
+    {
+        return read_rate_limit({{"Limit", std::move(text)}}, "Limit");
+    };
+    CHECK(read("1.5") == 1.5);
+    CHECK(read(" 0 ") == 0.0);
+    for (auto const* text : {"", "-1", "nan", "inf", "1e999", "1.5 a second"})
+    {
+        CAPTURE(text);
+        CHECK(!read(text));
+    }
+    CHECK(!read_rate_limit({}, "Limit"));
+}
+
 } // namespace hawthornspur::serve
--- a/tools/target_emulator/faults.cpp
+++ b/tools/target_emulator/faults.cpp
@@ -88,6 +88,8 @@
         {"garbage_probability", &faults.m_garbage_probability},
         {"health", &faults.m_health},
         {"health_lag_ms", &faults.m_health_lag},
+        {"advertise_rate_limit", &faults.m_advertise_rate_limit},
+        {"rate_limit", &faults.m_rate_limit},
         {"load", &faults.m_load},
         {"load_lag_ms", &faults.m_load_lag},
     };
--- a/tools/target_emulator/faults.hpp
+++ b/tools/target_emulator/faults.hpp
@@ -41,6 +41,10 @@
     /// Fraction of requests that silence their connection.
     double m_silent_probability = 0;
     double m_truncate_probability = 0;
+    /// Answers advertise m_rate_limit requests per second in the header
+    /// Hawthornspur-Rate-Limit.
+    bool m_advertise_rate_limit = false;
+    double m_rate_limit = 0;
     double m_garbage_probability = 0;
     /// "true", "healthy" or "unhealthy".
     std::string m_health = "true";
--- a/tools/target_emulator/target_state.cpp
+++ b/tools/target_emulator/target_state.cpp
@@ -288,6 +288,11 @@
     {
         headers.emplace_back("Hawthornspur-Load", std::move(*load));
     }
+    if (state.m_faults.m_advertise_rate_limit)
+    {
+        headers.emplace_back("Hawthornspur-Rate-Limit",
+                             std::to_string(state.m_faults.m_rate_limit));
+    }
     if (state.m_faults.m_draining)
     {
         headers.emplace_back("Hawthornspur-Draining", "1");
