Keep rate limits over all hosts when the owner of a pool changes

A target's limit is for all hosts together, but only the host that had received it kept it. The successor of a killed or stopped owner sent until the first answer told it the limit, and two hosts that both took themselves for the owner each used the limit in full.

Change: the owner tells its linked hosts the limits of its pools when they change and every second, and the next owner before a handover. A host without a share refuses what no other target can take. The expected wait now also follows from the limits alone, since a new owner that had seen no answer let requests wait for their deadline.

Evidence: without the two calls that adopt limits and set the share, two tests of rate_limit_test fail (a request runs at a target that takes none); with them all pass, and so do the 19 other test programs (soak not run here).

--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -51,7 +51,8 @@
              pool_summary_message{"map", "west", 3, 18, 5, milliseconds(4)},
              configuration_request{12}, configuration_reply{12, "{}"},
              handover_message{"map", "west", {{"t1", 2, 2.5}}},
-             target_leaving{"map", "t1"}})
+             target_leaving{"map", "t1"},
+             rate_limits_message{"map", "west", {{"t1", 1.5}}}})
     {
         messages.push_back(encode(message));
     }
--- a/src/core/advertised_rate.cpp
+++ b/src/core/advertised_rate.cpp
@@ -21,12 +21,21 @@
     std::chrono::milliseconds(250);
 // Rounding must not leave the bucket just below a token at the returned time.
 constexpr duration rounding_margin = std::chrono::microseconds(1);
+// An active target reports several times in this time. Its reports are then
+// newer than what other hosts have passed on.
+constexpr duration recent_report_window = std::chrono::seconds(1);
 
 void update_bucket(advertised_rate& rate, time_point now)
 {
-    auto const per_second = std::max(min_rate, *rate.m_limit);
-    set_rate(rate.m_bucket, per_second,
-             std::max(1.0, per_second * burst_window.count()), now);
+    if (!rate.m_limit)
+    {
+        rate.m_bucket = {};
+        return;
+    }
+    auto const per_second = rate.m_share * std::max(min_rate, *rate.m_limit);
+    auto const capacity =
+        rate.m_share > 0 ? std::max(1.0, per_second * burst_window.count()) : 0;
+    set_rate(rate.m_bucket, per_second, capacity, now);
 }
 
 /// Whether an answer without a limit ends the limit of the target.
@@ -56,21 +65,67 @@
     }
     bool const is_changed = rate.m_limit != report.m_limit;
     rate.m_reported_at = now;
-    if (!report.m_limit)
+    rate.m_is_in_health_answers =
+        rate.m_is_in_health_answers ||
+        (report.m_limit && report.m_source == rate_source::health_answer);
+    rate.m_limit = report.m_limit;
+    update_bucket(rate, now);
+    if (is_changed && !report.m_limit)
     {
-        rate.m_limit.reset();
-        rate.m_bucket = {};
-        if (is_changed)
+        dispatch_queued(pool, now, out);
+    }
+    return is_changed;
+}
+
+std::vector<target_rate_limit> rate_limits(pool const& pool)
+{
+    std::vector<target_rate_limit> limits;
+    for (auto const& target : pool.m_targets)
+    {
+        if (target.m_rate.m_limit)
         {
-            dispatch_queued(pool, now, out);
+            limits.push_back({target.m_spec.m_id, *target.m_rate.m_limit});
         }
-        return is_changed;
     }
-    rate.m_is_in_health_answers = rate.m_is_in_health_answers ||
-                                  report.m_source == rate_source::health_answer;
-    rate.m_limit = report.m_limit;
-    update_bucket(rate, now);
-    return is_changed;
+    return limits;
+}
+
+void adopt_rate_limits(pool& pool, std::span<target_rate_limit const> limits,
+                       time_point now)
+{
+    for (auto& target : pool.m_targets)
+    {
+        auto& rate = target.m_rate;
+        auto const found =
+            std::find_if(limits.begin(), limits.end(),
+                         [&](target_rate_limit const& limit)
+                         { return limit.m_target == target.m_spec.m_id; });
+        bool const has_reported = rate.m_reported_at != time_point{};
+        if (now < rate.m_reported_at + recent_report_window ||
+            (found == limits.end() && has_reported))
+        {
+            continue;
+        }
+        rate.m_limit = found == limits.end() ? std::nullopt
+                                             : std::optional(found->m_limit);
+        update_bucket(rate, now);
+    }
+}
+
+void set_rate_share(pool& pool, double share, time_point now, pool_effects& out)
+{
+    assert(share >= 0 && share <= 1);
+    if (pool.m_rate_share == share)
+    {
+        return;
+    }
+    pool.m_rate_share = share;
+    for (auto& target : pool.m_targets)
+    {
+        target.m_rate.m_share = share;
+        update_bucket(target.m_rate, now);
+    }
+    dispatch_queued(pool, now, out);
 }
 
 bool has_token(advertised_rate const& rate, time_point now)
@@ -93,6 +148,10 @@
     {
         return now;
     }
+    if (rate.m_bucket.m_tokens_per_second <= 0)
+    {
+        return time_point::max();
+    }
     std::chrono::duration<double> const wait((1 - tokens(rate.m_bucket, now)) /
                                              rate.m_bucket.m_tokens_per_second);
     return now + std::chrono::duration_cast<duration>(wait) + rounding_margin;
@@ -101,6 +160,10 @@
 double usable_slots(advertised_rate const& rate, int slots,
                     duration service_duration)
 {
+    if (rate.m_limit && rate.m_share <= 0)
+    {
+        return 0;
+    }
     if (!rate.m_limit || service_duration == duration::zero())
     {
         return slots;
--- a/src/core/advertised_rate.hpp
+++ b/src/core/advertised_rate.hpp
@@ -7,6 +7,7 @@
 #include "core/token_bucket.hpp"
 
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace hawthornspur::core
@@ -21,8 +22,11 @@
 {
     /// Requests per second; empty if the target advertises no limit.
     std::optional<double> m_limit;
+    /// Part of the limit that this host may use, from 0 to 1.
+    double m_share = 1;
     /// One token per request. Used only while there is a limit.
     token_bucket m_bucket;
+    /// Last report of the target to this host.
     time_point m_reported_at{};
     /// Health answers of this target advertise the limit, so that one without
     /// it ends the limit.
@@ -62,18 +66,42 @@
 bool on_rate_report(pool& pool, rate_report const& report, time_point now,
                     pool_effects& out);
 
+/// The advertised limit of one target, as hosts tell each other.
+struct target_rate_limit
+{
+    target_id m_target;
+    /// Requests per second.
+    double m_limit = 0;
+};
+
+/// The limits that the targets of the pool advertise.
+std::vector<target_rate_limit> rate_limits(pool const& pool);
+
+/// Takes over the limits that another host knows. Targets that have reported to
+/// this host recently keep theirs, and only a report to this host ends a limit
+/// that was reported to it.
+void adopt_rate_limits(pool& pool, std::span<target_rate_limit const> limits,
+                       time_point now);
+
+/// Sets the part of all limits that this host may use, from 0 to 1. With 0, it
+/// uses only targets without a limit.
+void set_rate_share(pool& pool, double share, time_point now,
+                    pool_effects& out);
+
 /// Whether the limit allows a request now.
 bool has_token(advertised_rate const& rate, time_point now);
 
 /// Counts a request against the limit. has_token() must be true.
 void take_token(advertised_rate& rate, time_point now);
 
-/// When the limit allows the next request; `now` if there is no limit.
+/// When the limit allows the next request; `now` if there is no limit, and
+/// time_point::max() if this host has no share of it.
 time_point next_token(advertised_rate const& rate, time_point now);
 
 /// Requests in flight that suffice to use the limit, if each takes
 /// `service_duration`; `slots` without a limit, if it exceeds them or if the
-/// duration is still zero, that is unknown.
+/// duration is still zero, that is unknown. None if this host has no share of
+/// the limit.
 double usable_slots(advertised_rate const& rate, int slots,
                     duration service_duration);
 
--- a/src/core/advertised_rate_test.cpp
+++ b/src/core/advertised_rate_test.cpp
@@ -261,6 +261,49 @@
     CHECK(state.m_sent.size() == 1);
 }
 
+// Guards against hosts that are not the owner of a pool and each send what the
+// limits of its targets allow.
+TEST_CASE("a host without a share of the limits uses only other targets")
+{
+    auto state = make_replay(2);
+    advertise(state, {{{0}, 100}});
+    pool_effects out;
+    set_rate_share(*state.m_pool, 0, state.m_now, out);
+    auto const from = state.m_now;
+    play(state, 10, seconds(5));
+    CHECK(max_in_window(state, {0}, from) == 0);
+    CHECK(max_in_window(state, {1}, from) > 20);
+    advertise(state, {{{0}, 100}, {{1}, 100}});
+    auto const refused_before = state.m_refused_after.size();
+    arrive(state);
+    CHECK(state.m_refused_after.size() == refused_before + 1);
+}
+
+// Guards against a new owner that sends to a target in need until the target
+// has told it the limit.
+TEST_CASE("limits that another host knows hold from the first request")
+{
+    auto state = make_replay(2);
+    adopt_rate_limits(*state.m_pool, std::vector{target_rate_limit{{0}, 2}},
+                      state.m_now);
+    state.m_limits = {{{0}, 2}};
+    auto const from = state.m_now;
+    play(state, 20, seconds(10));
+    CHECK(max_in_window(state, {0}, from) <= allowed_in_window(2));
+    CHECK(max_in_window(state, {1}, from) > 30);
+}
+
+// Guards against requests that wait at a new owner, which has seen no answer
+// yet, although the limits do not allow them in time.
+TEST_CASE("a new owner refuses what the rate limits do not allow in time")
+{
+    auto state = make_replay(1);
+    adopt_rate_limits(*state.m_pool, std::vector{target_rate_limit{{0}, 0.2}},
+                      state.m_now);
+    arrive(state);
+    CHECK(state.m_refused_after == std::vector<duration>{duration::zero()});
+}
+
 // Guards against a limit that no answer can end, because the target gets no
 // requests under it.
 TEST_CASE("a health answer without the limit ends it if others had it")
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -72,6 +72,7 @@
     entry.m_spec = spec;
     entry.m_slowness_estimate.m_cold_until = spec.m_cold_until;
     entry.m_first_listed = now;
+    entry.m_rate.m_share = pool.m_rate_share;
     entry.m_limit.m_limit = initial_limit(pool, spec.m_slots);
     for (auto const& inherited : pool.m_handover)
     {
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -86,6 +86,55 @@
     return std::max(1, static_cast<int>(share * slots));
 }
 
+namespace
+{
+
+/// Requests that are served before a new one of this kind.
+std::size_t count_queued_before(pool const& pool, kind_entry const& kind)
+{
+    std::size_t count = 0;
+    for (auto const& other : pool.m_kinds)
+    {
+        if (other.m_config.m_priority <= kind.m_config.m_priority)
+        {
+            count += other.m_queue.size();
+        }
+    }
+    return count;
+}
+
+/// Wait that follows from the rate limits alone, in seconds: zero unless all
+/// usable targets have one. It is also known while no answer has shown how long
+/// requests take.
+double expected_wait_for_token(pool const& pool, kind_entry const& kind,
+                               time_point now)
+{
+    double tokens_per_second = 0;
+    auto next = time_point::max();
+    for (auto const& target : pool.m_targets)
+    {
+        if (!is_usable(target))
+        {
+            continue;
+        }
+        if (!target.m_rate.m_limit)
+        {
+            return 0;
+        }
+        tokens_per_second += target.m_rate.m_bucket.m_tokens_per_second;
+        next = std::min(next, next_token(target.m_rate, now));
+    }
+    if (tokens_per_second <= 0)
+    {
+        return 0;
+    }
+    return seconds(next - now).count() +
+           static_cast<double>(count_queued_before(pool, kind)) /
+               tokens_per_second;
+}
+
+} // namespace
+
 duration expected_wait(pool const& pool, kind_entry const& kind, time_point now)
 {
     auto const slots = count_slots(pool, now);
@@ -113,6 +162,7 @@
         wait = std::max(wait, static_cast<double>(kind.m_queue.size() + 1) *
                                   kind.m_service_time.m_mean_seconds / cap);
     }
+    wait = std::max(wait, expected_wait_for_token(pool, kind, now));
     return std::chrono::duration_cast<duration>(seconds(wait));
 }
 
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -122,6 +122,8 @@
     /// either all report it or none does.
     bool m_targets_report_slowness = false;
     std::vector<target_entry> m_targets;
+    /// Part of the targets' advertised rate limits that this host may use.
+    double m_rate_share = 1;
     std::vector<kind_entry> m_kinds;
     request_map m_requests;
     /// Requests that wait for a retry. They are dispatched before others, since
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -4,6 +4,7 @@
 #include "net/peer_wire.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <utility>
 
@@ -289,6 +290,41 @@
     return message;
 }
 
+void write(std::string& out, rate_limits_message const& message)
+{
+    auto writer = begin(out, wire_type::rate_limits, 3);
+    writer.put(message.m_service);
+    writer.put(message.m_zone);
+    writer.begin_array(message.m_limits.size());
+    for (auto const& limit : message.m_limits)
+    {
+        writer.begin_array(2);
+        writer.put(limit.m_target);
+        writer.put(limit.m_limit);
+    }
+}
+
+peer_message read_rate_limits(field_reader& reader)
+{
+    rate_limits_message message;
+    message.m_service = reader.get<std::string>();
+    message.m_zone = reader.get<std::string>();
+    field_reader limits(reader.next());
+    for (std::size_t i = 0; i < limits.size(); ++i)
+    {
+        field_reader fields(limits.next());
+        advertised_limit limit;
+        limit.m_target = fields.get<std::string>();
+        limit.m_limit = fields.get<double>();
+        if (!std::isfinite(limit.m_limit) || limit.m_limit < 0)
+        {
+            throw msgpack::type_error();
+        }
+        message.m_limits.push_back(std::move(limit));
+    }
+    return message;
+}
+
 void write(std::string& out, target_leaving const& message)
 {
     auto writer = begin(out, wire_type::leaving, 2);
@@ -342,6 +378,8 @@
     case wire_type::generation:
         return peer_message(
             generation_announcement{reader.get<std::uint64_t>()});
+    case wire_type::rate_limits:
+        return read_rate_limits(reader);
     case wire_type::hello:
     case wire_type::hello_proof:
     case wire_type::heartbeat:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -155,12 +155,27 @@
     std::string m_target;
 };
 
+struct advertised_limit
+{
+    std::string m_target;
+    /// Requests per second from all hosts together.
+    double m_limit = 0;
+};
+
+/// All rate limits that the targets of a pool advertise, sent by its owner.
+struct rate_limits_message
+{
+    std::string m_service;
+    std::string m_zone;
+    std::vector<advertised_limit> m_limits;
+};
+
 using peer_message =
     std::variant<forward_request, body_chunk, answer_head, answer_chunk,
                  answer_end, refusal, cancel_request, window_update,
                  pool_summary_message, configuration_request,
                  configuration_reply, handover_message, target_leaving,
-                 generation_announcement>;
+                 generation_announcement, rate_limits_message>;
 
 /// Encodes a message as a msgpack array [type, version, fields...].
 std::string encode(peer_message const& message);
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -44,7 +44,8 @@
             configuration_reply{12, "{}"},
             handover_message{"map", "west", {{"t1", 2, 2.5}, {"t2", 0, 1}}},
             target_leaving{"map", "t1"},
-            generation_announcement{7}};
+            generation_announcement{7},
+            rate_limits_message{"map", "west", {{"t1", 1.5}, {"t2", 0}}}};
 }
 
 core::membership_message sample_datagram()
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -34,6 +34,7 @@
     /// A part of a message that is too large for one frame.
     fragment = 17,
     generation = 18,
+    rate_limits = 19,
     membership = 32,
 };
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -38,6 +38,7 @@
 constexpr auto host_list_interval = std::chrono::seconds(1);
 // Long enough to count the attempts under a limit of one request per second.
 constexpr auto rate_usage_interval = std::chrono::seconds(4);
+constexpr auto rate_limits_interval = std::chrono::seconds(1);
 
 /// Longest delay until a new epoch of at-most-once keys is announced.
 constexpr auto announcement_interval = std::chrono::seconds(1);
@@ -139,6 +140,9 @@
           repeated_action{[](entry_host const&) -> core::duration
                           { return rate_usage_interval; },
                           log_rate_usage},
+          repeated_action{[](entry_host const&) -> core::duration
+                          { return rate_limits_interval; },
+                          share_rate_limits},
           repeated_action{[](entry_host const&) -> core::duration
                           { return announcement_interval; },
                           announce_self},
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -53,7 +53,19 @@
     /// Requests spilled from this pool that are not answered yet.
     std::map<core::request_id, core::arrival> m_spilled;
     bool m_is_owned = true;
+    /// When this host became the owner or ceased to be it. A host that never
+    /// was the owner leaves it empty.
+    core::time_point m_ownership_changed_at{};
     core::time_point m_last_summary_reply{};
+    /// The other hosts know of rate limits of these targets.
+    bool m_has_shared_rate_limits = false;
+};
+
+/// Rate limits of a pool's targets, as received from its owner.
+struct received_rate_limits
+{
+    core::time_point m_received_at{};
+    std::vector<net::advertised_limit> m_limits;
 };
 
 enum class stop_stage : std::uint8_t
@@ -118,6 +130,7 @@
     core::request_id m_next_request_id{1};
     std::map<core::pool_id, std::unique_ptr<local_pool>> m_pools;
     std::map<std::string, core::service_budgets> m_service_budgets;
+    std::map<core::pool_id, received_rate_limits> m_received_rate_limits;
 
     std::map<std::pair<std::string, std::string>, core::target_id> m_target_ids;
     std::unordered_map<core::target_id, target_record> m_targets;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -8,6 +8,7 @@
 #include "serve/incoming_forwards.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/rate_limits.hpp"
 #include "serve/spilling.hpp"
 #include "serve/store_sync.hpp"
 
@@ -79,6 +80,10 @@
     {
         on_target_leaving(m_host, message);
     }
+    void operator()(net::rate_limits_message const& message) const
+    {
+        on_rate_limits_message(m_host, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -10,6 +10,7 @@
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/probing.hpp"
+#include "serve/rate_limits.hpp"
 #include "serve/relay.hpp"
 
 #include <algorithm>
@@ -261,7 +262,6 @@
 
 void hand_over_pool(entry_host& host, local_pool& pool)
 {
-    pool.m_is_owned = false;
     auto const& order = core::ranked_owners(
         host.m_routing, *host.m_configuration.m_in_force, pool.m_id);
     if (order.empty())
@@ -278,6 +278,7 @@
                 {found->second.m_name, target.m_in_flight, target.m_limit});
         }
     }
+    hand_over_rate_limits(host, pool, order.front());
     auto const sent = host.m_peer_network->send(order.front(), message);
     host.m_metrics.count_event(has_value(sent) ? "pool_handed_over"
                                                : "pool_hand_over_failed");
@@ -379,12 +380,18 @@
                                            choose_pool_start(host, id), now());
     created->m_timer = take(std::move(timer));
     created->m_is_owned = is_owner(host, id);
+    if (created->m_is_owned)
+    {
+        created->m_ownership_changed_at = now();
+    }
     auto& pool = *created;
     host.m_pools.emplace(id, std::move(created));
     core::pool_effects effects;
     core::set_targets(*pool.m_core_pool, make_pool_targets(host, id), now(),
                       get_or_create_budgets(host, id.m_service), effects);
     apply_effects(host, pool, std::move(effects));
+    apply_received_rate_limits(host, pool);
+    update_rate_share(host, pool);
     return &pool;
 }
 
@@ -513,11 +520,16 @@
                           get_or_create_budgets(host, id.m_service), effects);
         apply_effects(host, pool, std::move(effects));
         bool const is_owned = is_owner(host, id);
-        if (pool.m_is_owned && !is_owned)
+        if (pool.m_is_owned != is_owned)
         {
-            hand_over_pool(host, pool);
+            pool.m_is_owned = is_owned;
+            pool.m_ownership_changed_at = now();
+            if (!is_owned)
+            {
+                hand_over_pool(host, pool);
+            }
         }
-        pool.m_is_owned = is_owned;
+        update_rate_share(host, pool);
         bool const is_idle = core::queue_length(*pool.m_core_pool) == 0 &&
                              core::in_flight(*pool.m_core_pool) == 0 &&
                              pool.m_spilled.empty();
