Log the store's epoch and reads that are discarded as outdated

Change: range reads and watches carry the epoch of the store. No decision uses the epoch yet.

System and adapter tests pass.

--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -36,6 +36,7 @@
         [answer](net::http_response_head head, std::optional<std::uint64_t>)
     {
         answer->m_status = head.m_status;
+        answer->m_headers = std::move(head.m_headers);
     };
     handlers.m_on_data = [answer](std::string_view data)
     {
--- a/src/platform/http_call.hpp
+++ b/src/platform/http_call.hpp
@@ -26,6 +26,7 @@
 struct http_answer
 {
     int m_status = 0;
+    net::http_headers m_headers;
     std::string m_body;
 };
 
--- a/src/platform/platform_calls.hpp
+++ b/src/platform/platform_calls.hpp
@@ -41,6 +41,11 @@
     int m_millicores = 1000;
 };
 
+/// Number of times that a store has come back from an earlier state, having
+/// lost later changes. Revisions and leases are given out again then, so they
+/// are comparable only within an epoch. 0 if the store does not tell it.
+using store_epoch = std::uint64_t;
+
 /// A key of a range with its value.
 struct stored_item
 {
@@ -57,6 +62,7 @@
     std::vector<stored_item> m_items;
     /// Revision of the store when the first page was read.
     std::uint64_t m_store_revision = 0;
+    store_epoch m_epoch = 0;
 };
 
 /// A change of one key in a watched range.
@@ -73,6 +79,7 @@
     std::vector<range_event> m_events;
     /// Revision from which the next watch continues.
     std::uint64_t m_store_revision = 0;
+    store_epoch m_epoch = 0;
 };
 
 /// Whether a read may return values that are seconds old, which is cheaper.
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -73,6 +73,25 @@
          {"revision", std::to_string(range.m_revision.value_or(0))}});
 }
 
+/// Logs the epoch of an answer if it differs from that of the last one.
+void log_epoch(entry_host& host, range_watch& range,
+               platform::store_epoch epoch, std::uint64_t revision)
+{
+    auto const previous = std::exchange(range.m_epoch, epoch);
+    if (previous == epoch)
+    {
+        return;
+    }
+    host.m_metrics.count_event("store_epoch_changed");
+    logging::write(
+        logging::level::warn, "serve.store", "store epoch changed",
+        {{"range", range.m_prefix},
+         {"from", std::to_string(previous)},
+         {"to", std::to_string(epoch)},
+         {"known_revision", std::to_string(range.m_revision.value_or(0))},
+         {"revision", std::to_string(revision)}});
+}
+
 void on_store_answer(entry_host& host, range_watch& range)
 {
     if (!range.m_failing_since)
@@ -337,12 +356,21 @@
             {
                 range.m_catching_up_since.reset();
             }
+            log_epoch(host, range, value(answer).m_epoch,
+                      value(answer).m_store_revision);
             // A stale copy may be older than the state of this host.
             if (value(answer).m_store_revision >= range.m_revision.value_or(0))
             {
                 range.m_revision = value(answer).m_store_revision;
                 apply_snapshot(host, range, value(answer));
             }
+            else
+            {
+                host.m_metrics.count_event("store_snapshot_outdated");
+                log_range(range, logging::level::info,
+                          "store snapshot not taken, older than what is known",
+                          "");
+            }
             schedule_next_read(host, range, watch_start_delay);
         });
 }
@@ -380,6 +408,8 @@
             }
             on_store_answer(host, range);
             range.m_catching_up_since.reset();
+            log_epoch(host, range, value(answer).m_epoch,
+                      value(answer).m_store_revision);
             range.m_revision =
                 std::max(*range.m_revision, value(answer).m_store_revision);
             apply_changes(host, range, value(answer));
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -33,6 +33,8 @@
     std::unique_ptr<net::timer> m_timer;
     /// Revision from which to continue; nothing before the first snapshot.
     std::optional<std::uint64_t> m_revision;
+    /// Epoch of the last answer.
+    platform::store_epoch m_epoch = 0;
     std::optional<core::time_point> m_failing_since;
     /// Send times of the last call and of the last failed call. For a failed
     /// watch the time of its failure is used, since it may have waited long.
