Read the head again after a failed or empty watch of the default store

What callers saw: nothing; found by a test. After the store had come back from an earlier state, a change of the configuration was not in force on the hosts that watch it, until the revision of the head exceeded the one they knew.

Cause: a watch answers when the revision exceeds the one that the host read before. The restored store gives out lower revisions, so the watch never answers, and each empty watch is followed by the next one from the same revision. The failure of an open watch is not a sufficient sign: a host that was between two watches sees none.

Change: after a failed call and after a watch without a change, the host loads the head instead of watching from the revision that it knows. The emulator of the platform can restore its store: later writes, revisions and leases are lost and given out again, and open watches are cut.

--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -244,6 +244,7 @@
                result<platform::loaded_configuration> const& loaded)
 {
     auto& sync = *host.m_configuration_sync;
+    sync.m_is_head_unconfirmed = !has_value(loaded);
     if (has_value(loaded))
     {
         sync.m_head_revision = value(loaded).m_head_revision;
@@ -283,7 +284,7 @@
     };
     auto& sync = *host.m_configuration_sync;
     if (host.m_configuration.m_in_force != nullptr &&
-        is_configuration_watcher(host))
+        !sync.m_is_head_unconfirmed && is_configuration_watcher(host))
     {
         sync.m_store->watch(sync.m_head_revision, watch_wait, on_result);
     }
--- a/src/serve/configuration_sync.hpp
+++ b/src/serve/configuration_sync.hpp
@@ -20,6 +20,10 @@
     std::unique_ptr<platform::configuration_store> m_store;
     std::unique_ptr<net::timer> m_timer;
     std::uint64_t m_head_revision = 0;
+    /// A call has failed, or a watch has ended without a change, since the head
+    /// was read. The store may have come back from an earlier state with lower
+    /// revisions, so a watch from the known one might never answer.
+    bool m_is_head_unconfirmed = false;
     /// Why the stored document was rejected, to report each reason only once.
     std::string m_last_rejection_reason;
     /// Generation last requested from a peer, the time of the request and the
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -133,4 +133,31 @@
     }
 }
 
+// Guards against hosts that wait for a revision above the one they know, after
+// the store came back from an earlier state with a lower one.
+TEST_CASE("a change after a restore of the store takes effect on all hosts")
+{
+    test_cluster cluster(2, 1);
+    auto changed = cluster.document();
+    auto const apply = [&](std::uint64_t generation)
+    {
+        changed.m_generation = generation;
+        changed.m_change_id = "change-" + std::to_string(generation);
+        cluster.store_configuration(changed);
+    };
+    constexpr auto gap = std::chrono::milliseconds(400);
+    cluster.run_for(gap);
+    auto const start = net::event_loop::now();
+    for (std::uint64_t generation = 2; generation <= 6; ++generation)
+    {
+        apply(generation);
+    }
+    cluster.wait_for_agreement(6, 2);
+    cluster.restore_store(std::chrono::duration_cast<std::chrono::milliseconds>(
+        net::event_loop::now() - start + gap / 2));
+    apply(7);
+    cluster.wait_for_agreement(7, 2);
+    CHECK(cluster.send_and_wait(0, "GET", "/x").m_head.m_status == 200);
+}
+
 } // namespace hawthornspur::test
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -213,6 +213,14 @@
     return reply.m_head.m_status < first_error && reply.m_head.m_status > 0;
 }
 
+void test_cluster::restore_store(std::chrono::milliseconds age)
+{
+    require(
+        send_control_request(m_platform->port(), "PUT", "/control/restore",
+                             nlohmann::json{{"age_ms", age.count()}}.dump()),
+        "the platform refused the restore");
+}
+
 void test_cluster::store_configuration(core::configuration document)
 {
     auto const stored = config::split_document(document);
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -99,6 +99,9 @@
     /// `config apply`.
     void store_configuration(core::configuration document);
 
+    /// Brings the platform's store back from its state of `age` ago.
+    void restore_store(std::chrono::milliseconds age);
+
     /// Number of requests that the targets ran: with this key, at one target,
     /// or in total.
     std::uint64_t key_run_count(std::string const& key) const;
--- a/tools/platform_emulator/platform_emulator.cpp
+++ b/tools/platform_emulator/platform_emulator.cpp
@@ -358,6 +358,21 @@
     return success();
 }
 
+status restore_store(emulator_state& state, std::string const& text)
+{
+    core::duration age{0};
+    auto const parsed = parse_object(text);
+    auto read = has_value(parsed)
+                    ? read_fields(value(parsed), {{"age_ms", &age}})
+                    : status(failure(parsed));
+    if (has_value(read))
+    {
+        restore(state.m_store, age, net::event_loop::now());
+        abort_watches(state.m_watches, *state.m_tasks);
+    }
+    return read;
+}
+
 nlohmann::json make_counters(emulator_state const& state)
 {
     nlohmann::json counters = state.m_counters;
@@ -394,6 +409,14 @@
             : reply_error(exchange, failure(changed));
         return;
     }
+    if (request.m_uri == "/control/restore" && is_put)
+    {
+        auto const restored = restore_store(state, request.m_body);
+        has_value(restored)
+            ? reply_json(exchange, 200, nlohmann::json::object())
+            : reply_error(exchange, failure(restored));
+        return;
+    }
     if (request.m_uri == "/control/counters")
     {
         reply_json(exchange, 200, make_counters(state));
--- a/tools/platform_emulator/platform_emulator_test.cpp
+++ b/tools/platform_emulator/platform_emulator_test.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 namespace hawthornspur::tools
 {
 
@@ -173,4 +175,45 @@
     CHECK((answered || outcome == net::exchange_outcome::silent));
 }
 
+// Guards against an emulated restore that keeps later writes, or that does not
+// give out their revisions and leases again.
+TEST_CASE("a restored store has lost later writes, revisions and leases")
+{
+    fixture f;
+    check_exchanges(f, {{"PUT", "/v1/kv/a?revision=0", "old", 200, "1"}});
+    auto const first_written = net::event_loop::now();
+    constexpr auto gap = std::chrono::milliseconds(500);
+    std::this_thread::sleep_for(gap);
+    check_exchanges(f, {{"POST", "/v1/leases", "", 200, "lease-1"},
+                        {"PUT", "/v1/kv/a?revision=1", "new", 200, "2"},
+                        {"PUT", "/v1/kv/b?revision=0", "x", 200, "3"}});
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        net::event_loop::now() - first_written - gap / 2);
+    check_exchanges(f,
+                    {{"PUT", "/control/restore",
+                      nlohmann::json{{"age_ms", age.count()}}.dump(), 200, ""},
+                     {"GET", "/v1/kv/a", "", 200, "old"},
+                     {"GET", "/v1/kv/b", "", 404, ""},
+                     {"PUT", "/v1/leases/lease-1", "", 404, ""},
+                     {"POST", "/v1/leases", "", 200, "lease-1"},
+                     {"PUT", "/v1/kv/b?revision=0", "y", 200, "2"}});
+}
+
+// Guards against watches that stay open in a restored store, whose revisions
+// are below the one that they wait for.
+TEST_CASE("a restore cuts waiting watches")
+{
+    fixture f;
+    check_exchanges(f, {{"PUT", "/v1/kv/a?revision=0", "old", 200, "1"}});
+    auto const watch =
+        f.m_client.start("GET", "/v1/watch/a?after=1&wait_ms=20000");
+    while (f.counters()["waiting_watches"] == 0)
+    {
+    }
+    check_exchanges(f,
+                    {{"PUT", "/control/restore", R"({"age_ms":0})", 200, ""}});
+    CHECK(f.counters()["waiting_watches"] == 0);
+    CHECK(f.m_client.wait(watch).m_outcome != net::exchange_outcome::complete);
+}
+
 } // namespace hawthornspur::tools
--- a/tools/platform_emulator/store.cpp
+++ b/tools/platform_emulator/store.cpp
@@ -81,7 +81,7 @@
                          core::time_point now)
 {
     auto name = "lease-" + std::to_string(++store.m_last_lease);
-    store.m_leases[name] = {now + lifetime, lifetime};
+    store.m_leases[name] = {now + lifetime, lifetime, now};
     return name;
 }
 
@@ -98,6 +98,29 @@
     return success();
 }
 
+void restore(key_value_store& store, core::duration age, core::time_point now)
+{
+    auto const restored_at = now - age;
+    store.m_last_revision = 0;
+    for (auto& [key, versions] : store.m_keys)
+    {
+        std::erase_if(versions, [&](store_version const& version)
+                      { return version.m_since > restored_at; });
+        for (auto const& version : versions)
+        {
+            store.m_last_revision =
+                std::max(store.m_last_revision, version.m_revision);
+        }
+    }
+    std::erase_if(store.m_keys,
+                  [](auto const& entry) { return entry.second.empty(); });
+    std::erase_if(store.m_leases, [&](auto const& entry)
+                  { return entry.second.m_created > restored_at; });
+    store.m_last_lease = store.m_leases.size();
+    std::erase_if(store.m_leased_keys, [&](auto const& entry)
+                  { return !store.m_keys.contains(entry.first); });
+}
+
 void expire_leases(key_value_store& store, core::time_point now)
 {
     std::erase_if(store.m_leases, [&](auto const& entry)
--- a/tools/platform_emulator/store.hpp
+++ b/tools/platform_emulator/store.hpp
@@ -29,6 +29,7 @@
 {
     core::time_point m_expiry{};
     core::duration m_lifetime{0};
+    core::time_point m_created{};
 };
 
 /// The platform's key-value store. Older versions of each key are retained to
@@ -68,6 +69,11 @@
 status renew_lease(key_value_store& store, std::string const& lease,
                    core::time_point now);
 
+/// Returns to the state of `age` ago: later writes and leases are lost, and
+/// their revisions and names are given out again. The age is at most that of
+/// the oldest version that is retained.
+void restore(key_value_store& store, core::duration age, core::time_point now);
+
 /// Removes expired leases and their keys.
 void expire_leases(key_value_store& store, core::time_point now);
 
--- a/tools/platform_emulator/watches.cpp
+++ b/tools/platform_emulator/watches.cpp
@@ -61,6 +61,15 @@
     }
 }
 
+void abort_watches(watch_list& list, scheduler& tasks)
+{
+    for (auto const& [id, watch] : std::exchange(list.m_waiting, {}))
+    {
+        tasks.cancel(watch.m_timeout_task);
+        watch.m_exchange->abort();
+    }
+}
+
 void silence_watches(watch_list& list)
 {
     for (auto& [id, watch] : list.m_waiting)
--- a/tools/platform_emulator/watches.hpp
+++ b/tools/platform_emulator/watches.hpp
@@ -45,6 +45,9 @@
     std::uint64_t revision,
     std::function<void(std::shared_ptr<net::http_exchange>)> const& answer);
 
+/// Removes all watches and closes their connections.
+void abort_watches(watch_list& list, scheduler& tasks);
+
 /// Marks all waiting watches as silent; this cannot be reverted.
 void silence_watches(watch_list& list);
 
