Order reads of the store by epoch before revision

Shown by logs and a test: hosts missed changes of the configuration and of targets that the store wrote after it had come back from an earlier state.

Cause: revisions are comparable only until the store goes back, since it gives them out again. The lease of a registration was kept, although its entry could be lost or the lease belong to another host. The class of fault is a cursor that is used after the history it points into has been replaced.

Change: the position of a host in a range consists of epoch and revision (core/store_position). An answer of a later epoch makes the host read both ranges anew, ignore calls that are under way, and register with a new lease; one of an earlier epoch is discarded. After a failed call, the first watch returns at once, so that its answer shows the epoch before a long one starts. The list of hosts, read every 10 s, shows it as well.

--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -70,6 +70,7 @@
                 host.m_metrics.count_event("host_list_unavailable");
                 return;
             }
+            observe_store_epoch(host, value(answer).m_epoch);
             std::vector<platform::listed_host> listed;
             for (auto const& item : value(answer).m_items)
             {
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -23,6 +23,9 @@
 /// its keep-alive, not by the end of the wait.
 constexpr auto watch_wait = std::chrono::seconds(25);
 
+/// Long enough for an answer only; the store answers within milliseconds.
+constexpr auto confirmation_wait = std::chrono::milliseconds(1);
+
 /// Pauses between watches, so that one call reads all changes of targets that
 /// start one after the other. A change must reach the owners within 2 s.
 /// A host without pools uses the targets only after it has become an owner.
@@ -66,30 +69,86 @@
 void log_range(range_watch const& range, logging::level severity,
                std::string_view message, std::string reason)
 {
-    logging::write(
-        severity, "serve.store", message,
-        {{"range", range.m_prefix},
-         {"reason", std::move(reason)},
-         {"revision", std::to_string(range.m_revision.value_or(0))}});
+    logging::write(severity, "serve.store", message,
+                   {{"range", range.m_prefix},
+                    {"reason", std::move(reason)},
+                    {"revision",
+                     std::to_string(range.m_position.m_revision.value_or(0))}});
 }
 
-/// Logs the epoch of an answer if it differs from that of the last one.
-void log_epoch(entry_host& host, range_watch& range,
-               platform::store_epoch epoch, std::uint64_t revision)
+/// Handles an answer which shows that the store came back from an earlier
+/// state: reads both ranges anew and registers again. The revisions, the lease
+/// and the entries that this host knows are from before.
+void on_store_restored(entry_host& host, range_watch const& range,
+                       platform::store_epoch epoch, std::uint64_t revision)
 {
-    auto const previous = std::exchange(range.m_epoch, epoch);
-    if (previous == epoch)
+    auto& sync = *host.m_store_sync;
+    host.m_metrics.count_event("store_restored");
+    logging::write(logging::level::warn, "serve.store",
+                   "store came back from an earlier state",
+                   {{"range", range.m_prefix},
+                    {"known_epoch", std::to_string(range.m_position.m_epoch)},
+                    {"known_revision",
+                     std::to_string(range.m_position.m_revision.value_or(0))},
+                    {"epoch", std::to_string(epoch)},
+                    {"revision", std::to_string(revision)}});
+    for (auto* other : {&sync.m_configuration, &sync.m_targets})
+    {
+        other->m_position = {epoch, std::nullopt};
+        ++other->m_call_number;
+        if (!other->m_is_polling)
+        {
+            other->m_timer->start(core::duration(0));
+        }
+        else if (sync.m_role == core::store_role::reserve)
+        {
+            other->m_timer->start(reserve_start_delay);
+        }
+    }
+    sync.m_lease.clear();
+    if (sync.m_role == core::store_role::watcher)
     {
-        return;
+        sync.m_registration_timer->start(core::duration(0));
     }
-    host.m_metrics.count_event("store_epoch_changed");
-    logging::write(
-        logging::level::warn, "serve.store", "store epoch changed",
-        {{"range", range.m_prefix},
-         {"from", std::to_string(previous)},
-         {"to", std::to_string(epoch)},
-         {"known_revision", std::to_string(range.m_revision.value_or(0))},
-         {"revision", std::to_string(revision)}});
+}
+
+/// Whether the answer is a snapshot, which can be applied whatever was known
+/// before, or continues from the position of the range.
+enum class answer_kind : std::uint8_t
+{
+    snapshot,
+    stale_snapshot,
+    changes,
+};
+
+/// Compares an answer with the position of the range and returns whether it is
+/// to be applied.
+bool accept_answer(entry_host& host, range_watch& range,
+                   platform::store_epoch epoch, std::uint64_t revision,
+                   answer_kind kind)
+{
+    range.m_is_position_unconfirmed = false;
+    switch (core::compare_read(range.m_position, epoch, revision,
+                               kind == answer_kind::stale_snapshot))
+    {
+    case core::read_order::current:
+        range.m_position = {epoch, revision};
+        return true;
+    case core::read_order::restored:
+        on_store_restored(host, range, epoch, revision);
+        if (kind == answer_kind::changes)
+        {
+            return false;
+        }
+        range.m_position = {epoch, revision};
+        return true;
+    case core::read_order::outdated:
+        break;
+    }
+    host.m_metrics.count_event("store_answer_outdated");
+    log_range(range, logging::level::info,
+              "store answer not taken, older than what is known", "");
+    return false;
 }
 
 void on_store_answer(entry_host& host, range_watch& range)
@@ -118,12 +177,13 @@
         host.m_metrics.count_event("store_history_lost");
         log_range(range, logging::level::info,
                   "store history lost, reading a new snapshot", "");
-        range.m_revision.reset();
+        range.m_position.m_revision.reset();
         range.m_timer->start(core::duration(0));
         return;
     }
     host.m_metrics.count_event("store_call_failed");
     range.m_catching_up_since.reset();
+    range.m_is_position_unconfirmed = true;
     range.m_last_failure_time = range.m_call_time;
     if (!range.m_failing_since)
     {
@@ -337,41 +397,93 @@
     }
 }
 
+/// Plans the next call after changes that were not applied. After a restore,
+/// which ends the numbers of earlier calls, both ranges have their next call.
+void schedule_after_unused_changes(entry_host& host, range_watch& range,
+                                   std::uint64_t call_number)
+{
+    if (call_number == range.m_call_number)
+    {
+        schedule_next_read(host, range, store_retry_interval);
+    }
+}
+
 void read_snapshot(entry_host& host, range_watch& range,
                    platform::freshness freshness)
 {
     range.m_call_time = now();
     host.m_platform_calls.m_get_range(
         range.m_prefix, freshness,
-        [&host, &range, freshness](result<platform::stored_range> const& answer)
+        [&host, &range, freshness, number = ++range.m_call_number](
+            result<platform::stored_range> const& answer)
         {
             detect_pause(host);
+            if (number != range.m_call_number)
+            {
+                return;
+            }
             if (!has_value(answer))
             {
                 on_store_failure(host, range, failure(answer));
                 return;
             }
             on_store_answer(host, range);
-            if (freshness == platform::freshness::latest)
+            auto const& snapshot = value(answer);
+            bool const is_latest = freshness == platform::freshness::latest;
+            if (!accept_answer(host, range, snapshot.m_epoch,
+                               snapshot.m_store_revision,
+                               is_latest ? answer_kind::snapshot
+                                         : answer_kind::stale_snapshot))
+            {
+                schedule_next_read(host, range, store_retry_interval);
+                return;
+            }
+            if (is_latest)
             {
                 range.m_catching_up_since.reset();
             }
-            log_epoch(host, range, value(answer).m_epoch,
-                      value(answer).m_store_revision);
-            // A stale copy may be older than the state of this host.
-            if (value(answer).m_store_revision >= range.m_revision.value_or(0))
+            apply_snapshot(host, range, snapshot);
+            schedule_next_read(host, range, watch_start_delay);
+        });
+}
+
+void watch_changes(entry_host& host, range_watch& range)
+{
+    auto const wait = range.m_is_position_unconfirmed
+                          ? core::duration(confirmation_wait)
+                          : core::duration(watch_wait);
+    host.m_platform_calls.m_watch_range(
+        range.m_prefix, *range.m_position.m_revision, wait,
+        [&host, &range, number = ++range.m_call_number](
+            result<platform::range_changes> const& answer)
+        {
+            detect_pause(host);
+            if (number != range.m_call_number)
+            {
+                return;
+            }
+            if (!has_value(answer))
             {
-                range.m_revision = value(answer).m_store_revision;
-                apply_snapshot(host, range, value(answer));
+                range.m_call_time = now();
+                on_store_failure(host, range, failure(answer));
+                return;
             }
-            else
+            on_store_answer(host, range);
+            auto const& changes = value(answer);
+            auto const known = range.m_position.m_revision.value_or(0);
+            if (!accept_answer(host, range, changes.m_epoch,
+                               std::max(known, changes.m_store_revision),
+                               answer_kind::changes))
             {
-                host.m_metrics.count_event("store_snapshot_outdated");
-                log_range(range, logging::level::info,
-                          "store snapshot not taken, older than what is known",
-                          "");
+                schedule_after_unused_changes(host, range, number);
+                return;
             }
-            schedule_next_read(host, range, watch_start_delay);
+            range.m_catching_up_since.reset();
+            apply_changes(host, range, changes);
+            schedule_next_read(host, range,
+                               changes.m_events.empty()
+                                   ? core::duration(0)
+                                   : change_interval(host, range));
         });
 }
 
@@ -388,36 +500,14 @@
         read_snapshot(host, range, platform::freshness::may_be_stale);
         return;
     }
-    if (!range.m_revision || range.m_catching_up_since)
+    if (!range.m_position.m_revision || range.m_catching_up_since)
     {
         // A watch does not answer before the next change, so it cannot confirm
         // that the host is up to date.
         read_snapshot(host, range, platform::freshness::latest);
         return;
     }
-    host.m_platform_calls.m_watch_range(
-        range.m_prefix, *range.m_revision, watch_wait,
-        [&host, &range](result<platform::range_changes> const& answer)
-        {
-            detect_pause(host);
-            if (!has_value(answer))
-            {
-                range.m_call_time = now();
-                on_store_failure(host, range, failure(answer));
-                return;
-            }
-            on_store_answer(host, range);
-            range.m_catching_up_since.reset();
-            log_epoch(host, range, value(answer).m_epoch,
-                      value(answer).m_store_revision);
-            range.m_revision =
-                std::max(*range.m_revision, value(answer).m_store_revision);
-            apply_changes(host, range, value(answer));
-            schedule_next_read(host, range,
-                               value(answer).m_events.empty()
-                                   ? core::duration(0)
-                                   : change_interval(host, range));
-        });
+    watch_changes(host, range);
 }
 
 std::string_view to_string(core::store_role role)
@@ -605,6 +695,15 @@
             now() - *range.m_catching_up_since >= max_catch_up_time);
 }
 
+void observe_store_epoch(entry_host& host, platform::store_epoch epoch)
+{
+    auto const& range = host.m_store_sync->m_configuration;
+    if (range.m_position.m_epoch != 0 && epoch > range.m_position.m_epoch)
+    {
+        on_store_restored(host, range, epoch, 0);
+    }
+}
+
 status start_store_sync(entry_host& host)
 {
     host.m_store_sync = std::make_unique<store_sync>();
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_SERVE_STORE_SYNC_HPP
 
 #include "base/result.hpp"
+#include "core/store_position.hpp"
 #include "core/store_role.hpp"
 #include "core/target_directory.hpp"
 #include "core/time.hpp"
@@ -31,10 +32,14 @@
 {
     std::string m_prefix;
     std::unique_ptr<net::timer> m_timer;
-    /// Revision from which to continue; nothing before the first snapshot.
-    std::optional<std::uint64_t> m_revision;
-    /// Epoch of the last answer.
-    platform::store_epoch m_epoch = 0;
+    /// Where the next watch continues.
+    core::store_position m_position;
+    /// Answers to calls with an earlier number are ignored: the store came back
+    /// from an earlier state while they were under way.
+    std::uint64_t m_call_number = 0;
+    /// A call has failed since the last answer. The next watch does not wait,
+    /// so that its answer shows whether the position still holds.
+    bool m_is_position_unconfirmed = false;
     std::optional<core::time_point> m_failing_since;
     /// Send times of the last call and of the last failed call. For a failed
     /// watch the time of its failure is used, since it may have waited long.
@@ -101,6 +106,11 @@
 /// called after each change of membership or of a link.
 void update_store_role(entry_host& host);
 
+/// Compares the epoch of another read with that of the ranges. A watch that was
+/// opened after the store came back from an earlier state may not answer for
+/// long.
+void observe_store_epoch(entry_host& host, platform::store_epoch epoch);
+
 /// Starts to read the store and registers this host in it.
 status start_store_sync(entry_host& host);
 
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -52,7 +52,9 @@
     std::uint64_t m_history_from = 0;
     std::vector<watch> m_watches;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_epoch = 1;
     int m_snapshots = 0;
+    int m_leases = 0;
 };
 
 /// The store as one host can reach it.
@@ -89,6 +91,7 @@
         platform::range_changes changes;
         changes.m_events = {{key, value, store.m_revision}};
         changes.m_store_revision = store.m_revision;
+        changes.m_epoch = store.m_epoch;
         store.m_loop->post([done = watch.m_on_changes, changes]
                            { done(changes); });
     }
@@ -122,11 +125,27 @@
     }
 }
 
+/// Brings the store back from `copy`. Open watches fail, as in an outage.
+void restore(memory_store& store, memory_store const& copy)
+{
+    store.m_items = copy.m_items;
+    store.m_history = copy.m_history;
+    store.m_revision = copy.m_revision;
+    ++store.m_epoch;
+    for (auto const& watch : std::exchange(store.m_watches, {}))
+    {
+        store.m_loop->post(
+            [done = watch.m_on_changes]
+            { done(make_error(result_code::store_unavailable, "restored")); });
+    }
+}
+
 platform::stored_range read_range(memory_store& store,
                                   std::string const& prefix)
 {
     platform::stored_range range;
     range.m_store_revision = store.m_revision;
+    range.m_epoch = store.m_epoch;
     for (auto const& [key, item] : store.m_items)
     {
         if (key.starts_with(prefix))
@@ -144,6 +163,7 @@
     calls.m_create_lease =
         [&store](core::duration, platform::callback<std::string> done)
     {
+        ++store.m_leases;
         store.m_loop->post([done] { done(std::string("1")); });
     };
     calls.m_renew_lease =
@@ -185,12 +205,14 @@
         answer();
     };
     calls.m_watch_range =
-        [&store](std::string const& prefix, std::uint64_t after, core::duration,
+        [&store](std::string const& prefix, std::uint64_t after,
+                 core::duration wait,
                  platform::callback<platform::range_changes> done)
     {
         platform::range_changes changes;
         changes.m_store_revision = store.m_revision;
-        if (after < store.m_history_from)
+        changes.m_epoch = store.m_epoch;
+        if (after < store.m_history_from || after > store.m_revision)
         {
             store.m_loop->post(
                 [done]
@@ -204,7 +226,7 @@
                 changes.m_events.push_back(event);
             }
         }
-        if (changes.m_events.empty())
+        if (changes.m_events.empty() && wait > std::chrono::seconds(1))
         {
             store.m_watches.push_back({prefix, std::move(done)});
             return;
@@ -600,6 +622,58 @@
               { return send_and_wait(*fixture_state, polling_host) == 200; });
 }
 
+// Guards against a host that continues from a revision of before the store came
+// back from an earlier state, and misses what was written under the revisions
+// that the store gave out again.
+TEST_CASE("hosts follow a store that came back from an earlier state")
+{
+    auto const fixture_state = make_fixture();
+    auto& store = fixture_state->m_store;
+    start_four_hosts(*fixture_state);
+    auto const copy = store;
+    put(store, document_key, make_document(4));
+    put(store, "targets/t2", "9");
+    auto const generation_at_all = [&](std::uint64_t generation)
+    {
+        return std::all_of(
+            fixture_state->m_hosts.begin(), fixture_state->m_hosts.end(),
+            [&](auto const& host) {
+                return host->m_configuration.m_in_force->m_generation ==
+                       generation;
+            });
+    };
+    run_until(*fixture_state, [&] { return generation_at_all(4); });
+    auto const leases = store.m_leases;
+    restore(store, copy);
+    // The operator has written the change again, and a new one, before a host
+    // reads the store.
+    put(store, document_key, make_document(4));
+    put(store, document_key, make_document(5));
+    put(store, "targets/t3", "9");
+    put(store, "targets/t4", "9");
+    SUBCASE("its revision has passed the one that the hosts know")
+    {
+        put(store, "other/key", "x");
+    }
+    SUBCASE("its revision is lower") {}
+    run_until(*fixture_state, [&] { return generation_at_all(5); });
+    run_until(
+        *fixture_state,
+        [&]
+        {
+            return std::all_of(
+                fixture_state->m_hosts.begin(), fixture_state->m_hosts.end(),
+                [&](auto const& host)
+                {
+                    auto const& entries =
+                        host->m_store_sync->m_target_directory.m_entries;
+                    return entries.contains("t3") && entries.contains("t4");
+                });
+        });
+    // The registrations of before are lost.
+    run_until(*fixture_state, [&] { return store.m_leases >= leases + 2; });
+}
+
 // Guards against a restart of all hosts in which each host lists only itself in
 // address answers because it has not found the others.
 TEST_CASE("a host is ready once it has found a peer or is the preferred owner")
