Keep targets that have left out of use when the store goes back

What callers saw: nothing yet. A restored store lists targets as they were some seconds before: one that has announced its stop is active again, and one that was removed is back, until they or the store write again.

Cause: an entry was taken as newer than the known one because it was read later.

Change: an entry that the same process wrote before the known one, by the count in it, is ignored.

--- a/src/core/target_directory.cpp
+++ b/src/core/target_directory.cpp
@@ -19,8 +19,46 @@
            a.m_incarnation == b.m_incarnation;
 }
 
+// Longer than a registry goes back.
+constexpr duration removal_memory = std::chrono::seconds(60);
+
+void erase_entry(target_directory& directory,
+                 std::map<std::string, target_directory::entry>::iterator entry,
+                 time_point now)
+{
+    std::erase_if(directory.m_removals, [&](auto const& item)
+                  { return item.second.m_removed_at + removal_memory < now; });
+    directory.m_removals[entry->first] = {entry->second.m_target.m_incarnation,
+                                          now};
+    directory.m_entries.erase(entry);
+}
+
+/// Whether the same process wrote `known` after `read`.
+bool is_superseded(registered_target const& read,
+                   registered_target const& known)
+{
+    return read.m_incarnation == known.m_incarnation && read.m_sequence &&
+           known.m_sequence && *read.m_sequence < *known.m_sequence;
+}
+
+/// Whether this process was removed before the registry was restored.
+bool is_removed(target_directory const& directory,
+                registered_target const& target, time_point now)
+{
+    auto const removal = directory.m_removals.find(target.m_name);
+    return now < directory.m_is_restoring_until &&
+           removal != directory.m_removals.end() &&
+           removal->second.m_incarnation == target.m_incarnation;
+}
+
 } // namespace
 
+void record_registry_restore(target_directory& directory, time_point now)
+{
+    record_registry_recovery(directory, now, now);
+    directory.m_is_restoring_until = now + lapsed_entry_grace;
+}
+
 void record_registry_recovery(target_directory& directory,
                               time_point last_failure, time_point now)
 {
@@ -35,9 +73,14 @@
     auto const cold_until = target.m_warm_up_left > duration::zero()
                                 ? now + target.m_warm_up_left
                                 : time_point{};
-    auto const [position, is_new] =
-        directory.m_entries.try_emplace(target.m_name);
-    auto& entry = position->second;
+    auto const known = directory.m_entries.find(target.m_name);
+    bool const is_new = known == directory.m_entries.end();
+    if (is_new ? is_removed(directory, target, now)
+               : is_superseded(target, known->second.m_target))
+    {
+        return false;
+    }
+    auto& entry = directory.m_entries[target.m_name];
     bool const is_changed =
         is_new || !is_same_target(entry.m_target, target) ||
         (cold_until == time_point{}) != (entry.m_cold_until == time_point{});
@@ -57,7 +100,7 @@
     }
     if (now >= directory.m_removals_deferred_until)
     {
-        directory.m_entries.erase(found);
+        erase_entry(directory, found, now);
         return true;
     }
     if (!found->second.m_remove_at)
@@ -95,12 +138,18 @@
 
 bool remove_lapsed_entries(target_directory& directory, time_point now)
 {
-    return std::erase_if(directory.m_entries,
-                         [&](auto const& item)
-                         {
-                             auto const& remove_at = item.second.m_remove_at;
-                             return remove_at && *remove_at <= now;
-                         }) > 0;
+    auto const count = directory.m_entries.size();
+    for (auto next = directory.m_entries.begin();
+         next != directory.m_entries.end();)
+    {
+        auto const entry = next++;
+        auto const& remove_at = entry->second.m_remove_at;
+        if (remove_at && *remove_at <= now)
+        {
+            erase_entry(directory, entry, now);
+        }
+    }
+    return directory.m_entries.size() < count;
 }
 
 std::optional<time_point> next_lapsed_removal(target_directory const& directory)
--- a/src/core/target_directory.hpp
+++ b/src/core/target_directory.hpp
@@ -27,6 +27,8 @@
     duration m_warm_up_left{0};
     /// Distinguishes processes under the same name; 0 if not reported.
     std::uint64_t m_incarnation = 0;
+    /// Counts the entries that the process has written.
+    std::optional<std::uint64_t> m_sequence;
 };
 
 /// The registered targets known to one host.
@@ -41,6 +43,16 @@
         std::optional<time_point> m_remove_at;
     };
     std::map<std::string, entry> m_entries;
+    /// Incarnations of targets whose entries were removed in the last minute.
+    struct removal
+    {
+        std::uint64_t m_incarnation = 0;
+        time_point m_removed_at{};
+    };
+    std::map<std::string, removal> m_removals;
+    /// Until this time, the registry may show a state from before a restore of
+    /// it, with entries that have been removed since.
+    time_point m_is_restoring_until{};
     /// Entries that go missing before this time may have lapsed in an outage of
     /// the registry; they are not removed before it.
     time_point m_removals_deferred_until{};
@@ -61,7 +73,13 @@
 void record_registry_recovery(target_directory& directory,
                               time_point last_failure, time_point now);
 
-/// Adds or replaces an entry. Returns whether anything that hosts use changed.
+/// Records that the registry came back from an earlier state. Within
+/// lapsed_entry_grace, removals are deferred and removed targets stay removed;
+/// after that, the registry must be read again.
+void record_registry_restore(target_directory& directory, time_point now);
+
+/// Adds or replaces an entry. An entry that the same process wrote before the
+/// known one is ignored. Returns whether anything that hosts use changed.
 bool put_target(target_directory& directory, registered_target target,
                 time_point now);
 
--- a/src/core/target_directory_test.cpp
+++ b/src/core/target_directory_test.cpp
@@ -111,4 +111,55 @@
     CHECK(merged.m_services[0].m_targets[0].m_cold_until == at_ms(4000));
 }
 
+// Guards against a draining target that is used again because the registry
+// shows an entry that the target wrote before.
+TEST_CASE("an earlier entry of the same process does not replace a later one")
+{
+    target_directory directory;
+    auto ready = make_target("t1");
+    ready.m_incarnation = 7;
+    ready.m_sequence = 1;
+    auto draining = ready;
+    draining.m_sequence = 4;
+    draining.m_state = target_state::draining;
+    CHECK(put_target(directory, draining, at_ms(0)));
+    CHECK(!put_target(directory, ready, at_ms(10)));
+    CHECK(directory.m_entries.at("t1").m_target.m_state ==
+          target_state::draining);
+    // A new process under the same name starts its count anew.
+    ready.m_incarnation = 8;
+    CHECK(put_target(directory, ready, at_ms(20)));
+}
+
+// Guards against targets that have left and are used again because the registry
+// came back from an earlier state.
+TEST_CASE("a removed target stays removed while the registry is restored")
+{
+    target_directory directory;
+    auto target = make_target("t1");
+    target.m_incarnation = 7;
+    put_target(directory, target, at_ms(0));
+    remove_target(directory, "t1", at_ms(1'000));
+    record_registry_restore(directory, at_ms(2'000));
+    CHECK(!replace_targets(directory, {target}, at_ms(2'010)));
+    CHECK(directory.m_entries.empty());
+    SUBCASE("a new process under its name is used")
+    {
+        target.m_incarnation = 8;
+        CHECK(put_target(directory, target, at_ms(2'020)));
+    }
+    SUBCASE("a target that is still registered afterwards is used")
+    {
+        CHECK(replace_targets(directory, {target},
+                              at_ms(2'000) + lapsed_entry_grace));
+    }
+    SUBCASE("targets missing in the restored state are kept for the grace time")
+    {
+        target.m_incarnation = 8;
+        put_target(directory, target, at_ms(2'020));
+        CHECK(!replace_targets(directory, {}, at_ms(2'030)));
+        CHECK(directory.m_entries.size() == 1);
+    }
+}
+
 } // namespace hawthornspur::core
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -105,6 +105,8 @@
             other->m_timer->start(reserve_start_delay);
         }
     }
+    core::record_registry_restore(sync.m_target_directory, now());
+    sync.m_restore_timer->start(core::lapsed_entry_grace);
     sync.m_lease.clear();
     if (sync.m_role == core::store_role::watcher)
     {
@@ -728,6 +730,16 @@
                      { read_range(host, host.m_store_sync->m_targets); }),
           make_timer(host, sync.m_registration_timer,
                      [&host] { advance_registration(host); }),
+          make_timer(host, sync.m_restore_timer,
+                     [&host]
+                     {
+                         auto& targets = host.m_store_sync->m_targets;
+                         targets.m_position.m_revision.reset();
+                         if (!targets.m_is_polling)
+                         {
+                             read_range(host, targets);
+                         }
+                     }),
           make_timer(host, sync.m_role_timer,
                      [&host]
                      {
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -68,6 +68,9 @@
     bool m_is_preferred_owner = false;
     /// Runs out when lapsed target entries are to be removed.
     std::unique_ptr<net::timer> m_lapse_timer;
+    /// Runs out when the targets have registered again after the store came
+    /// back from an earlier state.
+    std::unique_ptr<net::timer> m_restore_timer;
 
     /// Registration of this host and reads of the other hosts.
     std::unique_ptr<net::timer> m_registration_timer;
