Number a change after a restore of the store above the lost ones

In the default interface, `config apply` stored a change after the store had come back from an earlier state, reported that it was in force on all hosts, and no host had it.

Cause: a change got the generation that follows the stored one. The restored store is behind the hosts, so the new generation is at most the one that they have in force; they discard it as stale or conflicting, and `config apply`, which waits until each host has at least that generation, takes the lost change for the new one.

Change: the store tells its epoch with each value, and the generations of an epoch start above all earlier ones (core::next_generation). The emulator counts its restores. `status` prints generations above 2^31.

Evidence: with the epoch ignored in next_generation, "a change based on a restored generation takes effect on all hosts" does not agree within 30 s, and "a change after a restore of the store is newer than the lost ones" gets 2 where the lost ones are 2 and 3. Two tests of the emulator compare whole answers and contain the epoch now.

--- a/src/cli/host_commands.cpp
+++ b/src/cli/host_commands.cpp
@@ -87,10 +87,11 @@
               << answer.value("state", "")
               << (answer.value("ready", false) ? "" : " (not ready)")
               << (answer.value("isolated", false) ? " (isolated)" : "")
-              << "\ngeneration " << answer.value("generation", 0) << " change "
-              << answer.value("change_id", "") << ", newest announced "
-              << answer.value("newest_generation_heard", 0) << ", rejected "
-              << answer.value("rejected_documents", 0) << "\n"
+              << "\ngeneration " << answer.value("generation", std::uint64_t{0})
+              << " change " << answer.value("change_id", "")
+              << ", newest announced "
+              << answer.value("newest_generation_heard", std::uint64_t{0})
+              << ", rejected " << answer.value("rejected_documents", 0) << "\n"
               << "calls in flight " << answer.value("calls_in_flight", 0)
               << ", at-most-once keys " << answer.value("once_keys", 0) << "\n";
     for (auto const& pool : answer.value("pools", nlohmann::json::array()))
@@ -106,7 +107,8 @@
     {
         std::cout << "  host " << host.value("name", "") << " zone "
                   << host.value("zone", "") << " " << host.value("state", "")
-                  << " generation " << host.value("generation", 0)
+                  << " generation "
+                  << host.value("generation", std::uint64_t{0})
                   << (host.value("linked", false) ? "" : " (no link)") << "\n";
     }
 }
--- a/src/core/configuration_state.cpp
+++ b/src/core/configuration_state.cpp
@@ -9,6 +9,14 @@
 namespace hawthornspur::core
 {
 
+namespace
+{
+
+// More changes than one epoch of the store sees in centuries.
+constexpr std::uint64_t generations_per_epoch = 1'000'000'000;
+
+} // namespace
+
 offer_result offer(configuration_state& state,
                    std::shared_ptr<configuration const> document,
                    configuration_source source)
@@ -36,6 +44,13 @@
     return offer_result::same;
 }
 
+std::uint64_t next_generation(std::uint64_t based_on,
+                              std::uint64_t epoch) noexcept
+{
+    auto const first = epoch > 1 ? (epoch - 1) * generations_per_epoch : 0;
+    return std::max(based_on, first) + 1;
+}
+
 bool record_announced_generation(configuration_state& state,
                                  std::uint64_t generation)
 {
--- a/src/core/configuration_state.hpp
+++ b/src/core/configuration_state.hpp
@@ -55,6 +55,12 @@
                    std::shared_ptr<configuration const> document,
                    configuration_source source = configuration_source::store);
 
+/// The generation of a change to `based_on`, stored in an epoch of the store,
+/// which counts from 1 (0: unknown). Hosts may have generations in force that
+/// the store has lost; the first change of an epoch exceeds all of these.
+std::uint64_t next_generation(std::uint64_t based_on,
+                              std::uint64_t epoch) noexcept;
+
 /// Records a generation that a peer announced. Returns true if its document
 /// should be fetched from the peer: it is newer than the one in force and was
 /// not rejected. A rejected document would otherwise be fetched again for each
--- a/src/core/configuration_state_test.cpp
+++ b/src/core/configuration_state_test.cpp
@@ -35,6 +35,20 @@
 
 } // namespace
 
+// Guards against a change after a restore of the store that hosts discard as
+// old, since they have a lost one in force.
+TEST_CASE("the first change of an epoch is newer than all of earlier epochs")
+{
+    CHECK(next_generation(0, 0) == 1);
+    CHECK(next_generation(6, 1) == 7);
+    constexpr std::uint64_t lost = 9;
+    auto const second = next_generation(4, 2);
+    CHECK(second > lost);
+    CHECK(next_generation(second, 2) == second + 1);
+    // The store comes back from a copy of the first epoch once more.
+    CHECK(next_generation(4, 3) > second + lost);
+}
+
 // Guards against a host that returns to an older document, or replaces the
 // document of a generation by another one, after stale or conflicting offers.
 TEST_CASE("the generation in force never reverts")
--- a/src/platform/call_limiter.cpp
+++ b/src/platform/call_limiter.cpp
@@ -301,14 +301,14 @@
             std::move(done));
     };
     limited_calls.m_compare_and_swap =
-        [limiter](std::string key, std::string value, std::uint64_t revision,
+        [limiter](std::string key, std::string value, key_version replaced,
                   callback<std::uint64_t> done)
     {
         enqueue_call<std::uint64_t>(
             limiter,
             [inner = &limiter->m_inner, key = std::move(key),
-             value = std::move(value), revision](auto on_answer) {
-                inner->m_compare_and_swap(key, value, revision,
+             value = std::move(value), replaced](auto on_answer) {
+                inner->m_compare_and_swap(key, value, replaced,
                                           std::move(on_answer));
             },
             std::move(done));
--- a/src/platform/call_limiter_test.cpp
+++ b/src/platform/call_limiter_test.cpp
@@ -179,7 +179,7 @@
         fixture.m_calls.m_watch("key", 0, milliseconds(100),
                                 [&](auto const& answer)
                                 { fixture.record(answer); });
-        fixture.m_calls.m_compare_and_swap("key", "value", 0,
+        fixture.m_calls.m_compare_and_swap("key", "value", {},
                                            [&](auto const& answer)
                                            { fixture.record(answer); });
         fixture.m_calls.m_list_hosts([&](auto const& answer)
--- a/src/platform/configuration_store.cpp
+++ b/src/platform/configuration_store.cpp
@@ -1,5 +1,6 @@
 #include "platform/configuration_store.hpp"
 
+#include "core/configuration_state.hpp"
 #include "platform/store_operations.hpp"
 
 #include <algorithm>
@@ -34,7 +35,7 @@
         done(failure(head));
         co_return;
     }
-    if (value(head).m_revision == 0)
+    if (value(head).m_version.m_revision == 0)
     {
         done(make_error(result_code::not_found,
                         "no configuration is stored yet"));
@@ -53,7 +54,7 @@
         co_return;
     }
     done(loaded_configuration{std::move(value(document)),
-                              value(head).m_revision});
+                              value(head).m_version.m_revision});
 }
 
 bool is_retryable(error const& fault) noexcept
@@ -134,7 +135,7 @@
     /// The head that the last write was meant to replace.
     document_head m_replaced_head;
     /// Parts written since m_current_head was read. They cannot be pruned while
-    /// the head has that revision.
+    /// the head has that version.
     std::set<std::string> m_written_parts;
     /// True after a write of the head whose answer was lost.
     bool m_may_have_taken_effect = false;
@@ -150,6 +151,12 @@
     failed,
 };
 
+void set_generation(pending_change& change, std::uint64_t generation)
+{
+    change.m_new_head.m_generation = generation;
+    change.m_document.m_head = config::print_head(change.m_new_head);
+}
+
 /// Reads the head and decides whether the change is already stored, can be
 /// written, or conflicts with another one.
 detached_task check_head(store_ptr store,
@@ -166,21 +173,26 @@
                  : apply_action::failed);
         co_return;
     }
-    if (value(head).m_revision != change->m_current_head.m_revision)
+    if (value(head).m_version != change->m_current_head.m_version)
     {
         change->m_written_parts.clear();
     }
     change->m_current_head = std::move(value(head));
     auto const& current = change->m_current_head.m_head;
+    auto const next_generation = core::next_generation(
+        change->m_based_on, change->m_current_head.m_version.m_epoch);
     if (current.m_change_id == change->m_new_head.m_change_id &&
-        current.m_generation == change->m_new_head.m_generation)
+        (current.m_generation == change->m_new_head.m_generation ||
+         current.m_generation == next_generation))
     {
+        set_generation(*change, current.m_generation);
         ++store->m_counters.m_answers_resolved;
         done(apply_action::done);
         co_return;
     }
     if (current.m_generation == change->m_based_on)
     {
+        set_generation(*change, next_generation);
         done(apply_action::write);
         co_return;
     }
@@ -278,7 +290,7 @@
         {
             store->m_calls.m_compare_and_swap(
                 head_key(*store), change->m_document.m_head,
-                change->m_current_head.m_revision, std::move(on_answer));
+                change->m_current_head.m_version, std::move(on_answer));
         });
     auto const swapped = co_await swap_call;
     if (has_value(swapped))
--- a/src/platform/configuration_store.hpp
+++ b/src/platform/configuration_store.hpp
@@ -93,8 +93,9 @@
     void load_generation(std::uint64_t generation,
                          callback<core::configuration> done);
 
-    /// Stores a document as generation `based_on` + 1 if the stored generation
-    /// is `based_on`, where 0 means that nothing is stored. The document's
+    /// Stores a document as the generation that core::next_generation() gives
+    /// if the stored generation is `based_on`, where 0 means that nothing is
+    /// stored. The document's
     /// change id must be unique: it shows after a lost answer whether the
     /// change took effect. Errors: those of the document check,
     /// document_too_large, store_answer_malformed, store_unavailable,
--- a/src/platform/configuration_store_test.cpp
+++ b/src/platform/configuration_store_test.cpp
@@ -188,6 +188,25 @@
     CHECK(value(*base).m_services[0].m_max_queue == 10);
 }
 
+// Guards against a confirmed change that hosts discard as old after the store
+// has lost the changes that they have in force.
+TEST_CASE("a change after a restore of the store is newer than the lost ones")
+{
+    store_fixture fixture;
+    fixture.require_apply(10, 0);
+    auto const restored_revision = fixture.m_platform.m_revision;
+    fixture.require_apply(11, 1);
+    fixture.require_apply(12, 2);
+    fixture.m_platform.restore(restored_revision);
+    auto const outcome = fixture.apply(make_document(13, "after"), 1);
+    REQUIRE(has_value(outcome));
+    CHECK(value(outcome).m_outcome == apply_outcome::stored);
+    CHECK(value(outcome).m_generation > 3);
+    auto const loaded = fixture.load_without_cache();
+    REQUIRE(has_value(loaded));
+    CHECK(value(loaded).m_document.m_generation == value(outcome).m_generation);
+}
+
 // Guards against storing a document that every host would reject.
 TEST_CASE("an invalid document is not stored")
 {
@@ -343,9 +362,9 @@
     auto const hash = fixture.m_log.m_heads.back().m_parts[1];
     auto& versions =
         fixture.m_platform.m_entries["hawthornspur/parts/" + hash].m_versions;
-    versions.push_back({"{}", ++fixture.m_platform.m_revision});
+    versions.push_back({"{}", {++fixture.m_platform.m_revision, 0}});
     fixture.m_platform.m_entries["hawthornspur/history"].m_versions.push_back(
-        {"[[[", ++fixture.m_platform.m_revision});
+        {"[[[", {++fixture.m_platform.m_revision, 0}});
     auto const damaged = fixture.load_without_cache();
     REQUIRE_FALSE(has_value(damaged));
     CHECK(failure(damaged).m_code == result_code::store_answer_malformed);
--- a/src/platform/fake_platform_test.hpp
+++ b/src/platform/fake_platform_test.hpp
@@ -46,6 +46,7 @@
     std::map<std::string, entry> m_entries;
     std::map<std::string, core::time_point> m_leases;
     std::uint64_t m_revision = 0;
+    store_epoch m_epoch = 1;
     std::uint64_t m_call_count = 0;
     std::vector<core::time_point> m_call_times;
     std::function<fault(std::uint64_t call, std::string const& key)>
@@ -89,6 +90,20 @@
                                         : &found->second.m_versions.back();
     }
 
+    /// Comes back from the state at `revision`: later ones are given out again.
+    void restore(std::uint64_t revision)
+    {
+        for (auto& [key, entry] : m_entries)
+        {
+            std::erase_if(entry.m_versions, [&](stored_value const& version)
+                          { return version.m_version.m_revision > revision; });
+        }
+        std::erase_if(m_entries, [](auto const& item)
+                      { return item.second.m_versions.empty(); });
+        m_revision = revision;
+        ++m_epoch;
+    }
+
     platform_calls make_calls()
     {
         platform_calls calls;
@@ -102,10 +117,10 @@
             watch(key, after, m_now + wait, std::move(done));
         };
         calls.m_compare_and_swap = [this](std::string key, std::string value,
-                                          std::uint64_t revision,
+                                          key_version const& replaced,
                                           callback<std::uint64_t> done)
         {
-            swap(std::move(key), std::move(value), revision, std::move(done));
+            swap(std::move(key), std::move(value), replaced, std::move(done));
         };
         calls.m_create_lease =
             [this](core::duration lifetime, callback<std::string> done)
@@ -166,6 +181,16 @@
     }
 
     result<stored_value> read(std::string const& key, fault kind) const
+    {
+        auto found = read_version(key, kind);
+        if (has_value(found))
+        {
+            value(found).m_version.m_epoch = m_epoch;
+        }
+        return found;
+    }
+
+    result<stored_value> read_version(std::string const& key, fault kind) const
     {
         auto const found = m_entries.find(key);
         if (found == m_entries.end())
@@ -200,35 +225,37 @@
             { answer_with<stored_value>(kind, read(key, kind), done); });
     }
 
-    void swap(std::string key, std::string value, std::uint64_t revision,
+    void swap(std::string key, std::string value, key_version replaced,
               callback<std::uint64_t> done)
     {
         auto const kind = next_fault(key);
         m_tasks.emplace(
             m_now + m_choose_delay(),
             [this, kind, key = std::move(key), value = std::move(value),
-             revision, done = std::move(done)]
+             replaced, done = std::move(done)]
             {
                 if (kind == fault::down)
                 {
                     answer_with<std::uint64_t>(kind, std::uint64_t{0}, done);
                     return;
                 }
-                answer_with<std::uint64_t>(kind, write(key, value, revision),
+                answer_with<std::uint64_t>(kind, write(key, value, replaced),
                                            done);
             });
     }
 
     result<std::uint64_t> write(std::string const& key,
                                 std::string const& value,
-                                std::uint64_t revision)
+                                key_version const& replaced)
     {
         auto const* current = newest(key);
-        if ((current == nullptr ? 0 : current->m_revision) != revision)
+        auto const revision =
+            current == nullptr ? 0 : current->m_version.m_revision;
+        if (revision != replaced.m_revision)
         {
             return make_error(result_code::version_conflict, "revision");
         }
-        m_entries[key].m_versions.push_back({value, ++m_revision});
+        m_entries[key].m_versions.push_back({value, {++m_revision, 0}});
         m_on_write(key, value);
         return m_revision;
     }
@@ -245,7 +272,7 @@
     {
         auto const* current = newest(key);
         if (kind != fault::none ||
-            (current != nullptr && current->m_revision > after))
+            (current != nullptr && current->m_version.m_revision > after))
         {
             answer_with<stored_value>(kind, read(key, kind), std::move(done));
             return;
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -107,7 +107,8 @@
     {
         return make_malformed_error("value and revision");
     }
-    return stored_value{std::move(*value), *revision};
+    return stored_value{std::move(*value),
+                        {*revision, number_field(body, "epoch").value_or(0)}};
 }
 
 result<std::uint64_t> read_revision(http_answer const& answer)
@@ -244,14 +245,14 @@
     };
     calls.m_compare_and_swap =
         [server](std::string const& key, std::string const& value,
-                 std::uint64_t revision, callback<std::uint64_t> done)
+                 key_version const& replaced, callback<std::uint64_t> done)
     {
         // A value that is not UTF-8 cannot be sent as JSON.
         auto body = json{{"value", value}}.dump(-1, ' ', false,
                                                 json::error_handler_t::replace);
         send(*server, "PUT",
              "/v1/kv/" + escape_key(key) +
-                 "?revision=" + std::to_string(revision),
+                 "?revision=" + std::to_string(replaced.m_revision),
              std::move(body), no_wait,
              make_answer_handler(std::move(done), read_revision));
     };
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -72,7 +72,7 @@
 };
 auto const swap = [](platform_calls& calls, callback<std::uint64_t> done)
 {
-    calls.m_compare_and_swap("head", "line\n\"x\"", 7, std::move(done));
+    calls.m_compare_and_swap("head", "line\n\"x\"", {7, 2}, std::move(done));
 };
 auto const watch = [](platform_calls& calls, callback<stored_value> done)
 {
@@ -96,12 +96,12 @@
 TEST_CASE("calls use the paths and bodies of the platform's protocol")
 {
     stub_platform platform;
-    auto const read =
-        platform.run<stored_value>(200, R"({"value":"v","revision":3})", get);
+    auto const read = platform.run<stored_value>(
+        200, R"({"value":"v","revision":3,"epoch":2})", get);
     CHECK(platform.m_last_request.m_uri == "/v1/kv/a/key%3F");
     REQUIRE(has_value(read));
     CHECK(value(read).m_value == "v");
-    CHECK(value(read).m_revision == 3);
+    CHECK(value(read).m_version == key_version{3, 2});
     auto const written =
         platform.run<std::uint64_t>(200, R"({"revision":8})", swap);
     CHECK(platform.m_last_request.m_method == "PUT");
--- a/src/platform/platform_calls.hpp
+++ b/src/platform/platform_calls.hpp
@@ -13,11 +13,27 @@
 namespace hawthornspur::platform
 {
 
-/// A stored value and the revision that a compare-and-swap expects.
+/// Increases each time a store comes back from an earlier state, having lost
+/// later changes. Revisions and leases are given out again then, so they are
+/// comparable only within an epoch. The first epoch is 1; 0 if the store does
+/// not tell it.
+using store_epoch = std::uint64_t;
+
+/// The state of a key that a compare-and-swap replaces.
+struct key_version
+{
+    /// 0 if the key does not exist.
+    std::uint64_t m_revision = 0;
+    /// Epoch in which the revision was read. It is not compared if it is 0.
+    store_epoch m_epoch = 0;
+
+    friend bool operator==(key_version const&, key_version const&) = default;
+};
+
 struct stored_value
 {
     std::string m_value;
-    std::uint64_t m_revision = 0;
+    key_version m_version;
 };
 
 enum class listed_role : std::uint8_t
@@ -41,11 +57,6 @@
     int m_millicores = 1000;
 };
 
-/// Number of times that a store has come back from an earlier state, having
-/// lost later changes. Revisions and leases are given out again then, so they
-/// are comparable only within an epoch. 0 if the store does not tell it.
-using store_epoch = std::uint64_t;
-
 /// A key of a range with its value.
 struct stored_item
 {
@@ -99,10 +110,10 @@
 struct platform_calls
 {
     std::function<void(std::string key, callback<stored_value>)> m_get;
-    /// Writes the value if the key has the given revision, where 0 means that
-    /// the key does not exist. Answers with the new revision.
-    std::function<void(std::string key, std::string value,
-                       std::uint64_t revision, callback<std::uint64_t>)>
+    /// Writes the value if the key still has the given version. Answers with
+    /// the new revision.
+    std::function<void(std::string key, std::string value, key_version replaced,
+                       callback<std::uint64_t>)>
         m_compare_and_swap;
     /// Answers when the key's revision exceeds `after`, or with not_found after
     /// `wait`.
--- a/src/platform/store_operations.cpp
+++ b/src/platform/store_operations.cpp
@@ -22,12 +22,12 @@
 pending_call<std::uint64_t> make_swap_call(store_ptr const& store,
                                            std::string const& key,
                                            std::string const& text,
-                                           std::uint64_t revision)
+                                           key_version replaced)
 {
     return pending_call<std::uint64_t>(
-        [store, key, text, revision](callback<std::uint64_t> on_answer)
+        [store, key, text, replaced](callback<std::uint64_t> on_answer)
         {
-            store->m_calls.m_compare_and_swap(key, text, revision,
+            store->m_calls.m_compare_and_swap(key, text, replaced,
                                               std::move(on_answer));
         });
 }
@@ -84,7 +84,7 @@
         co_return;
     }
     done(loaded_head{std::get<config::document_head>(std::move(parsed)),
-                     value(answer).m_value, value(answer).m_revision});
+                     value(answer).m_value, value(answer).m_version});
 }
 
 detached_task get_history(store_ptr store, callback<loaded_history> done)
@@ -104,7 +104,7 @@
             done(failure(answer));
             co_return;
         }
-        found.m_revision = value(answer).m_revision;
+        found.m_version = value(answer).m_version;
         auto parsed = parse_history(value(answer).m_value);
         if (auto* history = std::get_if<document_history>(&parsed))
         {
@@ -176,7 +176,8 @@
             done(failure(found));
             co_return;
         }
-        auto const revision = has_value(found) ? value(found).m_revision : 0;
+        auto const replaced =
+            has_value(found) ? value(found).m_version : key_version{};
         if (has_value(found) && value(found).m_value != text &&
             config::content_hash(value(found).m_value) == hash)
         {
@@ -187,7 +188,7 @@
         }
         // An existing part is written again: its new revision keeps another
         // writer from pruning it.
-        auto write_call = make_swap_call(store, key, text, revision);
+        auto write_call = make_swap_call(store, key, text, replaced);
         auto const written = co_await write_call;
         if (has_value(written))
         {
@@ -234,7 +235,7 @@
         add_head(history, new_head, store->m_settings.m_max_heads);
         auto write_call =
             make_swap_call(store, history_key(*store), print_history(history),
-                           value(found).m_revision);
+                           value(found).m_version);
         auto const written = co_await write_call;
         if (has_value(written))
         {
@@ -281,8 +282,8 @@
         auto const answer = co_await call;
         if (has_value(answer))
         {
-            parts.push_back({hash, value(answer).m_revision,
-                             value(answer).m_value.empty()});
+            parts.push_back(
+                {hash, value(answer).m_version, value(answer).m_value.empty()});
         }
     }
     done(std::move(parts));
@@ -305,7 +306,7 @@
         }
         // The platform cannot delete keys, so the value is set to empty.
         auto call = make_swap_call(store, part_key(*store, part.m_hash), "",
-                                   part.m_revision);
+                                   part.m_version);
         auto const swapped = co_await call;
         if (has_value(swapped))
         {
--- a/src/platform/store_operations.hpp
+++ b/src/platform/store_operations.hpp
@@ -33,20 +33,20 @@
 {
     config::document_head m_head;
     std::string m_text;
-    std::uint64_t m_revision = 0;
+    key_version m_version;
 };
 
 struct loaded_history
 {
     document_history m_history;
-    std::uint64_t m_revision = 0;
+    key_version m_version;
 };
 
-/// A retired part and the revision at which it can be pruned.
+/// A retired part and the version that can be pruned.
 struct prunable_part
 {
     std::string m_hash;
-    std::uint64_t m_revision = 0;
+    key_version m_version;
     bool m_is_empty = false;
 };
 
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -160,4 +160,30 @@
     CHECK(cluster.send_and_wait(0, "GET", "/x").m_head.m_status == 200);
 }
 
+// Guards against a change that the store confirms after it has lost earlier
+// ones, and that hosts discard since they have these in force.
+TEST_CASE("a change based on a restored generation takes effect on all hosts")
+{
+    test_cluster cluster(2, 1);
+    constexpr auto gap = std::chrono::milliseconds(400);
+    auto changed = cluster.document();
+    cluster.run_for(gap);
+    auto const start = net::event_loop::now();
+    for (std::uint64_t generation = 2; generation <= 4; ++generation)
+    {
+        changed.m_change_id = "lost-" + std::to_string(generation);
+        CHECK(cluster.apply_configuration(changed) == generation);
+    }
+    cluster.wait_for_agreement(4, 2);
+    cluster.restore_store(std::chrono::duration_cast<std::chrono::milliseconds>(
+        net::event_loop::now() - start + gap / 2));
+    changed.m_change_id = "confirmed";
+    cluster.wait_for_agreement(cluster.apply_configuration(changed), 2);
+    for (auto const& entry : cluster.hosts())
+    {
+        CHECK(entry->m_host->m_configuration.m_in_force->m_change_id ==
+              "confirmed");
+    }
+}
+
 } // namespace hawthornspur::test
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -6,10 +6,13 @@
 #include "core/once_key.hpp"
 #include "core/once_table.hpp"
 #include "core/routing.hpp"
+#include "platform/configuration_store.hpp"
+#include "platform/http_platform.hpp"
 #include "serve/configuration_sync.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -245,6 +248,24 @@
             "the store refused the head of the configuration");
 }
 
+std::uint64_t test_cluster::apply_configuration(core::configuration document)
+{
+    platform::http_platform_settings settings;
+    settings.m_server = {"127.0.0.1", m_platform->port()};
+    auto const store = platform::configuration_store::create(
+        platform::make_http_platform(*m_client, settings), {});
+    std::optional<std::uint64_t> generation;
+    store->load(
+        [&](result<platform::loaded_configuration> const& loaded)
+        {
+            store->apply(document, value(loaded).m_document.m_generation,
+                         [&](result<platform::apply_result> const& applied)
+                         { generation = value(applied).m_generation; });
+        });
+    run_until([&] { return generation.has_value(); });
+    return *generation;
+}
+
 void test_cluster::set_target_faults(std::size_t target,
                                      std::string const& json)
 {
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -99,6 +99,10 @@
     /// `config apply`.
     void store_configuration(core::configuration document);
 
+    /// Applies the document as `config apply` does, as a change to the stored
+    /// generation, and returns the new generation.
+    std::uint64_t apply_configuration(core::configuration document);
+
     /// Brings the platform's store back from its state of `age` ago.
     void restore_store(std::chrono::milliseconds age);
 
--- a/tools/platform_emulator/platform_emulator.cpp
+++ b/tools/platform_emulator/platform_emulator.cpp
@@ -90,7 +90,9 @@
                     store_version const& version)
 {
     answer(state, exchange, 200,
-           {{"value", *version.m_value}, {"revision", version.m_revision}});
+           {{"value", *version.m_value},
+            {"revision", version.m_revision},
+            {"epoch", state.m_store.m_epoch}});
 }
 
 void notify_watches(emulator_state& state, std::string const& key)
--- a/tools/platform_emulator/platform_emulator_test.cpp
+++ b/tools/platform_emulator/platform_emulator_test.cpp
@@ -72,7 +72,8 @@
          {"PUT", "/v1/kv/a/b?revision=0", R"({"value":"first"})", 200,
           R"("revision":1)"},
          {"PUT", "/v1/kv/a/b?revision=0", "x", 409, ""},
-         {"GET", "/v1/kv/a%2Fb", "", 200, R"({"revision":1,"value":"first"})"},
+         {"GET", "/v1/kv/a%2Fb", "", 200,
+          R"({"epoch":1,"revision":1,"value":"first"})"},
          {"PUT", "/v1/kv/a/b?revision=1", R"({"value":"1","other":2})", 200,
           R"("revision":2)"},
          {"GET", "/v1/kv/a/b", "", 200, R"("{\"value\":\"1\",\"other\":2}")"},
@@ -112,7 +113,8 @@
     {
     }
     f.m_client.send("PUT", "/v1/kv/k?revision=0", "v");
-    CHECK(f.m_client.wait(watch).m_body == R"({"revision":1,"value":"v"})");
+    CHECK(f.m_client.wait(watch).m_body ==
+          R"({"epoch":1,"revision":1,"value":"v"})");
     CHECK(f.counters().at("watch") == 1);
     CHECK(f.counters().at("total") == 2);
     CHECK(f.counters().at("waiting_watches") == 0);
@@ -192,6 +194,7 @@
     check_exchanges(f,
                     {{"PUT", "/control/restore",
                       nlohmann::json{{"age_ms", age.count()}}.dump(), 200, ""},
+                     {"GET", "/v1/kv/a", "", 200, R"("epoch":2)"},
                      {"GET", "/v1/kv/a", "", 200, "old"},
                      {"GET", "/v1/kv/b", "", 404, ""},
                      {"PUT", "/v1/leases/lease-1", "", 404, ""},
--- a/tools/platform_emulator/store.cpp
+++ b/tools/platform_emulator/store.cpp
@@ -101,6 +101,7 @@
 void restore(key_value_store& store, core::duration age, core::time_point now)
 {
     auto const restored_at = now - age;
+    ++store.m_epoch;
     store.m_last_revision = 0;
     for (auto& [key, versions] : store.m_keys)
     {
--- a/tools/platform_emulator/store.hpp
+++ b/tools/platform_emulator/store.hpp
@@ -41,6 +41,8 @@
     /// Maps each leased key to its lease, with which the key expires.
     std::map<std::string, std::string> m_leased_keys;
     std::uint64_t m_last_revision = 0;
+    /// Increases with each restore.
+    std::uint64_t m_epoch = 1;
     std::uint64_t m_last_lease = 0;
 };
 
