Compare the store's epoch when a write replaces a value

What operators saw: nothing; suspected in docs/incidents/store-restored.md, and shown now in a test. A `config apply` that had read the head before a restore of the store and wrote it afterwards replaced another operator's change.

Cause: the condition of the write was a revision, and the restored store gives revisions out again.

Change: a compare-and-swap also requires the epoch in which the revision was read; the default interface sends it, and its emulator answers 409 to a write of an earlier epoch.

Evidence: with the epoch left out of the write of the head, "a write based on a read from before a restore is a conflict" stores the change over the other one and fails; it passes now, and so do the unit and restore tests. The users' store has no such condition; hosts write only their own leased keys there.

--- a/src/platform/configuration_store.hpp
+++ b/src/platform/configuration_store.hpp
@@ -95,7 +95,8 @@
 
     /// Stores a document as the generation that core::next_generation() gives
     /// if the stored generation is `based_on`, where 0 means that nothing is
-    /// stored. The document's
+    /// stored. A write after the store came back from an earlier state does not
+    /// rely on reads from before. The document's
     /// change id must be unique: it shows after a lost answer whether the
     /// change took effect. Errors: those of the document check,
     /// document_too_large, store_answer_malformed, store_unavailable,
--- a/src/platform/configuration_store_test.cpp
+++ b/src/platform/configuration_store_test.cpp
@@ -1,3 +1,4 @@
+#include "core/configuration_state.hpp"
 #include "platform/call_limiter.hpp"
 #include "platform/configuration_store.hpp"
 #include "platform/fake_platform_test.hpp"
@@ -207,6 +208,40 @@
     CHECK(value(loaded).m_document.m_generation == value(outcome).m_generation);
 }
 
+// Guards against a write that overwrites another change, because the store has
+// given out again the revision that the writer had read.
+TEST_CASE("a write based on a read from before a restore is a conflict")
+{
+    store_fixture fixture;
+    fixture.require_apply(10, 0);
+    auto const restored_revision = fixture.m_platform.m_revision;
+    fixture.require_apply(11, 1);
+    auto const head_revision =
+        fixture.m_platform.newest("hawthornspur/head")->m_version.m_revision;
+    std::uint64_t head_calls = 0;
+    fixture.m_platform.m_choose_fault = [&](auto, std::string const& key)
+    {
+        // The second call on the head is the write.
+        if (key.ends_with("/head") && ++head_calls == 2)
+        {
+            auto& platform = fixture.m_platform;
+            platform.restore(restored_revision);
+            auto head = std::get<config::document_head>(
+                config::parse_head(platform.newest(key)->m_value));
+            head.m_generation = core::next_generation(1, platform.m_epoch);
+            head.m_change_id = "other";
+            platform.m_entries[key].m_versions.push_back(
+                {config::print_head(head), {head_revision, 0}});
+            platform.m_revision = head_revision;
+        }
+        return fault::none;
+    };
+    auto const outcome = fixture.apply(make_document(14, "late"), 2);
+    REQUIRE(has_value(outcome));
+    CHECK(value(outcome).m_outcome == apply_outcome::conflict);
+    CHECK_FALSE(fixture.m_log.contains("late"));
+}
+
 // Guards against storing a document that every host would reject.
 TEST_CASE("an invalid document is not stored")
 {
--- a/src/platform/fake_platform_test.hpp
+++ b/src/platform/fake_platform_test.hpp
@@ -251,7 +251,8 @@
         auto const* current = newest(key);
         auto const revision =
             current == nullptr ? 0 : current->m_version.m_revision;
-        if (revision != replaced.m_revision)
+        if (revision != replaced.m_revision ||
+            (replaced.m_epoch != 0 && replaced.m_epoch != m_epoch))
         {
             return make_error(result_code::version_conflict, "revision");
         }
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -250,10 +250,13 @@
         // A value that is not UTF-8 cannot be sent as JSON.
         auto body = json{{"value", value}}.dump(-1, ' ', false,
                                                 json::error_handler_t::replace);
-        send(*server, "PUT",
-             "/v1/kv/" + escape_key(key) +
-                 "?revision=" + std::to_string(replaced.m_revision),
-             std::move(body), no_wait,
+        auto uri = "/v1/kv/" + escape_key(key) +
+                   "?revision=" + std::to_string(replaced.m_revision);
+        if (replaced.m_epoch != 0)
+        {
+            uri += "&epoch=" + std::to_string(replaced.m_epoch);
+        }
+        send(*server, "PUT", std::move(uri), std::move(body), no_wait,
              make_answer_handler(std::move(done), read_revision));
     };
     calls.m_watch = [server](std::string const& key, std::uint64_t after,
--- a/src/platform/http_platform_test.cpp
+++ b/src/platform/http_platform_test.cpp
@@ -105,7 +105,7 @@
     auto const written =
         platform.run<std::uint64_t>(200, R"({"revision":8})", swap);
     CHECK(platform.m_last_request.m_method == "PUT");
-    CHECK(platform.m_last_request.m_uri == "/v1/kv/head?revision=7");
+    CHECK(platform.m_last_request.m_uri == "/v1/kv/head?revision=7&epoch=2");
     CHECK(platform.m_last_request.m_body == "{\"value\":\"line\\n\\\"x\\\"\"}");
     REQUIRE(has_value(written));
     CHECK(value(written) == 8);
--- a/tools/platform_emulator/platform_emulator.cpp
+++ b/tools/platform_emulator/platform_emulator.cpp
@@ -172,7 +172,8 @@
     }
     auto const lease = target.m_query.find("lease");
     auto const written = compare_and_swap(
-        state.m_store, key, parse_value(std::move(body)), *expected,
+        state.m_store, key, parse_value(std::move(body)),
+        {*expected, query_number<std::uint64_t>(target, "epoch", 0)},
         lease == target.m_query.end() ? std::string() : lease->second,
         net::event_loop::now());
     if (!has_value(written))
--- a/tools/platform_emulator/platform_emulator_test.cpp
+++ b/tools/platform_emulator/platform_emulator_test.cpp
@@ -199,7 +199,8 @@
                      {"GET", "/v1/kv/b", "", 404, ""},
                      {"PUT", "/v1/leases/lease-1", "", 404, ""},
                      {"POST", "/v1/leases", "", 200, "lease-1"},
-                     {"PUT", "/v1/kv/b?revision=0", "y", 200, "2"}});
+                     {"PUT", "/v1/kv/b?revision=0&epoch=1", "y", 409, ""},
+                     {"PUT", "/v1/kv/b?revision=0&epoch=2", "y", 200, "2"}});
 }
 
 // Guards against watches that stay open in a restored store, whose revisions
--- a/tools/platform_emulator/store.cpp
+++ b/tools/platform_emulator/store.cpp
@@ -48,7 +48,7 @@
 
 result<std::uint64_t>
 compare_and_swap(key_value_store& store, std::string const& key,
-                 std::string value, std::uint64_t required_revision,
+                 std::string value, write_condition const& condition,
                  std::string const& lease, core::time_point now)
 {
     if (value.size() > max_value_bytes)
@@ -63,7 +63,12 @@
     }
     auto const* current = find_version(store, key, now);
     auto const found = current == nullptr ? 0 : current->m_revision;
-    if (found != required_revision)
+    if (condition.m_epoch != 0 && condition.m_epoch != store.m_epoch)
+    {
+        return make_error(result_code::version_conflict,
+                          "the store came back from an earlier state");
+    }
+    if (found != condition.m_revision)
     {
         return make_error(result_code::version_conflict,
                           "the current revision is " + std::to_string(found));
--- a/tools/platform_emulator/store.hpp
+++ b/tools/platform_emulator/store.hpp
@@ -53,13 +53,20 @@
              core::time_point now,
              core::duration staleness = core::duration::zero());
 
-/// Writes the value if the key is at `required_revision`, where 0 means that
-/// the key does not exist, and returns the new revision. An empty `lease` means
-/// none. Errors: version_conflict, document_too_large, not_found if the lease
-/// does not exist.
+/// The revision that a write replaces, where 0 means that the key does not
+/// exist, and the epoch in which it was read; 0 is not compared.
+struct write_condition
+{
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_epoch = 0;
+};
+
+/// Writes the value if the condition holds, and returns the new revision. An
+/// empty `lease` means none. Errors: version_conflict, document_too_large,
+/// not_found if the lease does not exist.
 result<std::uint64_t>
 compare_and_swap(key_value_store& store, std::string const& key,
-                 std::string value, std::uint64_t required_revision,
+                 std::string value, write_condition const& condition,
                  std::string const& lease, core::time_point now);
 
 /// Returns the name of the new lease.
