Move stored targets and role inputs out of store_sync.cpp

Change: the functions are moved as they are to stored_targets and store_role_inputs. has_discovered_zone is declared in the latter.

--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -7,6 +7,7 @@
 #include "serve/host.hpp"
 #include "serve/pools.hpp"
 #include "serve/start_queue.hpp"
+#include "serve/store_role_inputs.hpp"
 #include "serve/store_sync.hpp"
 
 #include <algorithm>
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -1,17 +1,17 @@
 #include "serve/store_sync.hpp"
 
 #include "base/logging.hpp"
-#include "core/link_choice.hpp"
 #include "platform/scheduler.hpp"
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
 #include "serve/host_registration.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/store_role_inputs.hpp"
+#include "serve/stored_targets.hpp"
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace hawthornspur::serve
 {
@@ -48,10 +48,6 @@
 /// change must be in force after it.
 constexpr auto max_retry_pause = std::chrono::milliseconds(500);
 
-/// If all hosts were lost, the owners start within this time of each other. A
-/// host that has found no other one by then serves its zone alone.
-constexpr auto max_zone_discovery_time = std::chrono::milliseconds(500);
-
 /// Longest wait of a new watcher for the changes that it missed. If the store
 /// is slower, the host uses the targets that it has.
 constexpr auto max_catch_up_time = std::chrono::milliseconds(300);
@@ -195,126 +191,6 @@
     range.m_timer->start(store_retry_interval);
 }
 
-/// Updates the document in force and the lapse timer after a change of the
-/// registered targets.
-void apply_registered_targets(entry_host& host)
-{
-    refresh_targets(host);
-    auto const next =
-        core::next_lapsed_removal(host.m_store_sync->m_target_directory);
-    if (next)
-    {
-        host.m_store_sync->m_lapse_timer->start(
-            std::max(core::duration(0), *next - now()));
-    }
-}
-
-void log_target_entry(core::registered_target const& target,
-                      std::uint64_t revision)
-{
-    logging::write(
-        logging::level::info, "serve.store", "target entry",
-        {{"target", target.m_name},
-         {"service", target.m_service},
-         {"address", target.m_address + ":" + std::to_string(target.m_port)},
-         {"state", target.m_state == core::target_state::draining ? "draining"
-                                                                  : "active"},
-         {"revision", std::to_string(revision)}});
-}
-
-void log_target_removal(std::string const& name, std::uint64_t revision)
-{
-    logging::write(logging::level::info, "serve.store", "target entry removed",
-                   {{"target", name}, {"revision", std::to_string(revision)}});
-}
-
-std::string target_name(entry_host const& host, std::string const& key)
-{
-    return key.substr(host.m_adapter.m_store_layout->m_target_prefix.size());
-}
-
-bool update_target_entry(entry_host& host, std::string const& key,
-                         std::string const& value, std::uint64_t revision)
-{
-    auto parsed = host.m_adapter.m_store_layout->m_read_target(key, value);
-    if (!has_value(parsed))
-    {
-        host.m_metrics.count_event("target_entry_unreadable");
-        logging::write(logging::level::warn, "serve.store",
-                       "target entry not taken",
-                       {{"reason", failure(parsed).m_message},
-                        {"revision", std::to_string(revision)}});
-        // The entry no longer describes a target, whatever it held before.
-        return core::remove_target(host.m_store_sync->m_target_directory,
-                                   target_name(host, key), now());
-    }
-    auto target = take(std::move(parsed));
-    auto const logged = target;
-    bool const is_changed = core::put_target(
-        host.m_store_sync->m_target_directory, std::move(target), now());
-    if (is_changed)
-    {
-        log_target_entry(logged, revision);
-    }
-    return is_changed;
-}
-
-void apply_target_snapshot(entry_host& host,
-                           platform::stored_range const& snapshot)
-{
-    std::vector<core::registered_target> targets;
-    for (auto const& item : snapshot.m_items)
-    {
-        auto target = host.m_adapter.m_store_layout->m_read_target(
-            item.m_key, item.m_value);
-        if (has_value(target))
-        {
-            targets.push_back(take(std::move(target)));
-        }
-        else
-        {
-            host.m_metrics.count_event("target_entry_unreadable");
-        }
-    }
-    logging::write(logging::level::info, "serve.store", "targets read",
-                   {{"targets", std::to_string(targets.size())},
-                    {"revision", std::to_string(snapshot.m_store_revision)}});
-    core::replace_targets(host.m_store_sync->m_target_directory,
-                          std::move(targets), now());
-    if (!std::exchange(host.m_store_sync->m_has_read_targets, true))
-    {
-        host.m_store_sync->m_targets_read_time = now();
-    }
-    apply_registered_targets(host);
-    announce_self(host);
-}
-
-void apply_target_changes(entry_host& host,
-                          platform::range_changes const& changes)
-{
-    bool is_changed = false;
-    for (auto const& event : changes.m_events)
-    {
-        if (event.m_value)
-        {
-            is_changed = update_target_entry(host, event.m_key, *event.m_value,
-                                             event.m_revision) ||
-                         is_changed;
-            continue;
-        }
-        auto const name = target_name(host, event.m_key);
-        log_target_removal(name, event.m_revision);
-        is_changed = core::remove_target(host.m_store_sync->m_target_directory,
-                                         name, now()) ||
-                     is_changed;
-    }
-    if (is_changed ||
-        core::next_lapsed_removal(host.m_store_sync->m_target_directory))
-    {
-        apply_registered_targets(host);
-    }
-}
-
 void apply_configuration_value(entry_host& host, std::string const& value)
 {
     auto document = host.m_adapter.m_store_layout->m_read_configuration(value);
@@ -526,63 +402,6 @@
     return "watcher";
 }
 
-bool is_linked_to_watcher(entry_host const& host,
-                          std::span<core::host_record const> others)
-{
-    auto const watchers = core::store_watchers(
-        core::self(*host.m_membership), others, max_owners_per_zone(host));
-    return std::any_of(watchers.begin(), watchers.end(),
-                       [&](std::string const& name)
-                       {
-                           return name == host.m_settings.m_name ||
-                                  host.m_peer_network->is_linked(name);
-                       });
-}
-
-/// Whether the other hosts of the deployment contact this one when they start.
-bool is_seed(config::host_settings const& settings)
-{
-    return settings.m_seeds.empty() ||
-           std::any_of(settings.m_seeds.begin(), settings.m_seeds.end(),
-                       [&](config::listen_address const& seed) {
-                           return seed.m_address == settings.m_peers.m_address;
-                       });
-}
-
-core::store_role_inputs
-observe_role_inputs(entry_host& host, std::span<core::host_record const> others)
-{
-    auto& sync = *host.m_store_sync;
-    if (!core::has_living_peer(*host.m_membership))
-    {
-        sync.m_contact_time.reset();
-    }
-    else if (!sync.m_contact_time)
-    {
-        sync.m_contact_time = now();
-    }
-    if (is_linked_to_watcher(host, others))
-    {
-        sync.m_without_watcher_since.reset();
-    }
-    else if (!sync.m_without_watcher_since)
-    {
-        sync.m_without_watcher_since = now();
-    }
-    core::store_role_inputs inputs;
-    inputs.m_since_start = now() - sync.m_start_time;
-    if (sync.m_contact_time)
-    {
-        inputs.m_since_contact = now() - *sync.m_contact_time;
-    }
-    if (sync.m_without_watcher_since)
-    {
-        inputs.m_without_watcher = now() - *sync.m_without_watcher_since;
-    }
-    inputs.m_is_seed = is_seed(host.m_settings);
-    return inputs;
-}
-
 status make_timer(entry_host& host, std::unique_ptr<net::timer>& out,
                   std::function<void()> action)
 {
@@ -656,35 +475,6 @@
     }
 }
 
-bool has_discovered_zone(entry_host const& host)
-{
-    if (host.m_store_sync == nullptr)
-    {
-        return true;
-    }
-    auto const others = core::hosts(*host.m_membership);
-    bool const has_live_owner =
-        std::any_of(others.begin(), others.end(),
-                    [&](core::host_record const& other)
-                    {
-                        return other.m_zone == host.m_settings.m_zone &&
-                               other.m_state == core::host_state::live &&
-                               host.m_peer_network->is_linked(other.m_name);
-                    });
-    auto const order = core::zone_order(core::self(*host.m_membership), others);
-    bool const is_first =
-        !order.empty() && order.front() == host.m_settings.m_name;
-    if (!has_target_list(host))
-    {
-        // Requests are forwarded to the owner until this host becomes one.
-        return has_live_owner && !is_first;
-    }
-    return has_live_owner || host.m_store_sync->m_is_preferred_owner ||
-           (is_first && host.m_store_sync->m_has_settled_contact) ||
-           now() - host.m_store_sync->m_targets_read_time >=
-               max_zone_discovery_time;
-}
-
 bool has_current_target_list(entry_host const& host) noexcept
 {
     if (host.m_store_sync == nullptr)
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -95,12 +95,6 @@
 /// contains them.
 bool has_target_list(entry_host const& host) noexcept;
 
-/// Whether the host has discovered enough hosts of its zone to determine the
-/// owners of its pools. Without this wait, hosts that start together would all
-/// name themselves, and callers would use hosts that are too small for the
-/// load.
-bool has_discovered_zone(entry_host const& host);
-
 /// Whether the host may send requests to targets. A host that polls the targets
 /// may not have read yet which of them are leaving.
 bool has_current_target_list(entry_host const& host) noexcept;
