--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,12 @@
 EXIT_OK = 0
 EXIT_OTHER_FAILURE = 8
 START_ATTEMPTS = 3
+# RULES of the users' platform (LIMIT): what a target gets in some 4 s, from 3 s
+# after it first named its limit.
+LIMIT_CONTACT_SECONDS = 3
+LIMIT_WINDOW_SECONDS = 4
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 
 
 class SoakCluster(cluster.Cluster):
@@ -130,10 +136,13 @@
     """Chooses random faults, injects them and ends them after a while. Faults
     may overlap."""
 
-    def __init__(self, running, rng, start):
+    def __init__(self, running, rng, start, all_faults):
         self.running = running
         self.rng = rng
         self.start = start
+        self.all_faults = all_faults
+        self.is_restored = False
+        self.limited_targets = set()
         self.scheduled = []  # (time, action)
         self.problems = []
         self.changes = 0
@@ -155,11 +164,14 @@
         cluster.http("DELETE", self.running.platform, "/control/faults")
 
     def inject(self):
-        fault = self.rng.choice([
+        faults = [
             self.kill, self.stop, self.pause, self.pause, self.link_delay,
             self.link_reset, self.link_block, self.link_silence, self.store,
-            self.store, self.change, self.pause_target, self.burst])
-        fault()
+            self.store, self.change, self.pause_target, self.burst]
+        if self.all_faults:
+            faults += [self.restore_store, self.restore_store, self.change,
+                       self.limit_rate, self.limit_rate]
+        self.rng.choice(faults)()
 
     def burst(self):
         for _ in range(self.rng.randint(2, 3)):
@@ -278,11 +290,62 @@
         self.schedule(self.rng.uniform(0.5, 4),
                    lambda: cluster.http("DELETE", port, "/control/faults"))
 
+    def restore_store(self):
+        """The store returns to a state since the start of the load."""
+        age = self.rng.uniform(0, time.monotonic() - self.start)
+        log(self.start, f"store: restored to its state of {age:.2f} s ago")
+        cluster.http("PUT", self.running.platform, "/control/restore",
+                     {"age_ms": int(age * 1000)})
+        self.is_restored = True
+
+    def stored_generation(self):
+        """The generation that the store holds, which a restore lowers; the
+        last one applied if the store does not answer."""
+        if self.is_restored:
+            answer = cluster.http("GET", self.running.platform,
+                                  "/v1/kv/hawthornspur/head")[1]
+            if answer:
+                return json.loads(answer["value"])["generation"]
+        return self.running.generation
+
+    def limit_rate(self):
+        """A target advertises a rate limit, and gets no more than it allows."""
+        index = self.rng.randrange(len(self.running.direct_targets))
+        if index in self.limited_targets:
+            return
+        self.limited_targets.add(index)
+        port = self.running.direct_targets[index]
+        limit = self.rng.choice([1, 3, 8])
+        log(self.start, f"target {index} takes {limit} requests per second")
+        cluster.http("PUT", port, "/control/faults",
+                     {"advertise_rate_limit": True, "rate_limit": limit})
+
+        def runs():
+            return cluster.http("GET", port, "/control/counters")[1]["runs"]
+
+        def check(before):
+            allowed = (LIMIT_FACTOR * limit * LIMIT_WINDOW_SECONDS
+                       + LIMIT_SLACK)
+            ran = runs() - before
+            log(self.start, f"target {index} ran {ran}, allowed {allowed}")
+            if ran > allowed:
+                self.problems.append(
+                    f"target {index} ran {ran} requests in "
+                    f"{LIMIT_WINDOW_SECONDS} s with a limit of {limit}")
+            cluster.http("PUT", port, "/control/faults",
+                         {"advertise_rate_limit": False})
+            self.limited_targets.remove(index)
+
+        def measure():
+            before = runs()
+            self.schedule(LIMIT_WINDOW_SECONDS, lambda: check(before))
+        self.schedule(LIMIT_CONTACT_SECONDS, measure)
+
     def change(self):
         self.changes += 1
         outcome, generation = self.running.apply(
             self.running.document(f"change-{self.changes}"),
-            self.running.generation)
+            self.stored_generation())
         log(self.start, f"change of the configuration: {outcome}")
         if outcome == "stored":
             self.running.generation = generation
@@ -333,7 +396,7 @@
         print(f"seed {seed}: {problem}", flush=True)
 
 
-def run_seed(build, seed, keep):
+def run_seed(build, seed, keep, all_faults):
     rng = random.Random(seed)
     print(f"seed {seed}", flush=True)
     with proxy.ProxyLoop() as proxies, SoakCluster(build, proxies,
@@ -353,7 +416,7 @@
                               "rate": RATE}]}
         load = running.load(plan)
         start = time.monotonic()
-        faults = FaultInjector(running, rng, start)
+        faults = FaultInjector(running, rng, start, all_faults)
         run_faults(running, rng, start, faults)
         report, text = running.finish(load)
         check_generation(running, faults.problems)
@@ -396,12 +459,16 @@
     parser.add_argument("--seeds",
                         help="range A-B; default: the seeds of seeds.txt")
     parser.add_argument("--fresh", type=int, help="number of random seeds")
+    parser.add_argument("--all-faults", action="store_true",
+                        help="also restores of the store and rate limits of "
+                        "targets; a seed then plays another day")
     parser.add_argument("--keep", default="soak-logs",
                         help="folder for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = read_seeds(arguments)
     failed = [seed for seed in seeds
-              if not run_seed(arguments.build, seed, arguments.keep)]
+              if not run_seed(arguments.build, seed, arguments.keep,
+                              arguments.all_faults)]
     print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
     return 1 if failed else 0
 
