Tell only the next owners of a pool its rate limits

Cause: the owner told all linked hosts the limits of a pool every second and at each change. Where all hosts are linked, its messages grow with the fleet, and a target that adjusts its limit with each answer causes a message to each host and a line of the log for each answer.

Change: the owner informs the next three owners in the order of ownership (core/rate_share), at once only when a target begins or ceases to advertise a limit. The lines are called "target rate limit begins" and "ends".

--- a/src/core/advertised_rate.cpp
+++ b/src/core/advertised_rate.cpp
@@ -49,32 +49,38 @@
 
 } // namespace
 
-bool on_rate_report(pool& pool, rate_report const& report, time_point now,
-                    pool_effects& out)
+rate_change on_rate_report(pool& pool, rate_report const& report,
+                           time_point now, pool_effects& out)
 {
     assert(!report.m_limit || *report.m_limit >= 0);
     auto* target = find_target(pool, report.m_target);
     if (target == nullptr)
     {
-        return false;
+        return rate_change::none;
     }
     auto& rate = target->m_rate;
     if (!report.m_limit && !ends_limit(rate, report))
     {
-        return false;
+        return rate_change::none;
     }
-    bool const is_changed = rate.m_limit != report.m_limit;
+    auto const previous = rate.m_limit;
     rate.m_reported_at = now;
     rate.m_is_in_health_answers =
         rate.m_is_in_health_answers ||
         (report.m_limit && report.m_source == rate_source::health_answer);
     rate.m_limit = report.m_limit;
     update_bucket(rate, now);
-    if (is_changed && !report.m_limit)
+    if (previous && report.m_limit)
+    {
+        return previous == report.m_limit ? rate_change::none
+                                          : rate_change::adjusted;
+    }
+    if (previous)
     {
         dispatch_queued(pool, now, out);
     }
-    return is_changed;
+    return previous || report.m_limit ? rate_change::begun_or_ended
+                                      : rate_change::none;
 }
 
 std::vector<target_rate_limit> rate_limits(pool const& pool)
--- a/src/core/advertised_rate.hpp
+++ b/src/core/advertised_rate.hpp
@@ -60,11 +60,21 @@
     time_point m_started_at{};
 };
 
+/// What a report changes.
+enum class rate_change : std::uint8_t
+{
+    none,
+    /// Another limit. A target may adjust its limit with each answer.
+    adjusted,
+    /// The target began or ceased to advertise a limit.
+    begun_or_ended,
+};
+
 /// Applies a report to the pool, which sends the target at most as many
 /// requests as the limit allows from now on. Requests that wait may be
-/// dispatched. Returns whether the limit changed.
-bool on_rate_report(pool& pool, rate_report const& report, time_point now,
-                    pool_effects& out);
+/// dispatched.
+rate_change on_rate_report(pool& pool, rate_report const& report,
+                           time_point now, pool_effects& out);
 
 /// The advertised limit of one target, as hosts tell each other.
 struct target_rate_limit
--- a/src/core/advertised_rate_test.cpp
+++ b/src/core/advertised_rate_test.cpp
@@ -321,10 +321,32 @@
                                   state.m_now, out);
         };
         CHECK(report(0, is_in_health_answers ? rate_source::health_answer
-                                             : rate_source::answer));
-        CHECK(!report({}, rate_source::failure));
-        CHECK(report({}, rate_source::health_answer) == is_in_health_answers);
+                                             : rate_source::answer) ==
+              rate_change::begun_or_ended);
+        CHECK(report({}, rate_source::failure) == rate_change::none);
+        CHECK(report({}, rate_source::health_answer) ==
+              (is_in_health_answers ? rate_change::begun_or_ended
+                                    : rate_change::none));
     }
 }
 
+// Guards against a message to other hosts with each answer of a target that
+// adjusts its limit continuously.
+TEST_CASE("a limit that a target adjusts neither begins nor ends")
+{
+    auto state = make_replay(1);
+    pool_effects out;
+    auto const report = [&](std::optional<double> limit)
+    {
+        state.m_now += milliseconds(1);
+        return on_rate_report(*state.m_pool,
+                              {{0}, limit, rate_source::answer, state.m_now},
+                              state.m_now, out);
+    };
+    CHECK(report(1) == rate_change::begun_or_ended);
+    CHECK(report(1) == rate_change::none);
+    CHECK(report(20) == rate_change::adjusted);
+    CHECK(report({}) == rate_change::begun_or_ended);
+}
+
 } // namespace hawthornspur::core
--- a/src/core/rate_share.cpp
+++ b/src/core/rate_share.cpp
@@ -13,6 +13,9 @@
 // has refuted the suspicion by then.
 constexpr duration ownership_overlap = std::chrono::seconds(2);
 constexpr double overlap_share = 0.5;
+// More owners that are lost at the same moment leave a successor that learns
+// the limits from the first answers.
+constexpr std::size_t informed_successors = 3;
 
 } // namespace
 
@@ -41,4 +44,19 @@
     return is_owner ? present_share : 0;
 }
 
+std::vector<std::string>
+rate_limit_successors(std::vector<std::string> const& ranked_owners,
+                      std::string const& self)
+{
+    std::vector<std::string> successors;
+    for (auto const& host : ranked_owners)
+    {
+        if (host != self && successors.size() < informed_successors)
+        {
+            successors.push_back(host);
+        }
+    }
+    return successors;
+}
+
 } // namespace hawthornspur::core
--- a/src/core/rate_share.hpp
+++ b/src/core/rate_share.hpp
@@ -5,6 +5,8 @@
 #include "core/time.hpp"
 
 #include <span>
+#include <string>
+#include <vector>
 
 namespace hawthornspur::core
 {
@@ -31,6 +33,12 @@
 double rate_share(bool is_owner, time_point changed_at, fleet_view const& fleet,
                   time_point now);
 
+/// The hosts to which the owner passes on the rate limits of its pool: those
+/// that come next in the order in which the hosts own it.
+std::vector<std::string>
+rate_limit_successors(std::vector<std::string> const& ranked_owners,
+                      std::string const& self);
+
 } // namespace hawthornspur::core
 
 #endif
--- a/src/serve/rate_limits.cpp
+++ b/src/serve/rate_limits.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "core/configuration.hpp"
 #include "core/rate_share.hpp"
+#include "core/routing.hpp"
 #include "serve/host.hpp"
 #include "serve/pools.hpp"
 
@@ -41,7 +42,7 @@
     return message;
 }
 
-/// Informs the linked hosts, and once more after the last limit has ended.
+/// Informs the next owners, and once more after the last limit has ended.
 void share_limits_of_pool(entry_host& host, local_pool& pool)
 {
     auto const message = make_message(host, pool);
@@ -51,11 +52,14 @@
         return;
     }
     pool.m_has_shared_rate_limits = has_limits;
-    for (auto const& other : core::hosts(*host.m_membership))
+    auto const& order = core::ranked_owners(
+        host.m_routing, *host.m_configuration.m_in_force, pool.m_id);
+    for (auto const& successor :
+         core::rate_limit_successors(order, host.m_settings.m_name))
     {
-        if (host.m_peer_network->is_linked(other.m_name))
+        if (host.m_peer_network->is_linked(successor))
         {
-            static_cast<void>(host.m_peer_network->send(other.m_name, message));
+            static_cast<void>(host.m_peer_network->send(successor, message));
         }
     }
 }
@@ -71,16 +75,22 @@
         return;
     }
     core::pool_effects effects;
-    if (core::on_rate_report(*pool->m_core_pool, report, now(), effects))
+    auto const change =
+        core::on_rate_report(*pool->m_core_pool, report, now(), effects);
+    if (change == core::rate_change::begun_or_ended)
     {
         host.m_metrics.count_event("target_rate_limit_changed");
         logging::write(logging::level::info, "serve.rates",
-                       "target rate limit changed",
+                       report.m_limit ? "target rate limit begins"
+                                      : "target rate limit ends",
                        {{"service", pool_id.m_service},
                         {"zone", pool_id.m_zone},
                         {"target", host.m_targets.at(report.m_target).m_name},
                         {"per_second", rate_text(report.m_limit)}});
         share_limits_of_pool(host, *pool);
+    }
+    if (change != core::rate_change::none)
+    {
         apply_effects(host, *pool, std::move(effects));
     }
 }
--- a/src/serve/rate_limits.hpp
+++ b/src/serve/rate_limits.hpp
@@ -17,7 +17,7 @@
 void report_rate_limit(entry_host& host, core::pool_id const& pool_id,
                        core::rate_report const& report);
 
-/// Informs the linked hosts of the limits of all pools that this host owns, so
+/// Informs the next owners of the limits of all pools that this host owns, so
 /// that a host which takes over a pool keeps them from its first request.
 void share_rate_limits(entry_host& host);
 
--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -98,6 +98,22 @@
     CHECK(cluster.target_run_count(0) == before);
 }
 
+// Guards against messages about limits that grow with the fleet: only hosts
+// that may own the pool soon need them.
+TEST_CASE("only the next owners of a pool are told the rate limits")
+{
+    test_cluster cluster(6, 1);
+    cluster.set_target_faults(0, takes_none);
+    REQUIRE(is_served(cluster, 0));
+    cluster.run_for(std::chrono::milliseconds(1'500));
+    std::size_t informed = 0;
+    for (std::size_t i = 0; i < 6; ++i)
+    {
+        informed += cluster.host(i).m_received_rate_limits.empty() ? 0U : 1U;
+    }
+    CHECK(informed == 3);
+}
+
 // Guards against a limit that is lost with a planned change of the owner.
 TEST_CASE("the next owner after a planned stop keeps the rate limits")
 {
