--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,8 @@
 EXIT_OK = 0
 EXIT_OTHER_FAILURE = 8
 START_ATTEMPTS = 3
+# Time after which an operator notices that the store has lost a change.
+REWRITE_SECONDS = 0.5
 # RULES of the users' platform (LIMIT): what a target gets in some 4 s, from 3 s
 # after it first named its limit.
 LIMIT_CONTACT_SECONDS = 3
@@ -291,22 +293,29 @@
                    lambda: cluster.http("DELETE", port, "/control/faults"))
 
     def restore_store(self):
-        """The store returns to a state since the start of the load."""
+        """The store returns to a state since the start of the load, and the
+        operator writes what it has lost again. No host may have read it."""
         age = self.rng.uniform(0, time.monotonic() - self.start)
         log(self.start, f"store: restored to its state of {age:.2f} s ago")
         cluster.http("PUT", self.running.platform, "/control/restore",
                      {"age_ms": int(age * 1000)})
         self.is_restored = True
+        self.schedule(REWRITE_SECONDS, self.write_lost_change)
 
     def stored_generation(self):
-        """The generation that the store holds, which a restore lowers; the
-        last one applied if the store does not answer."""
-        if self.is_restored:
-            answer = cluster.http("GET", self.running.platform,
-                                  "/v1/kv/hawthornspur/head")[1]
-            if answer:
-                return json.loads(answer["value"])["generation"]
-        return self.running.generation
+        """The generation that the store holds, which a restore lowers; nothing
+        if the store does not answer."""
+        answer = cluster.http("GET", self.running.platform,
+                              "/v1/kv/hawthornspur/head")[1]
+        return answer and json.loads(answer["value"])["generation"]
+
+    def write_lost_change(self):
+        stored = self.stored_generation()
+        if stored and stored < self.running.generation:
+            self.change()
+            stored = self.stored_generation()
+        if not stored or stored < self.running.generation:
+            self.schedule(REWRITE_SECONDS, self.write_lost_change)
 
     def limit_rate(self):
         """A target advertises a rate limit, and gets no more than it allows."""
@@ -343,9 +352,11 @@
 
     def change(self):
         self.changes += 1
+        base = self.running.generation
+        if self.is_restored:
+            base = self.stored_generation() or base
         outcome, generation = self.running.apply(
-            self.running.document(f"change-{self.changes}"),
-            self.stored_generation())
+            self.running.document(f"change-{self.changes}"), base)
         log(self.start, f"change of the configuration: {outcome}")
         if outcome == "stored":
             self.running.generation = generation
@@ -375,11 +386,12 @@
         running.wait_until(is_converged, "one configuration on all hosts",
                            CONVERGENCE_SECONDS)
     except RuntimeError as error:
-        problems.append(str(error))
+        problems += [str(error), f"applied generation {running.generation}",
+                     *describe_hosts(running)]
 
 
 def describe_hosts(running):
-    """Yields the status of each host, to report a failed start."""
+    """Yields the status of each host, to report a failure."""
     for name, host in running.hosts.items():
         status = running.status(name) or {}
         yield (f"{name}: exit status {host['process'].poll()}, ready "
@@ -447,7 +459,8 @@
     if arguments.seeds:
         first, _, last = arguments.seeds.partition("-")
         return list(range(int(first), int(last or first) + 1))
-    file = os.path.join(os.path.dirname(os.path.abspath(__file__)), "seeds.txt")
+    name = "seeds-all-faults.txt" if arguments.all_faults else "seeds.txt"
+    file = os.path.join(os.path.dirname(os.path.abspath(__file__)), name)
     with open(file, encoding="utf-8") as lines:
         return [int(line.split()[0]) for line in lines
                 if line.strip() and not line.startswith("#")]
@@ -457,7 +470,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
     parser.add_argument("--seeds",
-                        help="range A-B; default: the seeds of seeds.txt")
+                        help="range A-B; default: the seeds of seeds.txt, or "
+                        "of seeds-all-faults.txt")
     parser.add_argument("--fresh", type=int, help="number of random seeds")
     parser.add_argument("--all-faults", action="store_true",
                         help="also restores of the store and rate limits of "
