Log how often, by what and under which generation a call was looked up

A refusal with 404 did not show whether the route was unknown, or the call had been classified before and was looked up again under another document.

`call ended` now has the path that was looked for (at most 120 characters), the number of passes, the method of the last lookup and its generation; `configuration in force` has the number of routes, and the counter `classified_again` counts second passes.

--- a/src/serve/account.cpp
+++ b/src/serve/account.cpp
@@ -34,6 +34,33 @@
     return "forwarded_to_home";
 }
 
+std::string_view to_string(lookup_method method)
+{
+    switch (method)
+    {
+    case lookup_method::by_route:
+        return "route";
+    case lookup_method::by_service:
+        return "service";
+    case lookup_method::by_kind:
+        break;
+    }
+    return "kind";
+}
+
+/// Bounds the length of a line; routes match shorter prefixes.
+constexpr std::size_t max_logged_path = 120;
+
+/// Host name and path of a request, by which its route is found.
+std::string format_path(net::http_request const& request)
+{
+    auto const host = net::find_header(request.m_headers, "Host");
+    auto const path =
+        std::string_view(request.m_uri).substr(0, request.m_uri.find('?'));
+    return (std::string(host.value_or("")) + std::string(path))
+        .substr(0, max_logged_path);
+}
+
 void log_call(active_call const& call, result_code code, core::duration total)
 {
     auto const severity =
@@ -55,6 +82,14 @@
           classified.m_configuration == nullptr
               ? std::string()
               : std::to_string(classified.m_configuration->m_generation)},
+         {"path", format_path(call.m_accepted.m_request)},
+         {"passes", std::to_string(call.m_classification.m_passes)},
+         {"looked_up_by",
+          call.m_classification.m_passes == 0
+              ? std::string()
+              : std::string(to_string(call.m_classification.m_method))},
+         {"last_generation",
+          std::to_string(call.m_classification.m_generation)},
          {"attempts", std::to_string(call.m_attempt_count)},
          {"last_target", call.m_last_target},
          {"returned_spills", std::to_string(call.m_spill_refusals)},
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -82,6 +82,25 @@
     std::optional<core::time_point> m_objective;
 };
 
+/// How the service and kind of a request are found.
+enum class lookup_method : std::uint8_t
+{
+    by_route,
+    /// By the service that the caller named.
+    by_service,
+    /// By the service and kind that the forwarding host chose.
+    by_kind,
+};
+
+/// The passes of a call through the classify filter, for logs.
+struct classification_record
+{
+    int m_passes = 0;
+    /// Method and generation of the last pass.
+    lookup_method m_method = lookup_method::by_route;
+    std::uint64_t m_generation = 0;
+};
+
 /// One attempt of a call at a target.
 struct call_attempt
 {
@@ -121,6 +140,7 @@
     call_origin m_origin = call_origin::caller;
     accepted_request m_accepted;
     classified_request m_classified;
+    classification_record m_classification;
     core::time_point m_arrival_time;
     int m_hops = 0;
     core::pool_id m_pool;
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -91,19 +91,32 @@
                                      accepted_request const& accepted,
                                      core::part_selector& selector)
 {
-    if (!accepted.m_kind.empty())
+    switch (choose_lookup(document, accepted))
     {
+    case lookup_method::by_kind:
         return find_by_kind(document, accepted.m_service, accepted.m_kind);
-    }
-    if (accepted.m_service.empty() && !document.m_routes.empty())
-    {
+    case lookup_method::by_route:
         return find_by_route(document, accepted.m_request, selector);
+    case lookup_method::by_service:
+        break;
     }
     return find_by_service(document, accepted.m_service, accepted.m_request);
 }
 
 } // namespace
 
+lookup_method choose_lookup(core::configuration const& document,
+                            accepted_request const& accepted)
+{
+    if (!accepted.m_kind.empty())
+    {
+        return lookup_method::by_kind;
+    }
+    return accepted.m_service.empty() && !document.m_routes.empty()
+               ? lookup_method::by_route
+               : lookup_method::by_service;
+}
+
 result<classified_request>
 classify_request(accepted_request const& accepted,
                  std::shared_ptr<core::configuration const> configuration,
--- a/src/serve/classify.hpp
+++ b/src/serve/classify.hpp
@@ -10,6 +10,10 @@
 namespace hawthornspur::serve
 {
 
+/// How classify_request() finds the service and kind.
+lookup_method choose_lookup(core::configuration const& document,
+                            accepted_request const& accepted);
+
 /// Second filter: finds the service and kind of a request, checks its depth and
 /// body size, and sets its deadline. Errors: unknown_service, unknown_kind,
 /// body_too_large, depth_limit_reached.
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -67,6 +67,7 @@
 {
     logging::write(logging::level::info, "serve.configuration", message,
                    {{"generation", std::to_string(document.m_generation)},
+                    {"routes", std::to_string(document.m_routes.size())},
                     {"change_id", document.m_change_id},
                     {"source", std::string(to_string(source))}});
 }
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -55,6 +55,14 @@
         // not grow with unknown names.
         call.m_accepted.m_zone = host.m_settings.m_zone;
     }
+    auto const& document = *host.m_configuration.m_in_force;
+    call.m_classification = {call.m_classification.m_passes + 1,
+                             choose_lookup(document, call.m_accepted),
+                             document.m_generation};
+    if (call.m_classification.m_passes > 1)
+    {
+        host.m_metrics.count_event("classified_again");
+    }
     auto classified =
         classify_request(call.m_accepted, host.m_configuration.m_in_force,
                          host.m_part_selector, call.m_arrival_time);
