Classify a held call by what its caller sent, not by an earlier result

Cause: the filters wrote their result into the request: the service that was found, and the host's own zone in place of an unknown one. A host that starts holds calls until it has read its targets and then passes them through the filters again. The second pass found the service of the first document in the place of the one that the caller had named, and looked for a kind of that service instead of for the route.

accepted_request is now what was received and no later filter writes to it. Service, kind and zone are results of the classify filter and lie in classified_request, together with the document that they are valid for. Each pass therefore depends only on the request and the document in force.

Both new tests failed before: the held request of a route that moved was answered 404, or run by the former service where that had another matching route (one run there, none at the new service), and a held request of a caller in a zone that the next document adds ran in the host's own zone.

--- a/src/serve/account.cpp
+++ b/src/serve/account.cpp
@@ -74,7 +74,9 @@
         severity, "serve.account", "call ended",
         {{"request", std::to_string(call.m_id.m_value)},
          {"request_id", call.m_accepted.m_request_id},
-         {"service", call.m_accepted.m_service},
+         {"service", classified.m_service == nullptr
+                         ? call.m_accepted.m_service
+                         : classified.m_service->m_name},
          {"kind", classified.m_kind == nullptr ? std::string()
                                                : classified.m_kind->m_name},
          {"zone", call.m_pool.m_zone},
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -54,12 +54,12 @@
     auto const& document = *call.m_classified.m_configuration;
     auto const& zone =
         core::pool_zone(host.m_routing, document, *call.m_classified.m_service,
-                        call.m_accepted.m_zone);
-    if (zone.empty() || zone == call.m_accepted.m_zone)
+                        call.m_classified.m_zone);
+    if (zone.empty() || zone == call.m_classified.m_zone)
     {
         return false;
     }
-    core::pool_id const pool{call.m_accepted.m_service, zone};
+    core::pool_id const pool{call.m_classified.m_service->m_name, zone};
     auto const& order = core::ranked_owners(host.m_routing, document, pool);
     if (order.empty() || order.front() == host.m_settings.m_name)
     {
@@ -81,7 +81,8 @@
     auto const& document = *call.m_classified.m_configuration;
     if (must_run_here(call))
     {
-        call.m_pool = {call.m_accepted.m_service, call.m_accepted.m_zone};
+        call.m_pool = {call.m_classified.m_service->m_name,
+                       call.m_classified.m_zone};
         if (!forward_to_other_zone(host, call))
         {
             enqueue_locally(host, call);
@@ -93,14 +94,14 @@
     auto const& zone = has_target_list(host)
                            ? core::pool_zone(host.m_routing, document,
                                              *call.m_classified.m_service,
-                                             call.m_accepted.m_zone)
-                           : call.m_accepted.m_zone;
+                                             call.m_classified.m_zone)
+                           : call.m_classified.m_zone;
     if (zone.empty())
     {
         fail_call(host, call, result_code::no_target_available);
         return;
     }
-    call.m_pool = {call.m_accepted.m_service, zone};
+    call.m_pool = {call.m_classified.m_service->m_name, zone};
     auto const is_reachable = [&](std::string const& name)
     {
         return host.m_peer_network != nullptr &&
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -51,16 +51,18 @@
     forwarded_to_home,
 };
 
-/// Result of the accept filter.
+/// Result of the accept filter: the request as received. No later filter writes
+/// to it, since a call may pass the filters again under another document.
 struct accepted_request
 {
     net::http_request m_request;
     /// Id that the caller gave the request, for logs and to match answers.
     std::string m_request_id;
-    /// Empty if the service is to be found by route.
+    /// Service that the caller named, or that the forwarding host chose. Empty
+    /// if it is to be found by route.
     std::string m_service;
-    /// Zone of the caller, or of the pool if the request was forwarded to its
-    /// owner.
+    /// Zone that the caller named, or that of the pool if the request was
+    /// forwarded to its owner. May be unknown.
     std::string m_zone;
     /// Kind that the forwarding host chose; empty for requests of callers.
     std::string m_kind;
@@ -77,6 +79,8 @@
     std::shared_ptr<core::configuration const> m_configuration;
     core::service_config const* m_service = nullptr;
     core::kind_config const* m_kind = nullptr;
+    /// Zone of the caller or of the pool; one that the configuration has.
+    std::string m_zone;
     core::time_point m_deadline;
     /// Time until which an answer has its full value to the caller.
     std::optional<core::time_point> m_objective;
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -120,7 +120,8 @@
 result<classified_request>
 classify_request(accepted_request const& accepted,
                  std::shared_ptr<core::configuration const> configuration,
-                 core::part_selector& selector, core::time_point now)
+                 core::part_selector& selector, std::string const& own_zone,
+                 core::time_point now)
 {
     classified_request classified;
     auto const& request = accepted.m_request;
@@ -142,6 +143,12 @@
                           "the chain of calls is too deep");
     }
     classified.m_kind = kind;
+    // The routing table has an entry for each zone of a caller, so it must not
+    // grow with unknown names.
+    classified.m_zone =
+        core::find_zone(*configuration, accepted.m_zone) == nullptr
+            ? own_zone
+            : accepted.m_zone;
     auto const time_left = std::min(
         kind->m_deadline, accepted.m_time_left.value_or(kind->m_deadline));
     classified.m_deadline = now + time_left;
--- a/src/serve/classify.hpp
+++ b/src/serve/classify.hpp
@@ -15,12 +15,14 @@
                             accepted_request const& accepted);
 
 /// Second filter: finds the service and kind of a request, checks its depth and
-/// body size, and sets its deadline. Errors: unknown_service, unknown_kind,
+/// body size, and sets its zone and deadline. `own_zone` replaces a zone that
+/// the configuration does not have. Errors: unknown_service, unknown_kind,
 /// body_too_large, depth_limit_reached.
 result<classified_request>
 classify_request(accepted_request const& accepted,
                  std::shared_ptr<core::configuration const> configuration,
-                 core::part_selector& selector, core::time_point now);
+                 core::part_selector& selector, std::string const& own_zone,
+                 core::time_point now);
 
 } // namespace hawthornspur::serve
 
--- a/src/serve/classify_test.cpp
+++ b/src/serve/classify_test.cpp
@@ -51,11 +51,11 @@
     core::part_selector parts;
     core::time_point const now(milliseconds(1000));
     auto const claim = take(classify_request(make_request("POST", "/squares/7"),
-                                             configuration, parts, now));
+                                             configuration, parts, "a", now));
     CHECK(claim.m_kind->m_name == "claim");
     CHECK(claim.m_kind == &claim.m_service->m_kinds[1]);
     auto const read = take(classify_request(make_request("GET", "/squares"),
-                                            configuration, parts, now));
+                                            configuration, parts, "a", now));
     CHECK(read.m_kind->m_name == "read");
     CHECK(read.m_deadline == now + milliseconds(500));
 }
@@ -73,7 +73,7 @@
         auto accepted = make_request("GET", "/squares");
         accepted.m_time_left = requested;
         auto const classified =
-            take(classify_request(accepted, configuration, parts, now));
+            take(classify_request(accepted, configuration, parts, "a", now));
         CHECK(classified.m_deadline == now + expected);
     }
 }
@@ -103,7 +103,7 @@
           request_case{deep, result_code::depth_limit_reached}})
     {
         auto const classified =
-            classify_request(refused, configuration, parts, {});
+            classify_request(refused, configuration, parts, "a", {});
         REQUIRE(!has_value(classified));
         CHECK(failure(classified).m_code == code);
     }
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -48,7 +48,7 @@
     auto const& accepted = call.m_accepted;
     head.m_id = id;
     head.m_purpose = purpose;
-    head.m_service = accepted.m_service;
+    head.m_service = call.m_classified.m_service->m_name;
     head.m_zone = zone;
     head.m_kind = call.m_classified.m_kind->m_name;
     head.m_generation = call.m_classified.m_configuration->m_generation;
@@ -71,7 +71,7 @@
     {
         return zone;
     }
-    return purpose == net::forward_purpose::to_home ? call.m_accepted.m_zone
+    return purpose == net::forward_purpose::to_home ? call.m_classified.m_zone
                                                     : call.m_pool.m_zone;
 }
 
@@ -136,7 +136,8 @@
             core::execution_rule::idempotent &&
         call.m_classified.m_deadline > now() &&
         core::try_spend(
-            get_or_create_budgets(host, call.m_accepted.m_service).m_retry);
+            get_or_create_budgets(host, call.m_classified.m_service->m_name)
+                .m_retry);
     if (!can_retry)
     {
         fail_call(host, call, result_code::peer_link_lost);
@@ -273,7 +274,8 @@
     {
         call->m_sink.m_end();
     }
-    core::earn(get_or_create_budgets(host, call->m_accepted.m_service).m_retry);
+    core::earn(get_or_create_budgets(host, call->m_classified.m_service->m_name)
+                   .m_retry);
     complete_key_with_answer(host, *call);
     end_call(host, *call, result_code::ok);
 }
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -48,13 +48,6 @@
         }
         return;
     }
-    if (core::find_zone(*host.m_configuration.m_in_force,
-                        call.m_accepted.m_zone) == nullptr)
-    {
-        // The routing table has an entry for each zone of a caller, so it must
-        // not grow with unknown names.
-        call.m_accepted.m_zone = host.m_settings.m_zone;
-    }
     auto const& document = *host.m_configuration.m_in_force;
     call.m_classification = {call.m_classification.m_passes + 1,
                              choose_lookup(document, call.m_accepted),
@@ -63,9 +56,9 @@
     {
         host.m_metrics.count_event("classified_again");
     }
-    auto classified =
-        classify_request(call.m_accepted, host.m_configuration.m_in_force,
-                         host.m_part_selector, call.m_arrival_time);
+    auto classified = classify_request(
+        call.m_accepted, host.m_configuration.m_in_force, host.m_part_selector,
+        host.m_settings.m_zone, call.m_arrival_time);
     if (!has_value(classified))
     {
         // The forwarding host chose the service and kind under a configuration
@@ -76,7 +69,6 @@
                                         : failure(classified).m_code);
         return;
     }
-    call.m_accepted.m_service = value(classified).m_service->m_name;
     call.m_classified = take(std::move(classified));
     // A held call that runs under a key passes the filters a second time.
     if (call.m_running_key ||
--- a/tests/memory_store.cpp
+++ b/tests/memory_store.cpp
@@ -138,7 +138,7 @@
             store.m_loop->post([done, range = read_range(store, prefix)]
                                { done(range); });
         };
-        if (view.m_is_delayed)
+        if (view.m_is_delayed && prefix.starts_with(view.m_delayed_prefix))
         {
             view.m_delayed_reads.push_back(std::move(answer));
             return;
--- a/tests/memory_store.hpp
+++ b/tests/memory_store.hpp
@@ -50,6 +50,8 @@
     bool m_is_refused = false;
     /// Reads of this host wait for answer_delayed_reads().
     bool m_is_delayed = false;
+    /// Restricts the delay to reads of this prefix.
+    std::string m_delayed_prefix;
     std::vector<std::function<void()>> m_delayed_reads;
 };
 
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -5,6 +5,7 @@
 #include "memory_store.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
+#include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/stop.hpp"
@@ -18,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -41,19 +43,25 @@
     return make_error(result_code::store_answer_malformed, "document");
 }
 
-/// Parses an entry, whose value is the target's port.
+/// Parses an entry, whose value is the target's port. A service and a zone may
+/// follow it; the defaults are "map" and "a".
 result<core::registered_target> read_target(std::string_view key,
                                             std::string_view value)
 {
-    auto const port = parse_number<std::uint16_t>(value);
+    std::istringstream words{std::string(value)};
+    std::string number;
+    std::string service = "map";
+    std::string zone = "a";
+    words >> number >> service >> zone;
+    auto const port = parse_number<std::uint16_t>(number);
     if (!port)
     {
         return make_error(result_code::store_answer_malformed, "entry");
     }
     core::registered_target target;
     target.m_name = key.substr(std::string_view(target_prefix).size());
-    target.m_service = "map";
-    target.m_zone = "a";
+    target.m_service = service.empty() ? "map" : service;
+    target.m_zone = zone.empty() ? "a" : zone;
     target.m_address = "127.0.0.1";
     target.m_port = *port;
     target.m_slots = 3;
@@ -179,12 +187,13 @@
 /// The status of an answer, once it has ended.
 using pending_status = std::shared_ptr<std::optional<int>>;
 
-pending_status send(fixture& fixture_state, std::size_t host)
+pending_status send(fixture& fixture_state, std::size_t host,
+                    net::http_headers const& headers = {
+                        {"Hawthornspur-Service", "map"}})
 {
     auto status = std::make_shared<std::optional<int>>();
     auto head_status = std::make_shared<int>(0);
-    net::http_request const request{
-        "GET", "/x", {{"Hawthornspur-Service", "map"}}, {}};
+    net::http_request const request{"GET", "/x/1", headers, {}};
     fixture_state.m_client->send(
         {"127.0.0.1", fixture_state.m_hosts[host]->m_caller_server->port()},
         request, {},
@@ -304,6 +313,127 @@
     }
 }
 
+namespace
+{
+
+core::kind_config make_read_kind(std::string const& name,
+                                 std::string const& prefix)
+{
+    core::kind_config kind;
+    kind.m_name = name;
+    kind.m_method = "GET";
+    kind.m_path_prefix = prefix;
+    kind.m_execution = core::execution_rule::idempotent;
+    return kind;
+}
+
+/// A document in which `service` has the route of "/x/". The service "map" may
+/// have a route for all other paths.
+std::string make_routed_document(std::uint64_t generation,
+                                 std::string const& service,
+                                 bool has_general_route)
+{
+    core::configuration document;
+    document.m_generation = generation;
+    document.m_change_id = std::to_string(generation);
+    document.m_zones = {{"a", "r", {}, {}}};
+    core::service_config map;
+    map.m_name = "map";
+    core::service_config photos;
+    photos.m_name = "photos";
+    map.m_kinds = photos.m_kinds = {make_read_kind("other", "/other/")};
+    (service == "map" ? map : photos)
+        .m_kinds.push_back(make_read_kind("x", "/x/"));
+    document.m_routes = {{"x", "", "/x/", {{service, 1}}}};
+    if (has_general_route)
+    {
+        map.m_kinds.push_back(make_read_kind("general", "/"));
+        document.m_routes.push_back({"general", "", "/", {{"map", 1}}});
+    }
+    document.m_services = {map, photos};
+    return config::print_document(document);
+}
+
+/// Adds a second target with the entry `text` after its port, and starts a host
+/// that has the document and has not read the targets.
+std::unique_ptr<tools::target_emulator>
+start_host_without_targets(fixture& fixture_state, std::string const& text)
+{
+    tools::target_settings settings;
+    settings.m_name = "t2";
+    auto target =
+        take(tools::target_emulator::create(*fixture_state.m_loop, settings));
+    put(fixture_state.m_store, "targets/t2",
+        std::to_string(target->port()) + text);
+    start_host(fixture_state, "entry-1", false, true);
+    fixture_state.m_views[0]->m_delayed_prefix = target_prefix;
+    return target;
+}
+
+/// Waits until the host holds the classified request, and gives it the next
+/// document and then the targets.
+void change_document_of_held_call(fixture& fixture_state,
+                                  std::string const& document)
+{
+    auto& host = *fixture_state.m_hosts[0];
+    run_until(fixture_state,
+              [&]
+              {
+                  return !host.m_start_queue.m_calls.empty() &&
+                         host.m_calls.begin()->second->m_classified.m_service !=
+                             nullptr;
+              });
+    serve::apply_operator_document(host, take(read_document(document)));
+    answer_delayed_reads(*fixture_state.m_views[0]);
+}
+
+} // namespace
+
+// Guards against a held request that is refused as unknown, or run by the
+// former service, because the first lookup has replaced what the caller asked
+// for.
+TEST_CASE("a held request follows a route that moves to another service")
+{
+    auto const fixture_state = make_fixture();
+    bool has_general_route = false;
+    SUBCASE("the former service has no route that matches") {}
+    SUBCASE("the former service has another route that matches")
+    {
+        has_general_route = true;
+    }
+    put(fixture_state->m_store, document_key,
+        make_routed_document(3, "map", has_general_route));
+    auto const photos = start_host_without_targets(*fixture_state, " photos");
+    auto const status = send(*fixture_state, 0, {{"Hawthornspur-Service", ""}});
+    change_document_of_held_call(
+        *fixture_state, make_routed_document(4, "photos", has_general_route));
+    run_until(*fixture_state, [&] { return status->has_value(); });
+    CHECK(**status == 200);
+    CHECK(photos->runs().m_runs == 1);
+    CHECK(fixture_state->m_target->runs().m_runs == 0);
+}
+
+// Guards against a held request that loses the zone of its caller because the
+// first document does not have it.
+TEST_CASE("a held request follows a zone that is added")
+{
+    auto const fixture_state = make_fixture();
+    auto const zone_b = start_host_without_targets(*fixture_state, " map b");
+    auto const status =
+        send(*fixture_state, 0,
+             {{"Hawthornspur-Service", "map"}, {"Hawthornspur-Zone", "b"}});
+    auto parsed = config::parse_document(make_document(4));
+    auto& document = std::get<core::configuration>(parsed);
+    auto const delay = std::chrono::milliseconds(1);
+    document.m_zones = {{"a", "r", {{"b", delay}}, {}},
+                        {"b", "r", {{"a", delay}}, {}}};
+    change_document_of_held_call(*fixture_state,
+                                 config::print_document(document));
+    run_until(*fixture_state, [&] { return status->has_value(); });
+    CHECK(**status == 200);
+    CHECK(zone_b->runs().m_runs == 1);
+}
+
 // Guards against requests to a target whose entry was removed.
 TEST_CASE("a target without an entry gets no requests")
 {
