Classify a rerouted call again if the configuration has changed

A request that came back from the owner of its pool (refused by that host, or lost with it) went on to the next host under the document of its first classification. If its route had moved meanwhile and its service was gone, the caller got 404 (unknown_service) for a route that both documents have.

reroute_call() now runs the filters again if another generation is in force. Without a change the call keeps its service, so that requests are not moved between the parts of a route. If the request may have run at the lost host, it goes on only if the new document allows to repeat it; otherwise it ends with peer_link_lost, which promises nothing.

--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -170,6 +170,9 @@
     core::duration m_target_time{0};
 
     std::optional<forwarded_call> m_forward;
+    /// A host that was lost may have run the request, so only an idempotent
+    /// kind allows to send it again.
+    bool m_may_have_run = false;
     std::vector<std::string> m_excluded_hosts;
 };
 
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -115,6 +115,16 @@
 {
     host.m_metrics.count_forward(reason);
     call.m_excluded_hosts.push_back(failed);
+    bool const is_configuration_changed =
+        host.m_configuration.m_in_force->m_generation !=
+        call.m_classified.m_configuration->m_generation;
+    if (is_configuration_changed)
+    {
+        run_filters(host, call);
+        return;
+    }
+    // Without a change, the request stays with the part of its route that was
+    // chosen for it.
     admit_call(host, call);
 }
 
@@ -149,6 +159,7 @@
         requeue_spilled_call(host, call);
         return;
     }
+    call.m_may_have_run = true;
     reroute_call(host, call, forward.m_host_name, "retry_after_link_loss");
 }
 
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -64,12 +64,19 @@
         // The forwarding host chose the service and kind under a configuration
         // that this host does not have.
         bool const is_version_difference = !call.m_accepted.m_kind.empty();
+        auto const code = is_version_difference ? result_code::not_pool_owner
+                                                : failure(classified).m_code;
         fail_call(host, call,
-                  is_version_difference ? result_code::not_pool_owner
-                                        : failure(classified).m_code);
+                  call.m_may_have_run ? result_code::peer_link_lost : code);
         return;
     }
     call.m_classified = take(std::move(classified));
+    if (call.m_may_have_run && call.m_classified.m_kind->m_execution !=
+                                   core::execution_rule::idempotent)
+    {
+        fail_call(host, call, result_code::peer_link_lost);
+        return;
+    }
     // A held call that runs under a key passes the filters a second time.
     if (call.m_running_key ||
         deduplicate_call(host, call) == deduplicate_result::passed)
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -48,6 +48,54 @@
     cluster.run_until([&] { return cluster.find_owner(other) != owner; });
 }
 
+// Guards against a request that is refused as unknown because its owner was
+// lost after its route had moved and its former service had been removed, and
+// against one that runs twice because the new document forbids repeating it.
+TEST_CASE("a request whose owner is lost follows a route that has moved")
+{
+    test_cluster cluster(3, 2);
+    auto execution = core::execution_rule::idempotent;
+    auto code = result_code::ok;
+    SUBCASE("the request may still be repeated") {}
+    SUBCASE("the request must not be repeated any more")
+    {
+        execution = core::execution_rule::at_most_once;
+        code = result_code::peer_link_lost;
+    }
+    auto const move_route = [&](std::string const& service)
+    {
+        auto& document = cluster.document();
+        document.m_services.front().m_name = service;
+        document.m_routes = {{"read", "", "/", {{service, 1}}}};
+        return cluster.apply_configuration(document);
+    };
+    cluster.wait_for_agreement(move_route("map"), 3);
+    auto const owner = cluster.find_owner(0);
+    auto const other = (owner + 1) % 3;
+    net::http_headers const by_route{{"Hawthornspur-Service", ""}};
+    // Successful requests fill the retry budget.
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK(cluster.send_and_wait(other, "GET", "/x", by_route)
+                  .m_head.m_status == 200);
+    }
+    cluster.pause(owner);
+    auto const request = cluster.send(other, "GET", "/x", by_route);
+    auto& host = cluster.host(other);
+    cluster.run_until([&] { return !host.m_forwarded_calls.empty(); });
+    cluster.document().m_services.front().m_kinds.front().m_execution =
+        execution;
+    auto const moved = move_route("photos");
+    cluster.run_until(
+        [&] { return host.m_configuration.m_in_force->m_generation == moved; });
+    CHECK(!host.m_forwarded_calls.empty());
+    cluster.kill(owner);
+    cluster.run_until([&] { return request->m_is_done; });
+    CHECK(get_result_code(*request) == static_cast<unsigned>(code));
+    CHECK((request->m_head.m_status == 200) == (code == result_code::ok));
+    CHECK(cluster.total_run_count() == (code == result_code::ok ? 11 : 10));
+}
+
 // Guards against a paused host that acts as owner after it resumes although
 // its peers have assigned its pools to other hosts.
 TEST_CASE("a paused owner is replaced and rejoins")
