Accept bodies up to the largest limit that a configuration may have

The server of a host refused bodies above 16 MiB with 413, whatever the configuration allowed; the configurations of both users allow 64 MiB (max_body_bytes), which forwarding between hosts accepts. Callers with such a body saw a proper request refused.

The limit of the server is now the largest one that a configuration may set (64 MiB, the bound of max_body), the same as for forwarded requests; the limit of the service is checked in the classify filter as before. A service with a lower limit therefore refuses a body of 16 to 64 MiB only after it has been read.

The emulated targets accept as much.

--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -107,6 +107,7 @@
     settings.m_address = host.m_settings.m_callers.m_address;
     settings.m_port = host.m_settings.m_callers.m_port;
     settings.m_max_headers_bytes = host.m_settings.m_max_headers_bytes;
+    settings.m_max_body_bytes = limits::max_request_body_bytes;
     settings.m_max_connections = host.m_settings.m_max_connections;
     auto server = net::http_server::create(
         *host.m_loop, settings,
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-/// A request with a larger body is refused before the body is buffered.
-constexpr std::uint64_t max_forwarded_body_bytes = std::uint64_t{64} << 20U;
-
 void send_refusal(entry_host& host, incoming_forward_id const& id,
                   result_code code,
                   core::duration retry_after = core::duration(0))
@@ -164,7 +161,7 @@
         host.m_metrics.count_event("duplicate_forward");
         return;
     }
-    if (head.m_body_size > max_forwarded_body_bytes)
+    if (head.m_body_size > limits::max_request_body_bytes)
     {
         send_refusal(host, id, result_code::body_too_large);
         return;
--- a/src/serve/limits.hpp
+++ b/src/serve/limits.hpp
@@ -16,6 +16,10 @@
 namespace hawthornspur::serve::limits
 {
 
+/// Largest body of a request that a configuration may allow; a larger one is
+/// refused before it is buffered.
+inline constexpr std::size_t max_request_body_bytes = std::size_t{64} << 20U;
+
 /// Limit on the bytes of one answer that its receiver has not read yet. Above
 /// it nothing more is read from the target, and no window is returned to a
 /// peer. Also the initial window of a peer.
--- a/tools/target_emulator/target_emulator.cpp
+++ b/tools/target_emulator/target_emulator.cpp
@@ -94,7 +94,10 @@
     }
     state->m_tasks = take(std::move(tasks));
     auto server = connection_server::create(
-        loop, {.m_address = settings.m_address, .m_port = settings.m_port},
+        loop,
+        {.m_address = settings.m_address,
+         .m_port = settings.m_port,
+         .m_max_body_bytes = std::size_t{64} << 20U},
         [state_pointer = state.get()](net::http_request request,
                                       std::shared_ptr<target_exchange> exchange,
                                       connection_record& connection)
