Show that a request that arrives too slowly is refused with 400

A request whose last byte arrives more than 30 s after its first one is refused as malformed (400, code 1001). It has not run, and 408 is the status that says so; callers do not repeat a request after 400.

--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -552,6 +552,25 @@
     CHECK(fixture.refused(result_code::malformed_request) == 1);
 }
 
+// Guards against callers that give up because a slow request was answered with
+// 400, which forbids a retry, although it has not run.
+TEST_CASE("a request that arrives too slowly is refused with 408")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(
+        *loop,
+        {.m_address = "", .m_request_timeout = std::chrono::milliseconds(20)});
+    raw_connection caller(*loop, fixture.m_server->port());
+    caller.send("GET / HTTP/1.1\r\nX: ");
+    REQUIRE(run_until(*loop,
+                      [&]
+                      {
+                          caller.send("x");
+                          return caller.m_closed;
+                      }));
+    CHECK(contains(caller.m_received, "HTTP/1.1 408 "));
+}
+
 // Guards against a crash when a server is destroyed with requests in every
 // phase.
 TEST_CASE("a server can be destroyed with requests in flight")
