--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -51,16 +51,18 @@
     forwarded_to_home,
 };
 
-/// Result of the accept filter.
+/// Result of the accept filter: the request as received. No later filter writes
+/// to it, since a call may pass the filters again under another document.
 struct accepted_request
 {
     net::http_request m_request;
     /// Id that the caller gave the request, for logs and to match answers.
     std::string m_request_id;
-    /// Empty if the service is to be found by route.
+    /// Service that the caller named, or that the forwarding host chose. Empty
+    /// if it is to be found by route.
     std::string m_service;
-    /// Zone of the caller, or of the pool if the request was forwarded to its
-    /// owner.
+    /// Zone that the caller named, or that of the pool if the request was
+    /// forwarded to its owner. May be unknown.
     std::string m_zone;
     /// Kind that the forwarding host chose; empty for requests of callers.
     std::string m_kind;
@@ -77,11 +79,32 @@
     std::shared_ptr<core::configuration const> m_configuration;
     core::service_config const* m_service = nullptr;
     core::kind_config const* m_kind = nullptr;
+    /// Zone of the caller or of the pool; one that the configuration has.
+    std::string m_zone;
     core::time_point m_deadline;
     /// Time until which an answer has its full value to the caller.
     std::optional<core::time_point> m_objective;
 };
 
+/// How the service and kind of a request are found.
+enum class lookup_method : std::uint8_t
+{
+    by_route,
+    /// By the service that the caller named.
+    by_service,
+    /// By the service and kind that the forwarding host chose.
+    by_kind,
+};
+
+/// The passes of a call through the classify filter, for logs.
+struct classification_record
+{
+    int m_passes = 0;
+    /// Method and generation of the last pass.
+    lookup_method m_method = lookup_method::by_route;
+    std::uint64_t m_generation = 0;
+};
+
 /// One attempt of a call at a target.
 struct call_attempt
 {
@@ -121,6 +144,7 @@
     call_origin m_origin = call_origin::caller;
     accepted_request m_accepted;
     classified_request m_classified;
+    classification_record m_classification;
     core::time_point m_arrival_time;
     int m_hops = 0;
     core::pool_id m_pool;
@@ -146,6 +170,9 @@
     core::duration m_target_time{0};
 
     std::optional<forwarded_call> m_forward;
+    /// A host that was lost may have run the request, so only an idempotent
+    /// kind allows to send it again.
+    bool m_may_have_run = false;
     std::vector<std::string> m_excluded_hosts;
 };
 
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -91,23 +91,37 @@
                                      accepted_request const& accepted,
                                      core::part_selector& selector)
 {
-    if (!accepted.m_kind.empty())
+    switch (choose_lookup(document, accepted))
     {
+    case lookup_method::by_kind:
         return find_by_kind(document, accepted.m_service, accepted.m_kind);
-    }
-    if (accepted.m_service.empty() && !document.m_routes.empty())
-    {
+    case lookup_method::by_route:
         return find_by_route(document, accepted.m_request, selector);
+    case lookup_method::by_service:
+        break;
     }
     return find_by_service(document, accepted.m_service, accepted.m_request);
 }
 
 } // namespace
 
+lookup_method choose_lookup(core::configuration const& document,
+                            accepted_request const& accepted)
+{
+    if (!accepted.m_kind.empty())
+    {
+        return lookup_method::by_kind;
+    }
+    return accepted.m_service.empty() && !document.m_routes.empty()
+               ? lookup_method::by_route
+               : lookup_method::by_service;
+}
+
 result<classified_request>
 classify_request(accepted_request const& accepted,
                  std::shared_ptr<core::configuration const> configuration,
-                 core::part_selector& selector, core::time_point now)
+                 core::part_selector& selector, std::string const& own_zone,
+                 core::time_point now)
 {
     classified_request classified;
     auto const& request = accepted.m_request;
@@ -129,6 +143,12 @@
                           "the chain of calls is too deep");
     }
     classified.m_kind = kind;
+    // The routing table has an entry for each zone of a caller, so it must not
+    // grow with unknown names.
+    classified.m_zone =
+        core::find_zone(*configuration, accepted.m_zone) == nullptr
+            ? own_zone
+            : accepted.m_zone;
     auto const time_left = std::min(
         kind->m_deadline, accepted.m_time_left.value_or(kind->m_deadline));
     classified.m_deadline = now + time_left;
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -48,28 +48,35 @@
         }
         return;
     }
-    if (core::find_zone(*host.m_configuration.m_in_force,
-                        call.m_accepted.m_zone) == nullptr)
+    auto const& document = *host.m_configuration.m_in_force;
+    call.m_classification = {call.m_classification.m_passes + 1,
+                             choose_lookup(document, call.m_accepted),
+                             document.m_generation};
+    if (call.m_classification.m_passes > 1)
     {
-        // The routing table has an entry for each zone of a caller, so it must
-        // not grow with unknown names.
-        call.m_accepted.m_zone = host.m_settings.m_zone;
+        host.m_metrics.count_event("classified_again");
     }
-    auto classified =
-        classify_request(call.m_accepted, host.m_configuration.m_in_force,
-                         host.m_part_selector, call.m_arrival_time);
+    auto classified = classify_request(
+        call.m_accepted, host.m_configuration.m_in_force, host.m_part_selector,
+        host.m_settings.m_zone, call.m_arrival_time);
     if (!has_value(classified))
     {
         // The forwarding host chose the service and kind under a configuration
         // that this host does not have.
         bool const is_version_difference = !call.m_accepted.m_kind.empty();
+        auto const code = is_version_difference ? result_code::not_pool_owner
+                                                : failure(classified).m_code;
         fail_call(host, call,
-                  is_version_difference ? result_code::not_pool_owner
-                                        : failure(classified).m_code);
+                  call.m_may_have_run ? result_code::peer_link_lost : code);
         return;
     }
-    call.m_accepted.m_service = value(classified).m_service->m_name;
     call.m_classified = take(std::move(classified));
+    if (call.m_may_have_run && call.m_classified.m_kind->m_execution !=
+                                   core::execution_rule::idempotent)
+    {
+        fail_call(host, call, result_code::peer_link_lost);
+        return;
+    }
     // A held call that runs under a key passes the filters a second time.
     if (call.m_running_key ||
         deduplicate_call(host, call) == deduplicate_result::passed)
