Let emulated targets crash under a request

Change: the faults deadly_path, deadly_after_ms and crash_time_ms. A target that begins to run a matching request closes its listener and all connections, keeps its port reserved but refuses connections, and listens again after the crash time. Runs and counters survive; /control/counters counts deadly runs and crashes, /control/crashes gives their times. Control requests also have a port of their own, which stays open. The fault reset_probability closes the connection of a request that ran while the target stays up.

Conclusion: tests and the soak can count how often a deadly request runs.

--- a/tools/target_emulator/connection_server.cpp
+++ b/tools/target_emulator/connection_server.cpp
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <utility>
@@ -70,10 +71,31 @@
                : std::uint16_t{0};
 }
 
+/// Returns a socket that holds the port, so that no other process can take it.
+/// Connections to the port are refused.
+int reserve_port(std::string const& host, std::uint16_t port)
+{
+    int const fd =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int const enabled = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    static_cast<void>(
+        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+    return fd;
+}
+
 } // namespace
 
 connection_server::~connection_server()
 {
+    if (m_closed_fd >= 0)
+    {
+        ::close(m_closed_fd);
+    }
     if (m_http != nullptr)
     {
         evhttp_free(m_http);
@@ -87,8 +109,29 @@
     std::unique_ptr<connection_server> server(new connection_server);
     server->m_on_request = std::move(on_request);
     server->m_on_connection = std::move(on_connection);
-    server->m_http = evhttp_new(loop.base());
-    if (server->m_http == nullptr)
+    server->m_loop = &loop;
+    server->m_settings = settings;
+    auto created = server->create_http_server();
+    if (!has_value(created))
+    {
+        return failure(created);
+    }
+    auto* socket = evhttp_bind_socket_with_handle(
+        server->m_http, settings.m_address.c_str(), settings.m_port);
+    if (socket == nullptr)
+    {
+        return make_error(result_code::address_unavailable,
+                          "cannot listen on " + settings.m_address + ":" +
+                              std::to_string(settings.m_port));
+    }
+    server->m_port = bound_port(evhttp_bound_socket_get_fd(socket));
+    return server;
+}
+
+status connection_server::create_http_server()
+{
+    m_http = evhttp_new(m_loop->base());
+    if (m_http == nullptr)
     {
         return make_error(result_code::system_failure,
                           "cannot create an HTTP server");
@@ -98,29 +141,33 @@
     {
         allowed |= method.m_type;
     }
-    evhttp_set_allowed_methods(server->m_http,
-                               static_cast<ev_uint16_t>(allowed));
+    evhttp_set_allowed_methods(m_http, static_cast<ev_uint16_t>(allowed));
     evhttp_set_max_headers_size(
-        server->m_http, static_cast<ev_ssize_t>(settings.m_max_headers_bytes));
+        m_http, static_cast<ev_ssize_t>(m_settings.m_max_headers_bytes));
     evhttp_set_max_body_size(
-        server->m_http, static_cast<ev_ssize_t>(settings.m_max_body_bytes));
+        m_http, static_cast<ev_ssize_t>(m_settings.m_max_body_bytes));
     auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(
-        settings.m_idle_timeout);
-    evhttp_set_timeout(server->m_http, static_cast<int>(seconds.count()));
-    evhttp_set_bevcb(server->m_http, &connection_server::on_accept,
-                     server.get());
-    evhttp_set_gencb(server->m_http, &connection_server::on_request,
-                     server.get());
-    auto* socket = evhttp_bind_socket_with_handle(
-        server->m_http, settings.m_address.c_str(), settings.m_port);
-    if (socket == nullptr)
+        m_settings.m_idle_timeout);
+    evhttp_set_timeout(m_http, static_cast<int>(seconds.count()));
+    evhttp_set_bevcb(m_http, &connection_server::on_accept, this);
+    evhttp_set_gencb(m_http, &connection_server::on_request, this);
+    return success();
+}
+
+void connection_server::close()
+{
+    evhttp_free(std::exchange(m_http, nullptr));
+    m_closed_fd = reserve_port(m_settings.m_address, m_port);
+}
+
+void connection_server::open()
+{
+    int const fd = std::exchange(m_closed_fd, -1);
+    if (!has_value(create_http_server()) || ::listen(fd, SOMAXCONN) != 0 ||
+        evhttp_accept_socket(m_http, fd) != 0)
     {
-        return make_error(result_code::address_unavailable,
-                          "cannot listen on " + settings.m_address + ":" +
-                              std::to_string(settings.m_port));
+        ::close(fd);
     }
-    server->m_port = bound_port(evhttp_bound_socket_get_fd(socket));
-    return server;
 }
 
 bufferevent* connection_server::on_accept(event_base* base, void* self)
--- a/tools/target_emulator/connection_server.hpp
+++ b/tools/target_emulator/connection_server.hpp
@@ -52,6 +52,19 @@
         return m_port;
     }
 
+    /// Closes all connections and the listener, as the end of the process does.
+    /// New connections are refused until open() is called. Must not be called
+    /// by a handler.
+    void close();
+
+    /// Listens again on the same port.
+    void open();
+
+    bool is_open() const noexcept
+    {
+        return m_http != nullptr;
+    }
+
     /// Marks all open connections as silent; this cannot be reverted. New
     /// connections are not affected.
     void silence_connections();
@@ -63,12 +76,17 @@
 
 private:
     connection_server() = default;
+    status create_http_server();
+    net::event_loop* m_loop = nullptr;
+    net::http_server_settings m_settings;
     static bufferevent* on_accept(event_base* base, void* self);
     static void on_request(evhttp_request* request, void* self);
     handler m_on_request;
     std::function<void()> m_on_connection;
     evhttp* m_http = nullptr;
     std::uint16_t m_port = 0;
+    /// Holds the port, without listening, while the server is closed.
+    int m_closed_fd = -1;
     std::uint64_t m_accepted = 0;
     /// The address of a freed bufferevent may be reused; on_accept then
     /// replaces the record.
--- a/tools/target_emulator/control.cpp
+++ b/tools/target_emulator/control.cpp
@@ -65,6 +65,11 @@
         reply_runs(state, all, request.m_method == "DELETE", exchange);
         return;
     }
+    if (target.m_path == "/control/crashes")
+    {
+        reply_json(exchange, 200, to_json(state.m_crashes));
+        return;
+    }
     if (target.m_path == "/control/silence_connections" &&
         request.m_method == "PUT")
     {
@@ -76,6 +81,8 @@
     {
         nlohmann::json counters = state.m_counters;
         counters["connections"] = state.m_server->connections_accepted();
+        counters["deadly_runs"] = state.m_crashes.m_deadly_runs.size();
+        counters["crashes"] = state.m_crashes.m_crashes.size();
         counters["running"] = state.m_running.size();
         counters["queued"] = state.m_queue.size();
         counters["standstill_ms"] =
--- a/tools/target_emulator/faults.cpp
+++ b/tools/target_emulator/faults.cpp
@@ -49,7 +49,7 @@
     auto const probabilities = std::to_array<double>(
         {faults.m_shed_probability, faults.m_fail_probability,
          faults.m_silent_probability, faults.m_truncate_probability,
-         faults.m_garbage_probability});
+         faults.m_garbage_probability, faults.m_reset_probability});
     bool is_valid = std::all_of(probabilities.begin(), probabilities.end(),
                                 [](double probability) {
                                     return probability >= 0 && probability <= 1;
@@ -86,6 +86,10 @@
         {"silent_probability", &faults.m_silent_probability},
         {"truncate_probability", &faults.m_truncate_probability},
         {"garbage_probability", &faults.m_garbage_probability},
+        {"reset_probability", &faults.m_reset_probability},
+        {"deadly_path", &faults.m_deadly_path},
+        {"deadly_after_ms", &faults.m_deadly_time},
+        {"crash_time_ms", &faults.m_crash_time},
         {"health", &faults.m_health},
         {"health_lag_ms", &faults.m_health_lag},
         {"advertise_rate_limit", &faults.m_advertise_rate_limit},
--- a/tools/target_emulator/faults.hpp
+++ b/tools/target_emulator/faults.hpp
@@ -46,6 +46,15 @@
     bool m_advertise_rate_limit = false;
     double m_rate_limit = 0;
     double m_garbage_probability = 0;
+    /// Fraction of requests that run and whose connection is closed without an
+    /// answer.
+    double m_reset_probability = 0;
+    /// A request crashes the target if its path begins with this text, which is
+    /// empty if none does, m_deadly_time after it has begun to run.
+    std::string m_deadly_path;
+    core::duration m_deadly_time{0};
+    /// Time after a crash for which the target refuses connections.
+    core::duration m_crash_time = std::chrono::seconds(3);
     /// "true", "healthy" or "unhealthy".
     std::string m_health = "true";
     /// Age of the draining state on which health answers are based.
--- a/tools/target_emulator/main.cpp
+++ b/tools/target_emulator/main.cpp
@@ -81,12 +81,16 @@
         return failure(created);
     }
     auto ports = nlohmann::json::array();
+    auto control_ports = nlohmann::json::array();
     for (auto const& target : value(created))
     {
         ports.push_back(target->port());
+        control_ports.push_back(target->control_port());
     }
-    return announce_and_run(*loop, {{"address", absl::GetFlag(FLAGS_address)},
-                                    {"ports", std::move(ports)}});
+    return announce_and_run(*loop,
+                            {{"address", absl::GetFlag(FLAGS_address)},
+                             {"ports", std::move(ports)},
+                             {"control_ports", std::move(control_ports)}});
 }
 
 } // namespace
--- a/tools/target_emulator/run_record.cpp
+++ b/tools/target_emulator/run_record.cpp
@@ -31,6 +31,18 @@
     return object;
 }
 
+nlohmann::json to_milliseconds(std::vector<core::time_point> const& times)
+{
+    auto list = nlohmann::json::array();
+    for (auto const& time : times)
+    {
+        list.push_back(
+            std::chrono::duration<double, std::milli>(time.time_since_epoch())
+                .count());
+    }
+    return list;
+}
+
 } // namespace
 
 void add_run(run_record& record, std::string_view key,
@@ -63,4 +75,10 @@
             {"duplicate_requests", to_object(record.m_requests, 2)}};
 }
 
+nlohmann::json to_json(crash_record const& record)
+{
+    return {{"deadly_runs", to_milliseconds(record.m_deadly_runs)},
+            {"crashes", to_milliseconds(record.m_crashes)}};
+}
+
 } // namespace hawthornspur::tools
--- a/tools/target_emulator/run_record.hpp
+++ b/tools/target_emulator/run_record.hpp
@@ -1,12 +1,15 @@
 #ifndef HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_RUN_RECORD_HPP
 #define HAWTHORNSPUR_TOOLS_TARGET_EMULATOR_RUN_RECORD_HPP
 
+#include "core/time.hpp"
+
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace hawthornspur::tools
 {
@@ -19,6 +22,14 @@
     std::unordered_map<std::string, std::uint64_t> m_requests;
 };
 
+/// Times at which deadly requests began to run, and at which the target crashed
+/// since.
+struct crash_record
+{
+    std::vector<core::time_point> m_deadly_runs;
+    std::vector<core::time_point> m_crashes;
+};
+
 /// Records one run; an empty key or id is not recorded.
 void add_run(run_record& record, std::string_view key,
              std::string_view request_id);
@@ -29,6 +40,9 @@
 /// duplicate_requests:{...}}`
 nlohmann::json to_json(run_record const& record);
 
+/// `{deadly_runs:[ms], crashes:[ms]}`, in milliseconds of CLOCK_BOOTTIME.
+nlohmann::json to_json(crash_record const& record);
+
 } // namespace hawthornspur::tools
 
 #endif
--- a/tools/target_emulator/target_emulator.cpp
+++ b/tools/target_emulator/target_emulator.cpp
@@ -47,11 +47,31 @@
     return m_state->m_server->port();
 }
 
+std::uint16_t target_emulator::control_port() const noexcept
+{
+    return m_state->m_control_server->port();
+}
+
+void target_emulator::crash()
+{
+    crash_target(*m_state);
+}
+
+bool target_emulator::is_down() const noexcept
+{
+    return !m_state->m_server->is_open();
+}
+
 run_record const& target_emulator::runs() const noexcept
 {
     return m_state->m_runs;
 }
 
+crash_record const& target_emulator::crashes() const noexcept
+{
+    return m_state->m_crashes;
+}
+
 void target_emulator::clear_runs()
 {
     m_state->m_runs = {};
@@ -109,6 +129,19 @@
         return failure(server);
     }
     state->m_server = take(std::move(server));
+    auto control_server = connection_server::create(
+        loop, {.m_address = settings.m_address},
+        [state_pointer =
+             state.get()](net::http_request const& request,
+                          std::shared_ptr<target_exchange> const& exchange,
+                          connection_record& /*connection*/)
+        { answer_control(*state_pointer, request, *exchange); },
+        [] {});
+    if (!has_value(control_server))
+    {
+        return failure(control_server);
+    }
+    state->m_control_server = take(std::move(control_server));
     std::unique_ptr<target_emulator> created(
         new target_emulator(std::move(state)));
     created->set_group({created.get()});
--- a/tools/target_emulator/target_emulator.hpp
+++ b/tools/target_emulator/target_emulator.hpp
@@ -43,7 +43,15 @@
     target_emulator& operator=(target_emulator const&) = delete;
 
     std::uint16_t port() const noexcept;
+    /// Port for control requests only, which also works while the target is
+    /// down.
+    std::uint16_t control_port() const noexcept;
     run_record const& runs() const noexcept;
+    crash_record const& crashes() const noexcept;
+    /// Lets the target crash as a deadly request does.
+    void crash();
+    /// Whether the target has crashed and is not back.
+    bool is_down() const noexcept;
     void clear_runs();
     /// Changes the faults as tools::change_faults does and restarts the cold
     /// start.
--- a/tools/target_emulator/target_emulator_test.cpp
+++ b/tools/target_emulator/target_emulator_test.cpp
@@ -100,6 +100,7 @@
          ""},
         {R"({"garbage_probability":1})", exchange_outcome::malformed, 0, "",
          ""},
+        {R"({"reset_probability":1})", exchange_outcome::closed, 0, "", ""},
         {R"({"silent_probability":1})", exchange_outcome::silent, 0, "", ""},
     };
     for (auto const& row : rows)
@@ -213,6 +214,67 @@
     }
 }
 
+// Guards against a crash that a caller can tell from the end of a process, and
+// against counts that are lost with it.
+TEST_CASE("a deadly request closes all connections and the listener")
+{
+    for (auto const* faults :
+         {R"({"deadly_path":"/deadly","crash_time_ms":3600000})",
+          R"({"deadly_path":"/deadly","crash_time_ms":3600000,
+              "deadly_after_ms":5})"})
+    {
+        CAPTURE(faults);
+        fixture f(faults);
+        test_client neighbour{*f.m_loop, f.m_target->port()};
+        auto const lost =
+            neighbour.start("GET", "/", {}, f.headers("n", one_hour_us));
+        while (f.counter("running") == 0)
+        {
+        }
+        auto const deadly =
+            f.m_client.send("GET", "/deadly/x", {}, f.headers("d"));
+        CHECK(deadly.m_outcome == net::exchange_outcome::closed);
+        CHECK(neighbour.wait(lost).m_outcome == net::exchange_outcome::closed);
+        CHECK(f.call().m_outcome == net::exchange_outcome::connect_failed);
+        test_client control{*f.m_loop, f.m_target->control_port()};
+        auto const counters = nlohmann::json::parse(
+            control.send("GET", "/control/counters").m_body);
+        CHECK(counters.at("crashes") == 1);
+        CHECK(counters.at("deadly_runs") == 1);
+        CHECK(counters.at("runs") == 2);
+        CHECK(counters.at("running") == 0);
+        CHECK_FALSE(counters.contains("cancelled"));
+        CHECK(f.m_target->runs().m_requests.contains("d"));
+        CHECK(control.send("GET", "/").m_head.m_status == 404);
+    }
+}
+
+// Guards against a crashed target that stays down.
+TEST_CASE("a crashed target serves again on the same port")
+{
+    fixture f(R"({"deadly_path":"/deadly","crash_time_ms":1})");
+    for (std::size_t crashes = 1; crashes <= 3; ++crashes)
+    {
+        CHECK(f.m_client.send("GET", "/deadly").m_outcome ==
+              net::exchange_outcome::closed);
+        while (f.call().m_outcome == net::exchange_outcome::connect_failed)
+        {
+        }
+        CHECK(f.call().m_head.m_status == 200);
+        CHECK(f.m_target->crashes().m_crashes.size() == crashes);
+        CHECK(f.m_target->crashes().m_deadly_runs.size() == crashes);
+    }
+}
+
+// Guards against a request that crashes a target although it did not run.
+TEST_CASE("a deadly request that is shed does not crash the target")
+{
+    fixture f(R"({"deadly_path":"/deadly","slots":0})");
+    CHECK(f.m_client.send("GET", "/deadly").m_head.m_status == 503);
+    CHECK(f.m_target->crashes().m_deadly_runs.empty());
+    CHECK(f.m_client.send("GET", "/health").m_head.m_status == 200);
+}
+
 // Guards against a silence fault that also affects new connections.
 TEST_CASE("open connections are silenced and new connections work")
 {
--- a/tools/target_emulator/target_state.cpp
+++ b/tools/target_emulator/target_state.cpp
@@ -155,6 +155,12 @@
         exchange->abort();
         return;
     }
+    if (draw_bool(state, state.m_faults.m_reset_probability))
+    {
+        ++state.m_counters["reset"];
+        exchange->abort();
+        return;
+    }
     auto const id = header_or_empty(run.m_request, request_id_header);
     auto const size = parse_number<std::size_t>(
                           header_or_empty(run.m_request, answer_bytes_header))
@@ -237,6 +243,13 @@
     add_run(state.m_runs, header_or_empty(run.m_request, "Hawthornspur-Key"),
             header_or_empty(run.m_request, request_id_header));
     ++state.m_counters["runs"];
+    if (is_deadly(state, run.m_request))
+    {
+        begin_deadly_run(state);
+        state.m_running.emplace(id, std::move(run));
+        record_load(state);
+        return;
+    }
     if (draw_bool(state, state.m_faults.m_fail_probability))
     {
         ++state.m_counters["failed"];
--- a/tools/target_emulator/target_state.hpp
+++ b/tools/target_emulator/target_state.hpp
@@ -60,7 +60,10 @@
     /// truncated.
     std::vector<std::shared_ptr<target_exchange>> m_unanswered;
     std::vector<target_emulator*> m_group;
+    crash_record m_crashes;
     std::unique_ptr<connection_server> m_server;
+    /// Serves only control requests, also while the target is down.
+    std::unique_ptr<connection_server> m_control_server;
 };
 
 /// Extends the standstill of the target by `cost`.
@@ -71,6 +74,16 @@
                     std::shared_ptr<target_exchange> exchange,
                     connection_record& connection);
 
+/// Whether the request crashes the target.
+bool is_deadly(target_state const& state, net::http_request const& request);
+
+/// Records a deadly run that begins, and lets the target crash.
+void begin_deadly_run(target_state& state);
+
+/// Closes all connections and refuses new ones for the crash time. Must not be
+/// called while a request is being handled.
+void crash_target(target_state& state);
+
 /// Answers a health check.
 void answer_probe(target_state& state,
                   std::shared_ptr<target_exchange> exchange);
