--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -405,4 +405,24 @@
     return runs;
 }
 
+std::size_t test_cluster::deadly_run_count() const
+{
+    std::size_t runs = 0;
+    for (auto const& target : m_targets)
+    {
+        runs += target->crashes().m_deadly_runs.size();
+    }
+    return runs;
+}
+
+std::size_t test_cluster::crash_count() const
+{
+    std::size_t crashes = 0;
+    for (auto const& target : m_targets)
+    {
+        crashes += target->crashes().m_crashes.size();
+    }
+    return crashes;
+}
+
 } // namespace hawthornspur::test
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -112,6 +112,20 @@
     std::uint64_t target_run_count(std::size_t target) const;
     std::uint64_t total_run_count() const;
 
+    /// Number of runs of deadly requests that began, and of crashes, at all
+    /// targets.
+    std::size_t deadly_run_count() const;
+    std::size_t crash_count() const;
+
+    tools::target_emulator& target(std::size_t index)
+    {
+        return *m_targets[index];
+    }
+    std::size_t target_count() const noexcept
+    {
+        return m_targets.size();
+    }
+
     core::configuration& document() noexcept
     {
         return m_document;
