Repeat a deadly request in the soak with all faults

The tests of requests that crash targets inject no other fault; hosts are killed, paused and restarted meanwhile on real systems.

The emulators' records give the runs later than 3 s after the third crash. The rule allows three. A run is not counted only if each owner of a pool was killed, paused or restarted within 3 s before it. Proxies refuse connections while their target does, and the audit uses the control ports, which stay open. /control/crashes names the request ids.

--- a/bench/end_to_end/cluster.py
+++ b/bench/end_to_end/cluster.py
@@ -60,6 +60,7 @@
         self.processes = []
         self.hosts = {}
         self.targets = []
+        self.control_ports = []
         self.platform = None
         self.generation = 0
 
@@ -103,6 +104,7 @@
         _, line = self.start_announcing(
             "tools/target_emulator", f"--targets={count}", f"--name={zone}",
             f"--faults={json.dumps(faults or {})}")
+        self.control_ports += line["control_ports"]
         for index, port in enumerate(line["ports"]):
             self.targets.append(
                 {"name": f"target-{zone}-{index + 1}", "zone": zone,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -26,20 +26,54 @@
     def __init__(self, server_port):
         self.server_port = server_port
         self.port = None
+        self.listener = None
+        self.is_refusing = False
+        self.reopening = None
+        self.lock = asyncio.Lock()
         self.fault = Fault()
         self.transports = set()
         # Transports that stay silent although new connections work.
         self.silenced = set()
 
-    async def open(self):
-        server = await asyncio.start_server(self._accept, LOOPBACK, 0)
-        self.port = server.sockets[0].getsockname()[1]
+    async def open(self, port=0):
+        self.listener = await asyncio.start_server(self._accept, LOOPBACK, port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    async def _follow_server(self):
+        """Refuses connections as long as the server does."""
+        async with self.lock:
+            if self.is_refusing or await self._is_server_up():
+                return
+            self.is_refusing = True
+            self.listener.close()
+            # Without listening, it keeps the port from other processes.
+            reserved = socket.socket()
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            reserved.bind((LOOPBACK, self.port))
+            self.reopening = asyncio.ensure_future(self._reopen(reserved))
+
+    async def _reopen(self, reserved):
+        while not await self._is_server_up():
+            await asyncio.sleep(POLL_INTERVAL)
+        reserved.close()
+        await self.open(self.port)
+        self.is_refusing = False
+
+    async def _is_server_up(self):
+        try:
+            _, writer = await asyncio.open_connection(LOOPBACK,
+                                                      self.server_port)
+        except OSError:
+            return False
+        writer.close()
+        return True
 
     async def _accept(self, reader, writer):
         try:
             up_reader, up_writer = await asyncio.open_connection(
                 LOOPBACK, self.server_port)
         except OSError:
+            await self._follow_server()
             writer.transport.abort()
             return
         pair = (writer.transport, up_writer.transport)
@@ -51,6 +85,14 @@
         self.silenced.difference_update(pair)
 
     async def _pump(self, reader, writer, direction, pair):
+        try:
+            await self._forward(reader, writer, direction, pair)
+            if direction == "down":
+                await self._follow_server()
+        finally:
+            writer.close()
+
+    async def _forward(self, reader, writer, direction, pair):
         try:
             while data := await reader.read(CHUNK_BYTES):
                 if self.fault.delay:
@@ -64,8 +106,6 @@
                 await writer.drain()
         except OSError:
             pass
-        finally:
-            writer.close()
 
     def reset_connections(self):
         for transport in list(self.transports):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 Usage: soak.py [--build DIR] [--seeds A-B] [--fresh N]"""
 
 import argparse
+import http.client
 import json
 import os
 import random
@@ -42,6 +43,12 @@
 LIMIT_WINDOW_SECONDS = 4
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# RULES of the users' platform (BUDGET): a request that crashes targets reaches
+# them no more often than this, later than 3 s after it has crashed the third.
+DEADLY_CRASHES = 3
+DEADLY_RETRIES = 3
+DEADLY_CONTACT_SECONDS = 3
+OWNER_SAMPLE_SECONDS = 0.3
 
 
 class SoakCluster(cluster.Cluster):
@@ -53,7 +60,6 @@
         self.max_owners = rng.choice([0, 1])
         self.platform_proxy = None
         self.target_proxies = []
-        self.direct_targets = []
 
     def start_all(self):
         self.start_platform()
@@ -61,7 +67,6 @@
         for zone in self.zones:
             self.start_targets(zone, TARGETS_PER_ZONE)
         for target in self.targets:
-            self.direct_targets.append(target["port"])
             link = self.proxies.open(target["port"])
             self.target_proxies.append(link)
             target["port"] = link.port
@@ -102,25 +107,34 @@
         return document
 
     def target_list(self):
-        # The audit connects to the targets directly, unaffected by faults.
+        # The audit is unaffected by faults, also of a target that is down.
         return ",".join(f"{cluster.LOOPBACK}:{port}"
-                        for port in self.direct_targets)
+                        for port in self.control_ports)
 
 
 class GenerationMonitor(threading.Thread):
-    """Checks that the generation of a host process never decreases."""
+    """Checks that the generation of a host process never decreases, and
+    records which hosts own pools."""
 
     def __init__(self, running):
         super().__init__(daemon=True)
         self.running = running
         self.problems = []
+        self.owners = []  # (time, host that owns a pool)
         self.is_stopped = threading.Event()
 
+    def owners_at(self, when):
+        return {name for at, name in self.owners
+                if abs(at - when) < OWNER_SAMPLE_SECONDS}
+
     def run(self):
         newest = {}
         while not self.is_stopped.wait(0.1):
             for name, host in list(self.running.hosts.items()):
                 status = self.running.status(name)
+                if any(pool["owned"]
+                       for pool in (status or {}).get("pools", [])):
+                    self.owners.append((boot_time(), name))
                 key = (name, host["process"].pid)
                 generation = (status or {}).get("generation", 0)
                 if generation and generation < newest.get(key, 0):
@@ -130,6 +144,81 @@
                 newest[key] = max(newest.get(key, 0), generation)
 
 
+def boot_time():
+    """The clock of the emulators."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class DeadlyClient(threading.Thread):
+    """Repeats one request that crashes each target, at random hosts."""
+
+    def __init__(self, running, rng):
+        super().__init__(daemon=True)
+        self.running = running
+        self.rng = rng
+        self.method = rng.choice(["GET", "POST"])
+        self.sent = 0
+        self.refused = 0
+        self.is_stopped = threading.Event()
+        for port in running.control_ports:
+            cluster.http("PUT", port, "/control/faults", {
+                "deadly_path": "/deadly",
+                "deadly_after_ms": rng.choice([0, 20]),
+                "crash_time_ms": rng.choice([1000, 2000, 3000])})
+
+    def run(self):
+        while not self.is_stopped.wait(self.rng.uniform(0.05, 0.3)):
+            name = self.rng.choice(list(self.running.hosts))
+            port = self.running.hosts[name]["ports"]["callers"]
+            connection = http.client.HTTPConnection(cluster.LOOPBACK, port,
+                                                    timeout=1)
+            try:
+                # The request id names the host in the report of a failure.
+                connection.request(self.method, "/deadly", headers={
+                    "Host": "map", "X-Request-Id": name})
+                self.sent += 1
+                answer = connection.getresponse()
+                outcome = answer.getheader("Hawthornspur-Outcome")
+                self.refused += outcome == "not-run"
+            except (OSError, http.client.HTTPException):
+                pass
+            finally:
+                connection.close()
+
+    def check(self, start, faults, monitor):
+        """Counts late runs, except those of a time at which all hosts that own
+        a pool, one of which has sent the request, were out of touch."""
+        self.is_stopped.set()
+        self.join()
+        runs, crashes = [], []
+        for port in self.running.control_ports:
+            record = cluster.http("GET", port, "/control/crashes")[1]
+            runs += [(run["at_ms"] / 1000, run["request_id"])
+                     for run in record["deadly_runs"]]
+            crashes += [at / 1000 for at in record["crashes"]]
+        late = []
+        if len(crashes) >= DEADLY_CRASHES:
+            deadline = (sorted(crashes)[DEADLY_CRASHES - 1]
+                        + DEADLY_CONTACT_SECONDS)
+            late = [run for run in sorted(runs) if run[0] > deadline]
+
+        def is_excused(when):
+            owners = monitor.owners_at(when)
+            return owners and all(faults.is_out_of_touch(when, name)
+                                  for name in owners)
+        counted = [run for run in late if not is_excused(run[0])]
+        log(start, f"deadly {self.method}: {self.sent} sent, {self.refused} "
+            f"refused, {len(runs)} ran, {len(crashes)} crashes, {len(late)} "
+            f"late runs, {len(counted)} of them counted")
+        if len(counted) > DEADLY_RETRIES:
+            zero = boot_time() - (time.monotonic() - start)
+            faults.problems.append(
+                f"a deadly request ran {len(counted)} times later than "
+                f"{DEADLY_CONTACT_SECONDS} s after the third crash: "
+                + ", ".join(f"{at - zero:.2f} s from {name}"
+                            for at, name in counted))
+
+
 def log(start, text):
     print(f"  {time.monotonic() - start:6.2f} s  {text}", flush=True)
 
@@ -149,6 +238,13 @@
         self.problems = []
         self.changes = 0
         self.disturbed_hosts = set()
+        self.out_of_touch = []  # (host, begin, end)
+
+    def is_out_of_touch(self, when, name):
+        """Whether the host was, within the contact time before `when`."""
+        return any(host == name and
+                   begin <= when <= end + DEADLY_CONTACT_SECONDS
+                   for host, begin, end in self.out_of_touch)
 
     def schedule(self, seconds, action):
         self.scheduled.append((time.monotonic() + seconds, action))
@@ -186,10 +282,11 @@
         # At least one host stays undisturbed to serve requests.
         return self.rng.choice(undisturbed) if len(undisturbed) > 1 else None
 
-    def restart(self, name):
+    def restart(self, name, began):
         host = self.running.hosts[name]
         host["process"].wait()
         self.running.start_host(name, host["zone"])
+        self.out_of_touch.append((name, began, boot_time()))
         self.disturbed_hosts.discard(name)
 
     def kill(self):
@@ -198,7 +295,9 @@
             log(self.start, f"kill {name}")
             self.disturbed_hosts.add(name)
             self.running.hosts[name]["process"].kill()
-            self.schedule(self.rng.uniform(0.1, 2), lambda: self.restart(name))
+            began = boot_time()
+            self.schedule(self.rng.uniform(0.1, 2),
+                          lambda: self.restart(name, began))
 
     def stop(self):
         name = self.pick_host()
@@ -221,7 +320,7 @@
             if process.returncode not in (EXIT_OK, -signal.SIGKILL):
                 self.problems.append(
                     f"{name} stopped with exit status {process.returncode}")
-            self.restart(name)
+            self.restart(name, boot_time())
         self.schedule(0.1, check)
 
     def pause(self):
@@ -232,9 +331,11 @@
             self.disturbed_hosts.add(name)
             process = self.running.hosts[name]["process"]
             process.send_signal(signal.SIGSTOP)
+            began = boot_time()
 
             def resume():
                 process.send_signal(signal.SIGCONT)
+                self.out_of_touch.append((name, began, boot_time()))
                 self.disturbed_hosts.discard(name)
             self.schedule(seconds, resume)
 
@@ -319,11 +420,11 @@
 
     def limit_rate(self):
         """A target advertises a rate limit, and gets no more than it allows."""
-        index = self.rng.randrange(len(self.running.direct_targets))
+        index = self.rng.randrange(len(self.running.control_ports))
         if index in self.limited_targets:
             return
         self.limited_targets.add(index)
-        port = self.running.direct_targets[index]
+        port = self.running.control_ports[index]
         limit = self.rng.choice([1, 3, 8])
         log(self.start, f"target {index} takes {limit} requests per second")
         cluster.http("PUT", port, "/control/faults",
@@ -362,7 +463,7 @@
             self.running.generation = generation
 
 
-def run_faults(running, rng, start, faults):
+def run_faults(rng, start, faults, deadly, monitor):
     end = start + LOAD_SECONDS
     next_fault = start + rng.uniform(0.2, 1)
     while time.monotonic() < end:
@@ -371,6 +472,8 @@
             faults.inject()
             next_fault = time.monotonic() + rng.expovariate(1.2)
         time.sleep(0.02)
+    if deadly:
+        deadly.check(start, faults, monitor)
     faults.end()
 
 
@@ -429,7 +532,12 @@
         load = running.load(plan)
         start = time.monotonic()
         faults = FaultInjector(running, rng, start, all_faults)
-        run_faults(running, rng, start, faults)
+        deadly = None
+        if all_faults and seed % 2:
+            # Its own generator leaves the other faults of the seed as they are.
+            deadly = DeadlyClient(running, random.Random(f"deadly {seed}"))
+            deadly.start()
+        run_faults(rng, start, faults, deadly, monitor)
         report, text = running.finish(load)
         check_generation(running, faults.problems)
         monitor.is_stopped.set()
@@ -474,8 +582,9 @@
                         "of seeds-all-faults.txt")
     parser.add_argument("--fresh", type=int, help="number of random seeds")
     parser.add_argument("--all-faults", action="store_true",
-                        help="also restores of the store and rate limits of "
-                        "targets; a seed then plays another day")
+                        help="also restores of the store, rate limits of "
+                        "targets, requests that crash targets; a seed "
+                        "then plays another day")
     parser.add_argument("--keep", default="soak-logs",
                         help="folder for the logs of failed seeds")
     arguments = parser.parse_args()
--- a/tools/target_emulator/crash.cpp
+++ b/tools/target_emulator/crash.cpp
@@ -1,3 +1,4 @@
+#include "common/answer_check.hpp"
 #include "net/event_loop.hpp"
 #include "target_emulator/target_state.hpp"
 
@@ -44,9 +45,12 @@
            request.m_uri.starts_with(state.m_faults.m_deadly_path);
 }
 
-void begin_deadly_run(target_state& state)
+void begin_deadly_run(target_state& state, net::http_request const& request)
 {
-    state.m_crashes.m_deadly_runs.push_back(net::event_loop::now());
+    state.m_crashes.m_deadly_runs.push_back(
+        {net::event_loop::now(),
+         std::string(net::find_header(request.m_headers, request_id_header)
+                         .value_or(""))});
     // The connection cannot be closed while its request is being handled. The
     // target may have crashed under another request by the time of the task.
     state.m_tasks->run_after(
--- a/tools/target_emulator/run_record.cpp
+++ b/tools/target_emulator/run_record.cpp
@@ -31,16 +31,10 @@
     return object;
 }
 
-nlohmann::json to_milliseconds(std::vector<core::time_point> const& times)
+double to_milliseconds(core::time_point time)
 {
-    auto list = nlohmann::json::array();
-    for (auto const& time : times)
-    {
-        list.push_back(
-            std::chrono::duration<double, std::milli>(time.time_since_epoch())
-                .count());
-    }
-    return list;
+    return std::chrono::duration<double, std::milli>(time.time_since_epoch())
+        .count();
 }
 
 } // namespace
@@ -77,8 +71,18 @@
 
 nlohmann::json to_json(crash_record const& record)
 {
-    return {{"deadly_runs", to_milliseconds(record.m_deadly_runs)},
-            {"crashes", to_milliseconds(record.m_crashes)}};
+    auto runs = nlohmann::json::array();
+    for (auto const& run : record.m_deadly_runs)
+    {
+        runs.push_back({{"at_ms", to_milliseconds(run.m_at)},
+                        {"request_id", run.m_request_id}});
+    }
+    auto crashes = nlohmann::json::array();
+    for (auto const& time : record.m_crashes)
+    {
+        crashes.push_back(to_milliseconds(time));
+    }
+    return {{"deadly_runs", std::move(runs)}, {"crashes", std::move(crashes)}};
 }
 
 } // namespace hawthornspur::tools
--- a/tools/target_emulator/run_record.hpp
+++ b/tools/target_emulator/run_record.hpp
@@ -22,11 +22,16 @@
     std::unordered_map<std::string, std::uint64_t> m_requests;
 };
 
-/// Times at which deadly requests began to run, and at which the target crashed
-/// since.
+struct deadly_run
+{
+    core::time_point m_at{};
+    std::string m_request_id;
+};
+
+/// Deadly requests that began to run, and times at which the target crashed.
 struct crash_record
 {
-    std::vector<core::time_point> m_deadly_runs;
+    std::vector<deadly_run> m_deadly_runs;
     std::vector<core::time_point> m_crashes;
 };
 
@@ -40,7 +45,8 @@
 /// duplicate_requests:{...}}`
 nlohmann::json to_json(run_record const& record);
 
-/// `{deadly_runs:[ms], crashes:[ms]}`, in milliseconds of CLOCK_BOOTTIME.
+/// `{deadly_runs:[{at_ms, request_id}], crashes:[ms]}`, in milliseconds of
+/// CLOCK_BOOTTIME.
 nlohmann::json to_json(crash_record const& record);
 
 } // namespace hawthornspur::tools
--- a/tools/target_emulator/target_state.cpp
+++ b/tools/target_emulator/target_state.cpp
@@ -245,7 +245,7 @@
     ++state.m_counters["runs"];
     if (is_deadly(state, run.m_request))
     {
-        begin_deadly_run(state);
+        begin_deadly_run(state, run.m_request);
         state.m_running.emplace(id, std::move(run));
         record_load(state);
         return;
--- a/tools/target_emulator/target_state.hpp
+++ b/tools/target_emulator/target_state.hpp
@@ -78,7 +78,7 @@
 bool is_deadly(target_state const& state, net::http_request const& request);
 
 /// Records a deadly run that begins, and lets the target crash.
-void begin_deadly_run(target_state& state);
+void begin_deadly_run(target_state& state, net::http_request const& request);
 
 /// Closes all connections and refuses new ones for the crash time. Must not be
 /// called while a request is being handled.
