Log which requests a target ran when it ended

The logs have one line for each lost attempt with the caller's id of that attempt, which is new for each copy; they cannot tell whether two crashes have a request in common, nor whether it was alone at its target. A target that has answered meanwhile has not ended. No decision depends on it.

--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -24,6 +24,7 @@
 struct request_tag;
 struct target_tag;
 struct kind_tag;
+struct content_tag;
 } // namespace detail
 
 /// Identifies a request within one host process, whether it came from a caller
@@ -37,6 +38,10 @@
 /// Index of a kind within the configuration of its service.
 using kind_id = identifier<detail::kind_tag, std::uint32_t>;
 
+/// Identifies requests with the same content, at whichever host they arrive:
+/// method, path, body and caller.
+using content_id = identifier<detail::content_tag, std::uint64_t>;
+
 /// Number of an attempt among those of one request at one pool owner, from 1.
 using attempt_number = std::uint32_t;
 
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "base/text.hpp"
 #include "core/pool_effects.hpp"
 #include "serve/account.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
@@ -200,6 +201,34 @@
     }
 }
 
+/// Passes on what the end of an attempt shows about its target and the request.
+void report_evidence(entry_host& host, active_call const& call,
+                     call_attempt const& attempt, net::exchange_outcome outcome)
+{
+    switch (outcome)
+    {
+    case net::exchange_outcome::complete:
+        if (attempt.m_is_other_target)
+        {
+            on_target_ended(host, attempt.m_target);
+            return;
+        }
+        on_target_alive(host, attempt.m_target, attempt.m_start_time);
+        return;
+    case net::exchange_outcome::closed:
+    case net::exchange_outcome::truncated:
+        on_attempt_lost(host, call, attempt.m_target);
+        return;
+    case net::exchange_outcome::connect_failed:
+        on_target_ended(host, attempt.m_target);
+        return;
+    case net::exchange_outcome::silent:
+    case net::exchange_outcome::malformed:
+    case net::exchange_outcome::too_large:
+        return;
+    }
+}
+
 void on_attempt_end(entry_host& host, core::request_id id,
                     core::attempt_number number, net::exchange_outcome outcome)
 {
@@ -221,6 +250,7 @@
                                 to_attempt_outcome(outcome, attempt),
                                 attempt.m_load, attempt.m_is_draining};
     auto const pool_id = call->m_pool;
+    report_evidence(host, *call, attempt, outcome);
     if (call->m_relayed_attempt == number)
     {
         finish_relayed_answer(host, *call, outcome);
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -6,6 +6,7 @@
 #include "serve/caller_server.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/configuration_sync.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/directory_server.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/leaving_targets.hpp"
@@ -120,6 +121,7 @@
 {
     expire_forwards(host);
     expire_held_calls(host);
+    expire_lost_requests(host);
     if (host.m_once_table != nullptr)
     {
         core::remove_expired_keys(*host.m_once_table, now());
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -15,6 +15,7 @@
 #include "net/peer_network.hpp"
 #include "platform/platform_calls.hpp"
 #include "serve/call.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/metrics.hpp"
 #include "serve/platform_adapter.hpp"
 #include "serve/start_queue.hpp"
@@ -139,6 +140,8 @@
     std::map<std::pair<std::string, std::string>, core::time_point>
         m_leaving_targets;
 
+    std::unordered_map<core::target_id, lost_requests> m_lost_requests;
+
     std::map<incoming_forward_id, incoming_forward> m_incoming_forwards;
     std::map<incoming_forward_id, outgoing_answer> m_outgoing_answers;
     std::map<net::forward_id, core::request_id> m_forwarded_calls;
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -1,6 +1,7 @@
 #include "serve/probing.hpp"
 
 #include "core/pool.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/host.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/pools.hpp"
@@ -71,8 +72,13 @@
         answer->m_healthy = answer->m_healthy && !signals.m_is_other_target;
         answer->m_draining = signals.m_is_draining;
         answer->m_load = signals.m_load;
-        if (!signals.m_is_other_target)
+        if (signals.m_is_other_target)
         {
+            on_target_ended(host, answer->m_target);
+        }
+        else
+        {
+            on_target_alive(host, answer->m_target, started_at);
             report_rate_limit(host, pool_id,
                               {answer->m_target, signals.m_rate_limit,
                                answer->m_healthy
@@ -83,6 +89,10 @@
     };
     auto on_end = [&host, pool_id, answer](net::exchange_outcome outcome)
     {
+        if (outcome == net::exchange_outcome::connect_failed)
+        {
+            on_target_ended(host, answer->m_target);
+        }
         answer->m_healthy =
             answer->m_healthy && outcome == net::exchange_outcome::complete;
         on_probe_end(host, pool_id, *answer);
