Refuse requests that crash the targets that run them

Cause: each attempt was judged alone. A request that may be repeated was sent to another target at once when its connection was lost, requests that had lost the same target went on to the same next one, and each copy was a new request at whichever host it came to. The class of fault is a retry that carries its cause with it.

Change: a target that closes the connection of an attempt is probed at once. If it refuses connections, it has ended, and each request that it ran is reported with its share in the lost ones. All linked hosts get the reports, also those linked later; no call to the store is made. Content with three ends, or two with a total share of 1, is refused as not run, with the time after which it may come again: 10 s after two ends, a minute after three, doubled with each further one, at most ten. Then one copy is let through by the fleet. An answer clears it, and content answered within 10 s is not suspected. A request that lost two targets gets no third one, has no second attempt in parallel, and is kept apart from others that lost a target. At most 1,024 contents are kept.

Conclusion: the second step of the chain is what the fleet can prevent: one crash proves nothing, the second one does.

--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -52,7 +52,9 @@
              configuration_request{12}, configuration_reply{12, "{}"},
              handover_message{"map", "west", {{"t1", 2, 2.5}}},
              target_leaving{"map", "t1"},
-             rate_limits_message{"map", "west", {{"t1", 1.5}}}})
+             rate_limits_message{"map", "west", {{"t1", 1.5}}},
+             crash_suspects_message{
+                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}}})
     {
         messages.push_back(encode(message));
     }
--- a/include/hawthornspur/result_code.hpp
+++ b/include/hawthornspur/result_code.hpp
@@ -50,6 +50,7 @@
     home_unreachable = 2016,
     not_pool_owner = 2017,
     too_many_connections = 2018,
+    request_suspected = 2019,
 
     // 3xxx: the request may have run.
     target_silent = 3001,
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -84,6 +84,8 @@
      "A forwarded request reached a host that does not own the pool."},
     {too_many_connections, not_run, 503, "too_many_connections",
      "The host has too many connections; use the next address."},
+    {request_suspected, not_run, 503, "request_suspected",
+     "Targets have ended while they ran requests with this content."},
     {target_silent, unknown, 504, "target_silent",
      "The target did not answer in time."},
     {target_closed, unknown, 502, "target_closed",
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -23,6 +23,9 @@
 // for at most a third of their remaining time before they retry.
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
 constexpr duration max_retry_after = std::chrono::seconds(2);
+// A request that may have ended this many targets is not sent to another one.
+// One target may end by chance while it runs the request.
+constexpr int max_target_ends = 2;
 
 /// Removes timers of finished requests from the top of the heap, so that the
 /// host does not wake up for them.
@@ -120,6 +123,8 @@
         may_retry(outcome, request.m_idempotent) &&
         request.m_arrival.m_earlier_attempts == 0 &&
         request.m_attempt_count < allowed_attempts(pool, request) &&
+        (is_certainly_not_run(outcome) ||
+         count_target_ends(request) < max_target_ends) &&
         request.m_arrival.m_deadline > now && has_untried_target(pool, request);
     if (!allowed)
     {
@@ -141,6 +146,10 @@
 {
     auto& request = entry->second;
     request.m_last_code = result_code_for(outcome);
+    if (outcome == attempt_outcome::closed)
+    {
+        ++request.m_lost_attempts;
+    }
     if (!is_certainly_not_run(outcome))
     {
         request.m_may_have_run = true;
@@ -184,7 +193,9 @@
             }
             return;
         }
+        // A request that may have ended a target never runs at two.
         if (count_live_attempts(request) != 1 ||
+            count_target_ends(request) > 0 ||
             request.m_attempt_count >= allowed_attempts(pool, request))
         {
             return;
@@ -407,11 +418,16 @@
     auto* target = find_target(pool, attempt.m_target);
     assert(target != nullptr && target->m_in_flight > 0);
     --target->m_in_flight;
+    target->m_accused_in_flight -= attempt.m_is_accused ? 1 : 0;
     record_attempt_end(pool, *target, kind, end, attempt, now);
     if (end.m_outcome == attempt_outcome::ok)
     {
         earn(budgets.m_retry);
     }
+    else if (end.m_outcome == attempt_outcome::closed)
+    {
+        probe_after_loss(pool, *target, now, budgets, out);
+    }
     if (!request.m_answered && (end.m_outcome == attempt_outcome::ok ||
                                 end.m_outcome == attempt_outcome::server_error))
     {
@@ -537,6 +553,32 @@
           expected_wait(pool, kind, now), now, out);
 }
 
+void refuse_suspects(pool& pool, content_id content, time_point now,
+                     pool_effects& out)
+{
+    std::vector<request_id> waiting;
+    for (auto& [id, request] : pool.m_requests)
+    {
+        if (request.m_arrival.m_content != content || request.m_answered)
+        {
+            continue;
+        }
+        request.m_arrival.m_target_ends = max_target_ends;
+        if (request.m_queued)
+        {
+            waiting.push_back(id);
+        }
+    }
+    for (auto const id : waiting)
+    {
+        auto const found = pool.m_requests.find(id);
+        remove_from_queue(pool, found->second);
+        found->second.m_queued = false;
+        refuse(pool, found, result_code::request_suspected, out);
+    }
+    dispatch_queued(pool, now, out);
+}
+
 void on_timer(pool& pool, time_point now, service_budgets& budgets,
               pool_effects& out)
 {
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -86,6 +86,9 @@
     /// Whether the rules under which the request was classified allow it to run
     /// more than once. If false, it runs at most once even under newer rules.
     bool m_may_repeat = true;
+    content_id m_content = {};
+    /// Targets that have ended under requests with this content.
+    int m_target_ends = 0;
 };
 
 /// How an attempt ended at its target.
@@ -204,6 +207,11 @@
 void on_summary(pool& pool, pool_summary const& summary, duration cost,
                 time_point now);
 
+/// Refuses the waiting requests with this content, which are now suspected to
+/// crash their targets. Requests in flight get no further attempt.
+void refuse_suspects(pool& pool, content_id content, time_point now,
+                     pool_effects& out);
+
 /// Called when another zone refused a spilled request without running it. The
 /// request is admitted to this pool or refused.
 void on_spill_refused(pool& pool, arrival const& request, time_point now,
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -34,6 +34,8 @@
 struct candidate
 {
     target_entry* m_target = nullptr;
+    /// Both the request and one that the target runs have lost a target before.
+    bool m_is_shared_by_accused = false;
     bool m_is_slow = false;
     double m_log_slowness = 0;
     double m_score = 0;
@@ -45,6 +47,10 @@
     {
         return true;
     }
+    if (a.m_is_shared_by_accused != b.m_is_shared_by_accused)
+    {
+        return b.m_is_shared_by_accused;
+    }
     if (a.m_is_slow != b.m_is_slow)
     {
         return b.m_is_slow;
@@ -58,7 +64,9 @@
 
 /// Selects the untried target with a free slot that is expected to finish the
 /// request first. Own observations count most; the utilization that targets
-/// report only decides between nearly equal ones.
+/// report only decides between nearly equal ones. Requests that lost the same
+/// target are kept apart, so that the one that ended it does not take the
+/// others with it again and stands out.
 candidate pick_target(pool& pool, request_entry const& request, time_point now)
 {
     candidate best;
@@ -82,10 +90,12 @@
             std::log(expected_slowness(target.m_slowness_estimate, now));
         auto const own_utilization =
             static_cast<double>(target.m_in_flight) / target.m_spec.m_slots;
-        candidate const current{&target, is_slow(target, median, now), slowness,
-                                slowness + own_utilization +
-                                    target.m_refusal_share +
-                                    0.1 * target.m_reported_utilization};
+        bool const is_shared =
+            count_target_ends(request) > 0 && target.m_accused_in_flight > 0;
+        candidate const current{
+            &target, is_shared, is_slow(target, median, now), slowness,
+            slowness + own_utilization + target.m_refusal_share +
+                0.1 * target.m_reported_utilization};
         if (is_better(current, best))
         {
             best = current;
@@ -199,12 +209,14 @@
 {
     assert(request.m_attempt_count < max_attempts && !request.m_answered);
     assert(target.m_in_flight < target.m_spec.m_slots);
+    bool const is_accused = count_target_ends(request) > 0;
     request.m_attempts[request.m_attempt_count] = {
-        target.m_spec.m_id, now, true,
+        target.m_spec.m_id, now, true, is_accused,
         expected_slowness(target.m_slowness_estimate, now)};
     ++request.m_attempt_count;
     request.m_queued = false;
     ++target.m_in_flight;
+    target.m_accused_in_flight += is_accused ? 1 : 0;
     target.m_last_dispatch = now;
     take_token(target.m_rate, now);
     ++target.m_rate.m_attempts;
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -176,6 +176,15 @@
     }
 }
 
+void probe_after_loss(pool& pool, target_entry& target, time_point now,
+                      service_budgets& budgets, pool_effects& out)
+{
+    if (can_be_probed(target))
+    {
+        try_probe(pool, target, now, budgets, out);
+    }
+}
+
 void resume_probing(pool& pool, time_point now)
 {
     if (now - pool.m_last_arrival >= active_pool_window)
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -242,6 +242,11 @@
     }
 }
 
+int count_target_ends(request_entry const& request)
+{
+    return request.m_arrival.m_target_ends + request.m_lost_attempts;
+}
+
 std::size_t count_live_attempts(request_entry const& request)
 {
     return static_cast<std::size_t>(
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -40,6 +40,8 @@
     bool m_draining = false;
     bool m_probe_pending = false;
     int m_in_flight = 0;
+    /// Of these, attempts of requests that have lost a target before.
+    int m_accused_in_flight = 0;
     /// Attempts of the previous owner that may still run.
     int m_inherited_in_flight = 0;
     time_point m_inherited_until{};
@@ -65,6 +67,8 @@
     target_id m_target;
     time_point m_dispatched_at{};
     bool m_live = false;
+    /// Counted in m_accused_in_flight of its target.
+    bool m_is_accused = false;
     /// Slowness expected at dispatch.
     double m_expected_slowness = 1;
 };
@@ -90,6 +94,8 @@
     /// An attempt that may have run ended without an answer, so the request can
     /// no longer be refused as not run.
     bool m_may_have_run = false;
+    /// Attempts whose connection was lost. Their targets may have crashed.
+    int m_lost_attempts = 0;
     result_code m_may_have_run_code = result_code::ok;
 };
 
@@ -213,6 +219,10 @@
 /// Removes a waiting request from its queue.
 void remove_from_queue(pool& pool, request_entry const& request);
 
+/// Targets that may have crashed under this request or others with the same
+/// content.
+int count_target_ends(request_entry const& request);
+
 /// Attempts of the request that are in flight.
 std::size_t count_live_attempts(request_entry const& request);
 
--- a/src/net/msgpack_fields.hpp
+++ b/src/net/msgpack_fields.hpp
@@ -105,6 +105,15 @@
     {
         return m_next >= size();
     }
+    /// Whether the next element is nil. Throws at the end.
+    bool is_next_nil() const
+    {
+        if (is_at_end())
+        {
+            throw msgpack::type_error();
+        }
+        return m_array.via.array.ptr[m_next].is_nil();
+    }
     msgpack::object const& next()
     {
         if (m_next >= size())
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -325,6 +325,98 @@
     return message;
 }
 
+void put_age(field_writer& writer, std::optional<core::duration> age)
+{
+    if (age)
+    {
+        writer.put(*age);
+    }
+    else
+    {
+        writer.put(msgpack::type::nil_t());
+    }
+}
+
+/// Reads an age. One above the limit would only overflow times computed from
+/// it.
+core::duration get_age(field_reader& reader)
+{
+    constexpr auto max_age = std::chrono::hours(24);
+    auto const age = reader.get_duration();
+    if (age < core::duration(0) || age > max_age)
+    {
+        throw msgpack::type_error();
+    }
+    return age;
+}
+
+std::optional<core::duration> get_optional_age(field_reader& reader)
+{
+    if (reader.is_next_nil())
+    {
+        reader.next();
+        return std::nullopt;
+    }
+    return get_age(reader);
+}
+
+void write(std::string& out, crash_suspects_message const& message)
+{
+    auto writer = begin(out, wire_type::crash_suspects, 1);
+    writer.begin_array(message.m_entries.size());
+    for (auto const& entry : message.m_entries)
+    {
+        writer.begin_array(4);
+        writer.put(entry.m_content.m_value);
+        put_age(writer, entry.m_last_answer_age);
+        put_age(writer, entry.m_last_trial_age);
+        writer.begin_array(entry.m_reports.size());
+        for (auto const& report : entry.m_reports)
+        {
+            writer.begin_array(3);
+            writer.put(report.m_event);
+            writer.put(report.m_age);
+            writer.put(report.m_weight);
+        }
+    }
+}
+
+crash_report_entry read_crash_report(field_reader fields)
+{
+    crash_report_entry report;
+    report.m_event = fields.get<std::uint64_t>();
+    report.m_age = get_age(fields);
+    report.m_weight = fields.get<double>();
+    if (!std::isfinite(report.m_weight) || report.m_weight <= 0 ||
+        report.m_weight > 1)
+    {
+        throw msgpack::type_error();
+    }
+    return report;
+}
+
+peer_message read_crash_suspects(field_reader& reader)
+{
+    crash_suspects_message message;
+    field_reader entries(reader.next());
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        field_reader fields(entries.next());
+        suspect_entry entry;
+        entry.m_content = {fields.get<std::uint64_t>()};
+        entry.m_last_answer_age = get_optional_age(fields);
+        entry.m_last_trial_age = get_optional_age(fields);
+        field_reader reports(fields.next());
+        for (std::size_t j = 0; j < reports.size(); ++j)
+        {
+            entry.m_reports.push_back(
+                read_crash_report(field_reader(reports.next())));
+        }
+        message.m_entries.push_back(std::move(entry));
+    }
+    return message;
+}
+
 void write(std::string& out, target_leaving const& message)
 {
     auto writer = begin(out, wire_type::leaving, 2);
@@ -380,6 +472,8 @@
             generation_announcement{reader.get<std::uint64_t>()});
     case wire_type::rate_limits:
         return read_rate_limits(reader);
+    case wire_type::crash_suspects:
+        return read_crash_suspects(reader);
     case wire_type::hello:
     case wire_type::hello_proof:
     case wire_type::heartbeat:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_NET_PEER_MESSAGES_HPP
 
 #include "base/result.hpp"
+#include "core/ids.hpp"
 #include "core/time.hpp"
 #include "net/http_message.hpp"
 
@@ -170,12 +171,36 @@
     std::vector<advertised_limit> m_limits;
 };
 
-using peer_message =
-    std::variant<forward_request, body_chunk, answer_head, answer_chunk,
-                 answer_end, refusal, cancel_request, window_update,
-                 pool_summary_message, configuration_request,
-                 configuration_reply, handover_message, target_leaving,
-                 generation_announcement, rate_limits_message>;
+/// One end of a target; see core::crash_report.
+struct crash_report_entry
+{
+    std::uint64_t m_event = 0;
+    core::duration m_age{0};
+    double m_weight = 1;
+};
+
+/// What the sender knows of requests with one content. Times are ages, since
+/// hosts have no common clock.
+struct suspect_entry
+{
+    core::content_id m_content;
+    std::vector<crash_report_entry> m_reports;
+    std::optional<core::duration> m_last_answer_age = std::nullopt;
+    std::optional<core::duration> m_last_trial_age = std::nullopt;
+};
+
+/// Requests that are suspected to crash targets: the changed records, or all on
+/// a new link.
+struct crash_suspects_message
+{
+    std::vector<suspect_entry> m_entries;
+};
+
+using peer_message = std::variant<
+    forward_request, body_chunk, answer_head, answer_chunk, answer_end, refusal,
+    cancel_request, window_update, pool_summary_message, configuration_request,
+    configuration_reply, handover_message, target_leaving,
+    generation_announcement, rate_limits_message, crash_suspects_message>;
 
 /// Encodes a message as a msgpack array [type, version, fields...].
 std::string encode(peer_message const& message);
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -45,7 +45,13 @@
             handover_message{"map", "west", {{"t1", 2, 2.5}, {"t2", 0, 1}}},
             target_leaving{"map", "t1"},
             generation_announcement{7},
-            rate_limits_message{"map", "west", {{"t1", 1.5}, {"t2", 0}}}};
+            rate_limits_message{"map", "west", {{"t1", 1.5}, {"t2", 0}}},
+            crash_suspects_message{
+                {{{77},
+                  {{5, milliseconds(3), 0.5}, {6, milliseconds(1), 1}},
+                  std::nullopt,
+                  milliseconds(2)},
+                 {{78}, {}, milliseconds(9), std::nullopt}}}};
 }
 
 core::membership_message sample_datagram()
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -35,6 +35,7 @@
     fragment = 17,
     generation = 18,
     rate_limits = 19,
+    crash_suspects = 20,
     membership = 32,
 };
 
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -135,6 +135,10 @@
     std::optional<core::kept_answer> m_kept_answer;
     bool m_is_answer_kept = false;
 
+    core::content_id m_content;
+    /// Targets that have ended under requests with this content.
+    int m_target_ends = 0;
+
     bool m_is_queued = false;
     /// Number of times that another zone refused the spilled request.
     int m_spill_refusals = 0;
--- a/src/serve/crash_reports.cpp
+++ b/src/serve/crash_reports.cpp
@@ -1,11 +1,16 @@
 #include "serve/crash_reports.hpp"
 
 #include "base/logging.hpp"
+#include "base/text.hpp"
+#include "core/crash_suspects.hpp"
 #include "serve/host.hpp"
+#include "serve/pipeline.hpp"
+#include "serve/pools.hpp"
 
 #include <absl/strings/str_format.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -27,6 +32,121 @@
     return absl::StrFormat("%016x", content.m_value);
 }
 
+net::suspect_entry to_entry(core::content_id content,
+                            core::suspect_record const& record)
+{
+    auto const age = [](core::time_point at)
+    {
+        return now() - at;
+    };
+    net::suspect_entry entry;
+    entry.m_content = content;
+    for (auto const& report : record.m_reports)
+    {
+        entry.m_reports.push_back(
+            {report.m_event, age(report.m_at), report.m_weight});
+    }
+    if (record.m_last_answer)
+    {
+        entry.m_last_answer_age = age(*record.m_last_answer);
+    }
+    if (record.m_last_trial)
+    {
+        entry.m_last_trial_age = age(*record.m_last_trial);
+    }
+    return entry;
+}
+
+core::suspect_record to_record(net::suspect_entry const& entry)
+{
+    core::suspect_record record;
+    for (auto const& report : entry.m_reports)
+    {
+        record.m_reports.push_back(
+            {report.m_event, now() - report.m_age, report.m_weight});
+    }
+    if (entry.m_last_answer_age)
+    {
+        record.m_last_answer = now() - *entry.m_last_answer_age;
+    }
+    if (entry.m_last_trial_age)
+    {
+        record.m_last_trial = now() - *entry.m_last_trial_age;
+    }
+    return record;
+}
+
+/// Sends the records of these contents to all hosts.
+void share_records(entry_host& host,
+                   std::vector<core::content_id> const& contents)
+{
+    net::crash_suspects_message message;
+    for (auto const content : contents)
+    {
+        auto const found = host.m_crash_suspects.m_records.find(content);
+        if (found != host.m_crash_suspects.m_records.end())
+        {
+            message.m_entries.push_back(to_entry(content, found->second));
+        }
+    }
+    if (message.m_entries.empty())
+    {
+        return;
+    }
+    for (auto const& record : core::hosts(*host.m_membership))
+    {
+        if (host.m_peer_network->is_linked(record.m_name))
+        {
+            static_cast<void>(
+                host.m_peer_network->send(record.m_name, message));
+        }
+    }
+}
+
+/// Refuses the requests with this content that wait in pools of this host.
+void refuse_waiting(entry_host& host, core::content_id content)
+{
+    std::vector<core::pool_id> ids;
+    for (auto const& [id, pool] : host.m_pools)
+    {
+        ids.push_back(id);
+    }
+    for (auto const& id : ids)
+    {
+        if (auto* pool = find_pool(host, id))
+        {
+            core::pool_effects effects;
+            core::refuse_suspects(*pool->m_core_pool, content, now(), effects);
+            apply_effects(host, *pool, std::move(effects));
+        }
+    }
+}
+
+/// Acts on a changed record.
+void apply_change(entry_host& host, core::content_id content, bool was_suspect)
+{
+    bool const is_suspect = core::is_suspect(host.m_crash_suspects, content);
+    if (is_suspect == was_suspect)
+    {
+        return;
+    }
+    auto const& records = host.m_crash_suspects.m_records;
+    auto const found = records.find(content);
+    auto const ends =
+        found == records.end() ? 0 : found->second.m_reports.size();
+    host.m_metrics.count_event(is_suspect ? "request_suspected"
+                                          : "request_cleared");
+    logging::write(
+        logging::level::warn, "serve.crashes",
+        is_suspect ? "request is suspected to crash targets"
+                   : "request is no longer suspected",
+        {{"content", to_text(content)}, {"target_ends", std::to_string(ends)}});
+    if (is_suspect)
+    {
+        refuse_waiting(host, content);
+    }
+}
+
 } // namespace
 
 core::content_id make_content_id(net::http_request const& request)
@@ -44,6 +164,31 @@
     return {add(hash, request.m_body)};
 }
 
+bool refuse_if_suspect(entry_host& host, active_call& call)
+{
+    auto const content = make_content_id(call.m_accepted.m_request);
+    call.m_content = content;
+    auto const verdict =
+        core::judge_request(host.m_crash_suspects, content, now());
+    call.m_target_ends = verdict.m_target_ends;
+    if (verdict.m_is_refused)
+    {
+        host.m_metrics.count_event("suspect_refused");
+        call.m_retry_after = verdict.m_retry_after;
+        fail_call(host, call, result_code::request_suspected);
+        return true;
+    }
+    if (verdict.m_is_trial)
+    {
+        logging::write(logging::level::info, "serve.crashes",
+                       "suspected request is let through",
+                       {{"content", to_text(content)},
+                        {"request_id", call.m_accepted.m_request_id}});
+        share_records(host, {content});
+    }
+    return false;
+}
+
 void on_attempt_lost(entry_host& host, active_call const& call,
                      core::target_id target)
 {
@@ -52,7 +197,7 @@
     {
         lost = {now(), {}};
     }
-    lost.m_contents.push_back(make_content_id(call.m_accepted.m_request));
+    lost.m_contents.push_back(call.m_content);
 }
 
 void on_target_ended(entry_host& host, core::target_id target)
@@ -73,15 +218,29 @@
     {
         ++counts[content];
     }
+    auto const event = host.m_random();
+    std::vector<core::content_id> changed;
     for (auto const& [content, count] : counts)
     {
         auto const weight = count / static_cast<double>(lost.m_contents.size());
+        bool const was_suspect =
+            core::is_suspect(host.m_crash_suspects, content);
+        bool const is_new =
+            core::record_crash(host.m_crash_suspects, content,
+                               {event, lost.m_since, weight}, now());
         logging::write(logging::level::info, "serve.crashes",
                        "target ended while it ran the request",
                        {{"target", host.m_targets.at(target).m_name},
                         {"content", to_text(content)},
-                        {"weight", absl::StrFormat("%.2f", weight)}});
+                        {"weight", absl::StrFormat("%.2f", weight)},
+                        {"counts", is_new ? "yes" : "no"}});
+        if (is_new)
+        {
+            changed.push_back(content);
+            apply_change(host, content, was_suspect);
+        }
     }
+    share_records(host, changed);
 }
 
 void on_target_alive(entry_host& host, core::target_id target,
@@ -94,8 +253,48 @@
     }
 }
 
-void expire_lost_requests(entry_host& host)
+void on_content_answered(entry_host& host, active_call const& call)
+{
+    bool const was_suspect =
+        core::is_suspect(host.m_crash_suspects, call.m_content);
+    if (core::record_answer(host.m_crash_suspects, call.m_content, now()))
+    {
+        apply_change(host, call.m_content, was_suspect);
+        share_records(host, {call.m_content});
+    }
+}
+
+void on_crash_suspects(entry_host& host,
+                       net::crash_suspects_message const& message)
+{
+    for (auto const& entry : message.m_entries)
+    {
+        bool const was_suspect =
+            core::is_suspect(host.m_crash_suspects, entry.m_content);
+        if (core::merge_record(host.m_crash_suspects, entry.m_content,
+                               to_record(entry), now()))
+        {
+            apply_change(host, entry.m_content, was_suspect);
+        }
+    }
+}
+
+void send_crash_suspects(entry_host& host, std::string const& peer)
+{
+    net::crash_suspects_message message;
+    for (auto const& [content, record] : host.m_crash_suspects.m_records)
+    {
+        message.m_entries.push_back(to_entry(content, record));
+    }
+    if (!message.m_entries.empty())
+    {
+        static_cast<void>(host.m_peer_network->send(peer, message));
+    }
+}
+
+void expire_crash_suspects(entry_host& host)
 {
+    core::remove_expired_records(host.m_crash_suspects, now());
     std::erase_if(
         host.m_lost_requests, [](auto const& entry)
         { return now() - entry.second.m_since > max_confirmation_time; });
--- a/src/serve/crash_reports.hpp
+++ b/src/serve/crash_reports.hpp
@@ -4,7 +4,9 @@
 #include "core/ids.hpp"
 #include "core/time.hpp"
 #include "net/http_message.hpp"
+#include "net/peer_messages.hpp"
 
+#include <string>
 #include <vector>
 
 namespace hawthornspur::serve
@@ -26,6 +28,11 @@
 /// those of a caller change, and many callers may send the same request.
 core::content_id make_content_id(net::http_request const& request);
 
+/// Refuses the call if its content is suspected to crash targets, and returns
+/// whether it did, which invalidates the reference. Otherwise sets what the
+/// pool has to know of the call's content.
+bool refuse_if_suspect(entry_host& host, active_call& call);
+
 /// Records that the connection of an attempt was lost before its answer was
 /// complete.
 void on_attempt_lost(entry_host& host, active_call const& call,
@@ -40,9 +47,18 @@
 void on_target_alive(entry_host& host, core::target_id target,
                      core::time_point sent_at);
 
-/// Removes lost requests whose target has not proved to have ended. Called at
-/// intervals.
-void expire_lost_requests(entry_host& host);
+/// Records that a target has answered the call.
+void on_content_answered(entry_host& host, active_call const& call);
+
+/// Adds what another host knows.
+void on_crash_suspects(entry_host& host,
+                       net::crash_suspects_message const& message);
+
+/// Sends all records to a host to which a link has come up.
+void send_crash_suspects(entry_host& host, std::string const& peer);
+
+/// Removes expired records. Called at intervals.
+void expire_crash_suspects(entry_host& host);
 
 } // namespace hawthornspur::serve
 
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -214,6 +214,10 @@
             return;
         }
         on_target_alive(host, attempt.m_target, attempt.m_start_time);
+        if (!attempt.m_is_shed)
+        {
+            on_content_answered(host, call);
+        }
         return;
     case net::exchange_outcome::closed:
     case net::exchange_outcome::truncated:
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -296,7 +296,9 @@
     call->m_retry_after = refusal.m_retry_after;
     bool const is_not_run = !call->m_is_answer_started &&
                             info(code).m_execution == execution::not_run;
-    if (is_not_run && forward.m_purpose == net::forward_purpose::spill)
+    bool const is_refused_everywhere = code == result_code::request_suspected;
+    if (is_not_run && !is_refused_everywhere &&
+        forward.m_purpose == net::forward_purpose::spill)
     {
         host.m_metrics.count_forward("spill_returned");
         requeue_spilled_call(host, *call);
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -4,6 +4,7 @@
 #include "base/result.hpp"
 #include "config/settings.hpp"
 #include "core/configuration_state.hpp"
+#include "core/crash_suspects.hpp"
 #include "core/membership.hpp"
 #include "core/once_table.hpp"
 #include "core/pool.hpp"
@@ -140,6 +141,7 @@
     std::map<std::pair<std::string, std::string>, core::time_point>
         m_leaving_targets;
 
+    core::crash_suspects m_crash_suspects;
     std::unordered_map<core::target_id, lost_requests> m_lost_requests;
 
     std::map<incoming_forward_id, incoming_forward> m_incoming_forwards;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
 #include "serve/incoming_forwards.hpp"
@@ -84,6 +85,10 @@
     {
         on_rate_limits_message(m_host, message);
     }
+    void operator()(net::crash_suspects_message const& message) const
+    {
+        on_crash_suspects(m_host, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
@@ -126,6 +131,7 @@
                 logging::write(logging::level::info, "serve.peers", "link up",
                                {{"host", peer}});
                 announce_generation(host, peer);
+                send_crash_suspects(host, peer);
                 update_store_role(host);
                 // Not at once: it replaces the list of peers, and this is
                 // called by one of their links.
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -4,6 +4,7 @@
 #include "base/text.hpp"
 #include "core/ownership.hpp"
 #include "core/slot_usage.hpp"
+#include "serve/crash_reports.hpp"
 #include "serve/dispatch.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
@@ -105,6 +106,8 @@
     arrival.m_spilled = call.m_origin == call_origin::spilled;
     arrival.m_objective = call.m_classified.m_objective;
     arrival.m_spill_refusals = call.m_spill_refusals;
+    arrival.m_content = call.m_content;
+    arrival.m_target_ends = call.m_target_ends;
     return arrival;
 }
 
@@ -178,6 +181,11 @@
         {
             call->m_is_queued = false;
             log_request_end(m_local_pool, *call, effect.m_code);
+            if (effect.m_code == result_code::request_suspected)
+            {
+                call->m_retry_after = core::remaining_hold(
+                    m_host.m_crash_suspects, call->m_content, now());
+            }
             bool const is_past_deadline =
                 effect.m_code == result_code::target_silent &&
                 now() >= call->m_classified.m_deadline;
@@ -414,6 +422,10 @@
         fail_call(host, call, result_code::unknown_service);
         return;
     }
+    if (refuse_if_suspect(host, call))
+    {
+        return;
+    }
     call.m_is_queued = true;
     core::pool_effects effects;
     core::on_arrival(*pool->m_core_pool, make_arrival(*pool, call), now(),
@@ -474,7 +486,12 @@
         fail_call(host, call, result_code::spill_refused);
         return;
     }
+    if (refuse_if_suspect(host, call))
+    {
+        return;
+    }
     auto arrival = pool->m_spilled.at(call.m_id);
+    arrival.m_target_ends = call.m_target_ends;
     // The rules may have changed since the request was spilled.
     arrival.m_kind = make_arrival(*pool, call).m_kind;
     pool->m_spilled.erase(call.m_id);
