--- /dev/null
+++ b/src/serve/crash_reports.hpp
@@ -0,0 +1,65 @@
+#ifndef HAWTHORNSPUR_SERVE_CRASH_REPORTS_HPP
+#define HAWTHORNSPUR_SERVE_CRASH_REPORTS_HPP
+
+#include "core/ids.hpp"
+#include "core/time.hpp"
+#include "net/http_message.hpp"
+#include "net/peer_messages.hpp"
+
+#include <string>
+#include <vector>
+
+namespace hawthornspur::serve
+{
+
+struct entry_host;
+struct active_call;
+
+/// Requests whose connections to one target were lost at the same time. If the
+/// target proves to have ended, one of them may have crashed it.
+struct lost_requests
+{
+    core::time_point m_since{};
+    std::vector<core::content_id> m_contents;
+};
+
+/// Computes the content id of a request from method, path, body and, if the
+/// caller gives it, the authorization. Network addresses are not part of it:
+/// those of a caller change, and many callers may send the same request.
+core::content_id make_content_id(net::http_request const& request);
+
+/// Refuses the call if its content is suspected to crash targets, and returns
+/// whether it did, which invalidates the reference. Otherwise sets what the
+/// pool has to know of the call's content.
+bool refuse_if_suspect(entry_host& host, active_call& call);
+
+/// Records that the connection of an attempt was lost before its answer was
+/// complete.
+void on_attempt_lost(entry_host& host, active_call const& call,
+                     core::target_id target);
+
+/// Called when a target refuses connections or another one has its address, so
+/// that it has ended. Reports the requests that it lost just before.
+void on_target_ended(entry_host& host, core::target_id target);
+
+/// Called when a target has answered a request or probe that was sent at
+/// `sent_at`. Connections lost before were not lost by its end.
+void on_target_alive(entry_host& host, core::target_id target,
+                     core::time_point sent_at);
+
+/// Records that a target has answered the call.
+void on_content_answered(entry_host& host, active_call const& call);
+
+/// Adds what another host knows.
+void on_crash_suspects(entry_host& host,
+                       net::crash_suspects_message const& message);
+
+/// Sends all records to a host to which a link has come up.
+void send_crash_suspects(entry_host& host, std::string const& peer);
+
+/// Removes expired records. Called at intervals.
+void expire_crash_suspects(entry_host& host);
+
+} // namespace hawthornspur::serve
+
+#endif
--- a/tools/target_emulator/run_record.cpp
+++ b/tools/target_emulator/run_record.cpp
@@ -31,6 +31,12 @@
     return object;
 }
 
+double to_milliseconds(core::time_point time)
+{
+    return std::chrono::duration<double, std::milli>(time.time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 void add_run(run_record& record, std::string_view key,
@@ -63,4 +69,20 @@
             {"duplicate_requests", to_object(record.m_requests, 2)}};
 }
 
+nlohmann::json to_json(crash_record const& record)
+{
+    auto runs = nlohmann::json::array();
+    for (auto const& run : record.m_deadly_runs)
+    {
+        runs.push_back({{"at_ms", to_milliseconds(run.m_at)},
+                        {"request_id", run.m_request_id}});
+    }
+    auto crashes = nlohmann::json::array();
+    for (auto const& time : record.m_crashes)
+    {
+        crashes.push_back(to_milliseconds(time));
+    }
+    return {{"deadly_runs", std::move(runs)}, {"crashes", std::move(crashes)}};
+}
+
 } // namespace hawthornspur::tools
