Describe nested entries of the settings without recursion

A host or `serve` whose settings list a deeply nested value among the seeds ended with a stack overflow instead of a message, since the text of the fault printed the value, which the JSON library does recursively. Callers are not affected: a host that runs does not read its settings again. The fault now names the value by its kind, as all other faults do.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -97,21 +97,22 @@
 void read_seeds(object_reader& reader, std::vector<listen_address>& out)
 {
     constexpr std::size_t max_seeds = 16;
-    read_list(
-        reader, "seeds", presence::optional, 0, max_seeds,
-        [&](nlohmann::json const& entry, std::string const& path)
-        {
-            auto const parsed = entry.is_string()
-                                    ? parse_address(entry.get<std::string>(), 1)
-                                    : std::nullopt;
-            if (!parsed)
-            {
-                report(reader, path, result_code::value_out_of_range,
-                       "found " + entry.dump() + "; allowed: ADDRESS:PORT");
-                return;
-            }
-            out.push_back(*parsed);
-        });
+    read_list(reader, "seeds", presence::optional, 0, max_seeds,
+              [&](nlohmann::json const& entry, std::string const& path)
+              {
+                  auto const parsed =
+                      entry.is_string()
+                          ? parse_address(entry.get<std::string>(), 1)
+                          : std::nullopt;
+                  if (!parsed)
+                  {
+                      report(reader, path, result_code::value_out_of_range,
+                             "found " + describe_value(entry) +
+                                 "; allowed: ADDRESS:PORT");
+                      return;
+                  }
+                  out.push_back(*parsed);
+              });
 }
 
 /// Reads the limits stated by the platform. All names are accepted, since the
--- a/src/config/settings_test.cpp
+++ b/src/config/settings_test.cpp
@@ -127,4 +127,17 @@
     }
 }
 
+// Guards against a host that ends without a message because of one entry.
+TEST_CASE("deeply nested settings are rejected with a fault")
+{
+    constexpr std::size_t depth = 100'000;
+    auto const nested = std::string(depth, '[') + std::string(depth, ']');
+    for (auto const* field : {"seeds", "zones", "platform_bounds", "callers"})
+    {
+        auto const result =
+            parse_settings(std::string("{\"") + field + "\":[" + nested + "]}");
+        CHECK(std::holds_alternative<fault_list>(result));
+    }
+}
+
 } // namespace hawthornspur::config
