Do not send a request on a connection with unread input

Callers would see 502 for requests that run at most once, and with the default interface the surplus answer as their own: a 503 "not run" for a request that the target ran, or the body of another request.

Cause: an idle connection was closed when the event loop reported bytes or a close. Between the arrival of the bytes and that report it was still taken for the next request, and the bytes were parsed as its answer. Class: a decision on state that the operating system knows better than the process.

Change: before reuse, the socket is read with MSG_PEEK. With bytes, a close or an error the connection is closed and another one is used.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,8 +6,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <iterator>
 #include <utility>
 #include <vector>
@@ -33,6 +35,17 @@
            event_loop::now() - connection.m_last_answer_time <= max_idle_time;
 }
 
+/// Whether the server has sent bytes or closed the connection and the event
+/// loop has not reported it yet.
+bool has_unread_input(client_connection const& connection)
+{
+    auto const fd = bufferevent_getfd(
+        evhttp_connection_get_bufferevent(connection.m_evcon));
+    char byte = 0;
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+           (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 client_connection* take_connection(http_client::state& client,
                                    endpoint const& server,
                                    exchange_options const& options)
@@ -41,7 +54,8 @@
     while (!idle.empty())
     {
         auto* connection = idle.back();
-        if (is_reusable(*connection, options.m_max_idle_time))
+        if (is_reusable(*connection, options.m_max_idle_time) &&
+            !has_unread_input(*connection))
         {
             idle.pop_back();
             ++client.m_counters.m_connections_reused;
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -416,6 +416,43 @@
     }
 }
 
+// Guards against a request on a connection that the server has closed or used
+// for surplus bytes, when the event loop has not reported it yet.
+TEST_CASE("a connection with unread input is not reused")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    endpoint const to{"127.0.0.1", server.m_port};
+    exchange_record first;
+    client->send(to, post(), {}, first.handlers());
+    REQUIRE(run_until(*loop, [&] { return count_requests(server) == 1; }));
+    auto& connection = *server.m_connections[0];
+    connection.send(whole_answer);
+    REQUIRE(run_until(*loop, [&] { return first.m_outcome.has_value(); }));
+    SUBCASE("closed by the server")
+    {
+        connection.shut_down();
+    }
+    SUBCASE("with a second copy of the answer")
+    {
+        connection.send_at_once(whole_answer);
+    }
+    connection.wait_until_acknowledged();
+    exchange_record second;
+    client->send(to, post(), {}, second.handlers());
+    REQUIRE(run_until(*loop,
+                      [&] {
+                          return second.m_outcome.has_value() ||
+                                 server.m_connections.size() == 2;
+                      }));
+    REQUIRE(!second.m_outcome);
+    REQUIRE(run_until(*loop, [&] { return count_requests(server) == 2; }));
+    server.m_connections[1]->send(whole_answer);
+    REQUIRE(run_until(*loop, [&] { return second.m_outcome.has_value(); }));
+    CHECK(*second.m_outcome == exchange_outcome::complete);
+}
+
 // Guards against more connections to a target than its limit, and against idle
 // connections that are never closed.
 TEST_CASE("connections are limited and closed after their idle time")
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -4,10 +4,14 @@
 #include "net/event_loop.hpp"
 #include "net/socket_address.hpp"
 
+#include <doctest/doctest.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +75,24 @@
     {
         bufferevent_write(m_transport, bytes.data(), bytes.size());
     }
+    /// Sends before the event loop runs again. Must be called when unsent() is
+    /// 0.
+    void send_at_once(std::string_view bytes)
+    {
+        auto const sent = ::send(bufferevent_getfd(m_transport), bytes.data(),
+                                 bytes.size(), MSG_NOSIGNAL);
+        REQUIRE(sent == static_cast<ssize_t>(bytes.size()));
+    }
+    /// Blocks until the other side's operating system has all bytes sent.
+    void wait_until_acknowledged()
+    {
+        int pending = 1;
+        while (pending != 0)
+        {
+            REQUIRE(::ioctl(bufferevent_getfd(m_transport), SIOCOUTQ,
+                            &pending) == 0);
+        }
+    }
     /// Closes the sending direction. Must be called after unsent() has become
     /// 0.
     void shut_down()
