--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -141,4 +141,36 @@
     }
 }
 
+// Guards against a request that runs at a second target because the first one
+// has repeated the refusal of an earlier request.
+TEST_CASE("a repeated refusal never sends a request to a second target")
+{
+    for (bool const is_forwarded : {false, true})
+    {
+        CAPTURE(is_forwarded);
+        std::vector<raw_answer> const answers{
+            refuse_twice(not_run + "Content-Length: 0\r\n\r\n",
+                         surplus_time::while_the_next_request_runs),
+            {.m_start = ok_answer}};
+        raw_target first(answers);
+        raw_target second({.m_start = ok_answer});
+        test_cluster cluster(2, 0);
+        use_targets(cluster, {&first, &second});
+        auto const owner = cluster.find_owner(0);
+        auto const host = is_forwarded ? 1 - owner : owner;
+        // The first request is refused; a later one is the second at that
+        // target.
+        std::size_t sent = 0;
+        while (first.requests() < 2)
+        {
+            ++sent;
+            REQUIRE(sent < 30);
+            auto const outcome =
+                get_outcome(cluster.send_and_wait(host, "POST", "/x"));
+            CHECK((outcome == "not-run") == (sent == 1));
+            CHECK(first.requests() + second.requests() == sent);
+        }
+    }
+}
+
 } // namespace hawthornspur::test
