Test answers that are cut at any byte of their head and body

Operators of another system reported successes with an empty body after a target had stopped within the head of its answer. Here a head is passed on only when it is complete, and an answer without its end closes the connection of the caller.

net_tests cuts an answer at each byte, with a length, chunked with an extension and trailers, and without a length, closed and reset: the outcome is closed within the head and truncated after it, and no head is delivered early. The system test has 15 cuts, closed and reset, GET and POST, no hop and one hop: no whole success, one run, never "not run".

--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -253,6 +253,68 @@
     }
 }
 
+// Guards against an answer that is cut at any byte, in its head or body, and
+// reaches the caller as whole.
+TEST_CASE("an answer that is cut at any byte is never complete")
+{
+    struct framing
+    {
+        char const* m_name;
+        std::string m_head;
+        std::string m_body;
+        bool m_ends_by_closing;
+    };
+    std::string const start = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+    auto const framings = std::vector<framing>{
+        {"length", start + "Content-Length: 2\r\n\r\n", "ok", false},
+        {"chunked", start + "Transfer-Encoding: chunked\r\n\r\n",
+         "2;x=y\r\nok\r\n0\r\nX-End: b\r\n\r\n", false},
+        {"no length", start + "\r\n", "ok", true},
+    };
+    auto loop = take(event_loop::create());
+    for (auto const& framing : framings)
+    {
+        auto const whole = framing.m_head + framing.m_body;
+        for (std::size_t size = 0; size <= whole.size(); ++size)
+        {
+            for (bool const is_reset : {false, true})
+            {
+                bool const is_whole =
+                    framing.m_ends_by_closing
+                        ? !is_reset && size >= framing.m_head.size()
+                        : size == whole.size();
+                if (is_whole)
+                {
+                    continue;
+                }
+                CAPTURE(framing.m_name);
+                CAPTURE(whole.substr(0, size));
+                CAPTURE(is_reset);
+                raw_listener server(*loop);
+                auto client = take(http_client::create(*loop));
+                exchange_record record;
+                client->send({"127.0.0.1", server.m_port}, post(),
+                             {.m_timeout = test_timeout}, record.handlers());
+                REQUIRE(run_until(*loop,
+                                  [&] { return count_requests(server) == 1; }));
+                auto& connection = *server.m_connections[0];
+                connection.send(whole.substr(0, size));
+                REQUIRE(
+                    run_until(*loop, [&] { return connection.unsent() == 0; }));
+                is_reset ? server.m_connections[0]->close_with_reset()
+                         : connection.shut_down();
+                REQUIRE(run_until(*loop, [&]
+                                  { return record.m_outcome.has_value(); }));
+                bool const is_head_cut = size < framing.m_head.size();
+                CHECK(*record.m_outcome == (is_head_cut
+                                                ? exchange_outcome::closed
+                                                : exchange_outcome::truncated));
+                CHECK(record.m_head.has_value() == !is_head_cut);
+            }
+        }
+    }
+}
+
 // Guards against a request that runs twice because evhttp resends it on a new
 // connection after a reused one has closed.
 TEST_CASE("a request is sent once when its reused connection closes")
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -12,6 +12,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstdint>
 #include <functional>
@@ -108,6 +109,17 @@
         bufferevent_disable(m_transport, EV_READ | EV_WRITE);
         ::shutdown(bufferevent_getfd(m_transport), SHUT_RDWR);
     }
+    /// Closes the socket with a reset after the bytes sent so far have been
+    /// received by the other side.
+    void close_with_reset()
+    {
+        wait_until_acknowledged();
+        linger const no_linger{1, 0};
+        ::setsockopt(bufferevent_getfd(m_transport), SOL_SOCKET, SO_LINGER,
+                     &no_linger, sizeof(no_linger));
+        ::close(bufferevent_getfd(m_transport));
+        bufferevent_setfd(m_transport, -1);
+    }
     void set_reading(bool enabled)
     {
         enabled ? bufferevent_enable(m_transport, EV_READ)
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -141,6 +141,52 @@
     }
 }
 
+// Guards against an answer that breaks off and reaches the caller as whole, and
+// against a second run of the request.
+TEST_CASE("an answer that breaks off in its head or body is never whole")
+{
+    std::string const length = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+    std::string const chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const& bytes :
+         {std::string(), std::string("HTTP/1.1 2"),
+          std::string("HTTP/1.1 200 OK"), std::string("HTTP/1.1 200 OK\r"),
+          std::string("HTTP/1.1 200 OK\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nX-Na"),
+          std::string("HTTP/1.1 200 OK\r\nX-Name: val"), length, length + "\r",
+          length + "\r\n", length + "\r\no", chunked, chunked + "2",
+          chunked + "2\r\nok\r\n", chunked + "2\r\nok\r\n0\r\n"})
+    {
+        for (auto const end : {raw_end::close, raw_end::reset})
+        {
+            for (auto const* method : {"GET", "POST"})
+            {
+                CAPTURE(bytes);
+                CAPTURE(end == raw_end::reset);
+                CAPTURE(method);
+                raw_target target({.m_start = bytes, .m_end = end});
+                test_cluster cluster(2, 0);
+                use_targets(cluster, {&target});
+                auto const owner = cluster.find_owner(0);
+                for (auto const host : {owner, 1 - owner})
+                {
+                    CAPTURE(host == owner);
+                    auto const before = target.requests();
+                    auto const broken =
+                        cluster.send_and_wait(host, method, "/x");
+                    CHECK(!is_whole_success(broken));
+                    if (target.requests() > before)
+                    {
+                        CHECK(target.requests() == before + 1);
+                        CHECK(get_outcome(broken) != "not-run");
+                    }
+                }
+                CHECK(target.requests() > 0);
+            }
+        }
+    }
+}
+
 // Guards against a request that runs at a second target because the first one
 // has repeated the refusal of an earlier request.
 TEST_CASE("a repeated refusal never sends a request to a second target")
