Reject a status line that contains a second one

Callers would see a success with the body of a later answer: a target that broke off in its status line and wrote another answer on the same connection lent the status of the first one to the headers and the body of the second one, for example a 200 with the body of an error.

Cause: the rest of a status line after the status was accepted whatever it held. Class: two messages read as one.

Change: a status line with a further "HTTP/1." is malformed.

Evidence: the new test of net_tests cuts the head of an answer at each byte and sends the whole answer after it. Before, the cuts after "200 ", "200 O" and "200 OK" ended as complete; now none does (net_tests 68 of 68). A cut within the value of a header remains open: the second status line is then a valid part of the value.

--- a/src/net/answer_validator.cpp
+++ b/src/net/answer_validator.cpp
@@ -44,8 +44,11 @@
     auto const rest = line.substr(status_offset + status_digits);
     auto const status =
         parse_number<int>(line.substr(status_offset, status_digits));
+    // A target that breaks off and starts again would lend the status of the
+    // first answer to the second one.
+    auto const is_single = rest.find(prefix) == std::string_view::npos;
     auto const is_valid = status && *status >= first_status &&
-                          *status <= last_status &&
+                          *status <= last_status && is_single &&
                           (rest.empty() || rest[0] == ' ');
     return is_valid ? status : std::nullopt;
 }
