--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -253,6 +253,93 @@
     }
 }
 
+// Guards against an answer that is cut at any byte, in its head or body, and
+// reaches the caller as whole.
+TEST_CASE("an answer that is cut at any byte is never complete")
+{
+    struct framing
+    {
+        char const* m_name;
+        std::string m_head;
+        std::string m_body;
+        bool m_ends_by_closing;
+    };
+    std::string const start = "HTTP/1.1 200 OK\r\nX-Id: a\r\n";
+    auto const framings = std::vector<framing>{
+        {"length", start + "Content-Length: 2\r\n\r\n", "ok", false},
+        {"chunked", start + "Transfer-Encoding: chunked\r\n\r\n",
+         "2;x=y\r\nok\r\n0\r\nX-End: b\r\n\r\n", false},
+        {"no length", start + "\r\n", "ok", true},
+    };
+    auto loop = take(event_loop::create());
+    for (auto const& framing : framings)
+    {
+        auto const whole = framing.m_head + framing.m_body;
+        for (std::size_t size = 0; size <= whole.size(); ++size)
+        {
+            for (bool const is_reset : {false, true})
+            {
+                bool const is_whole =
+                    framing.m_ends_by_closing
+                        ? !is_reset && size >= framing.m_head.size()
+                        : size == whole.size();
+                if (is_whole)
+                {
+                    continue;
+                }
+                CAPTURE(framing.m_name);
+                CAPTURE(whole.substr(0, size));
+                CAPTURE(is_reset);
+                raw_listener server(*loop);
+                auto client = take(http_client::create(*loop));
+                exchange_record record;
+                client->send({"127.0.0.1", server.m_port}, post(),
+                             {.m_timeout = test_timeout}, record.handlers());
+                REQUIRE(run_until(*loop,
+                                  [&] { return count_requests(server) == 1; }));
+                auto& connection = *server.m_connections[0];
+                connection.send(whole.substr(0, size));
+                REQUIRE(
+                    run_until(*loop, [&] { return connection.unsent() == 0; }));
+                is_reset ? server.m_connections[0]->close_with_reset()
+                         : connection.shut_down();
+                REQUIRE(run_until(*loop, [&]
+                                  { return record.m_outcome.has_value(); }));
+                bool const is_head_cut = size < framing.m_head.size();
+                CHECK(*record.m_outcome == (is_head_cut
+                                                ? exchange_outcome::closed
+                                                : exchange_outcome::truncated));
+                CHECK(record.m_head.has_value() == !is_head_cut);
+            }
+        }
+    }
+}
+
+// Guards against a head that is cut and followed by a second answer, which
+// would lend its framing to the first one.
+TEST_CASE("a cut head that a second answer follows is malformed or closed")
+{
+    std::string const answer = whole_answer;
+    auto const head_size = answer.find("\r\n\r\n") + 4;
+    auto loop = take(event_loop::create());
+    for (std::size_t size = 1; size < head_size; ++size)
+    {
+        CAPTURE(answer.substr(0, size));
+        raw_listener server(*loop);
+        auto client = take(http_client::create(*loop));
+        exchange_record record;
+        client->send({"127.0.0.1", server.m_port}, post(),
+                     {.m_timeout = test_timeout}, record.handlers());
+        REQUIRE(run_until(*loop, [&] { return count_requests(server) == 1; }));
+        server.m_connections[0]->send(answer.substr(0, size) + answer);
+        REQUIRE(run_until(*loop, [&]
+                          { return server.m_connections[0]->unsent() == 0; }));
+        server.m_connections[0]->shut_down();
+        REQUIRE(run_until(*loop, [&] { return record.m_outcome.has_value(); }));
+        CHECK(*record.m_outcome != exchange_outcome::complete);
+    }
+}
+
 // Guards against a request that runs twice because evhttp resends it on a new
 // connection after a reused one has closed.
 TEST_CASE("a request is sent once when its reused connection closes")
@@ -416,6 +503,43 @@
     }
 }
 
+// Guards against a request on a connection that the server has closed or used
+// for surplus bytes, when the event loop has not reported it yet.
+TEST_CASE("a connection with unread input is not reused")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    endpoint const to{"127.0.0.1", server.m_port};
+    exchange_record first;
+    client->send(to, post(), {}, first.handlers());
+    REQUIRE(run_until(*loop, [&] { return count_requests(server) == 1; }));
+    auto& connection = *server.m_connections[0];
+    connection.send(whole_answer);
+    REQUIRE(run_until(*loop, [&] { return first.m_outcome.has_value(); }));
+    SUBCASE("closed by the server")
+    {
+        connection.shut_down();
+    }
+    SUBCASE("with a second copy of the answer")
+    {
+        connection.send_at_once(whole_answer);
+    }
+    connection.wait_until_acknowledged();
+    exchange_record second;
+    client->send(to, post(), {}, second.handlers());
+    REQUIRE(run_until(*loop,
+                      [&] {
+                          return second.m_outcome.has_value() ||
+                                 server.m_connections.size() == 2;
+                      }));
+    REQUIRE(!second.m_outcome);
+    REQUIRE(run_until(*loop, [&] { return count_requests(server) == 2; }));
+    server.m_connections[1]->send(whole_answer);
+    REQUIRE(run_until(*loop, [&] { return second.m_outcome.has_value(); }));
+    CHECK(*second.m_outcome == exchange_outcome::complete);
+}
+
 // Guards against more connections to a target than its limit, and against idle
 // connections that are never closed.
 TEST_CASE("connections are limited and closed after their idle time")
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -4,10 +4,15 @@
 #include "net/event_loop.hpp"
 #include "net/socket_address.hpp"
 
+#include <doctest/doctest.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +76,24 @@
     {
         bufferevent_write(m_transport, bytes.data(), bytes.size());
     }
+    /// Sends before the event loop runs again. Must be called when unsent() is
+    /// 0.
+    void send_at_once(std::string_view bytes)
+    {
+        auto const sent = ::send(bufferevent_getfd(m_transport), bytes.data(),
+                                 bytes.size(), MSG_NOSIGNAL);
+        REQUIRE(sent == static_cast<ssize_t>(bytes.size()));
+    }
+    /// Blocks until the other side's operating system has all bytes sent.
+    void wait_until_acknowledged()
+    {
+        int pending = 1;
+        while (pending != 0)
+        {
+            REQUIRE(::ioctl(bufferevent_getfd(m_transport), SIOCOUTQ,
+                            &pending) == 0);
+        }
+    }
     /// Closes the sending direction. Must be called after unsent() has become
     /// 0.
     void shut_down()
@@ -86,6 +109,17 @@
         bufferevent_disable(m_transport, EV_READ | EV_WRITE);
         ::shutdown(bufferevent_getfd(m_transport), SHUT_RDWR);
     }
+    /// Closes the socket with a reset after the bytes sent so far have been
+    /// received by the other side.
+    void close_with_reset()
+    {
+        wait_until_acknowledged();
+        linger const no_linger{1, 0};
+        ::setsockopt(bufferevent_getfd(m_transport), SOL_SOCKET, SO_LINGER,
+                     &no_linger, sizeof(no_linger));
+        ::close(bufferevent_getfd(m_transport));
+        bufferevent_setfd(m_transport, -1);
+    }
     void set_reading(bool enabled)
     {
         enabled ? bufferevent_enable(m_transport, EV_READ)
