Confirm the end of a target before a request is suspected of it

One end of a target could count twice, when two hosts used the target or its connections closed in two batches. A full connection limit or a connect timeout counted as an end. A probe on an idle connection that was already closed, or without budget, left an end unconfirmed. A content that one host answers all the time stayed suspected at the others. Records reached only hosts that are linked to the host that saw the end. A spilled call that was refused left its entry in the pool. Change: a report names the target, and reports of one end count once, with the smallest share. A host that has answered the content lately contradicts the report. A host passes on each change between suspected and not suspected; weaker records are sent together at intervals. Requests whose answer had begun are not suspected, those that lost a target are not spilled, and those in flight get no further attempt once their content is suspected. More answered contents are remembered. Open: a target that restarts at once under its id and address is not seen to end; a request that crashes one of two services of a split route is cleared by the answers of the other.

--- a/src/core/crash_suspects.cpp
+++ b/src/core/crash_suspects.cpp
@@ -18,16 +18,15 @@
 // no more than one neighbour at both.
 constexpr int min_ends_with_weight = 2;
 constexpr double min_weight = 1;
-// A request may lose several targets by chance, each with other neighbours.
 constexpr int min_ends = 3;
-// After two ends the suspicion is weak, so the caller is refused only briefly.
 constexpr duration first_hold = std::chrono::seconds(10);
-// A target that has ended is back after some seconds; a request that has ended
-// three is expected to end each one until it is changed or the targets are.
 constexpr duration hold_after_min_ends = std::chrono::minutes(1);
 constexpr duration max_hold = std::chrono::minutes(10);
-constexpr duration report_lifetime = std::chrono::minutes(1);
+constexpr duration report_lifetime = std::chrono::minutes(10);
 constexpr duration suspicion_lifetime = 2 * max_hold;
+// Hosts report the same end of a target within this time; a target that has
+// restarted does not end again so soon.
+constexpr duration same_end_window = std::chrono::seconds(3);
 
 int count_ends(suspect_record const& record)
 {
@@ -102,29 +101,40 @@
                                         suspects.m_recent_answers.size());
 }
 
-bool is_answered_recently(crash_suspects& suspects,
-                          suspect_record const& record, content_id content,
-                          time_point now)
+/// Time of the last answer to the content at this host, if it is known.
+std::optional<time_point> last_local_answer(crash_suspects& suspects,
+                                            content_id content)
 {
     auto const& entry = recent_answer_entry(suspects, content);
-    bool const is_answered_here = entry.m_content == content &&
-                                  entry.m_at != time_point{} &&
-                                  now - entry.m_at < recent_answer_window;
-    return is_answered_here ||
-           (record.m_last_answer &&
-            now - *record.m_last_answer < recent_answer_window);
+    bool const is_known =
+        entry.m_content == content && entry.m_at != time_point{};
+    return is_known ? std::optional(entry.m_at) : std::nullopt;
+}
+
+bool is_recent(std::optional<time_point> answer, time_point now)
+{
+    return answer && now - *answer < recent_answer_window;
 }
 
 bool add_report(suspect_record& record, crash_report const& report)
 {
     auto& reports = record.m_reports;
-    bool const is_known =
-        std::any_of(reports.begin(), reports.end(),
-                    [&](crash_report const& known)
-                    { return known.m_event == report.m_event; });
+    auto const known = std::find_if(
+        reports.begin(), reports.end(),
+        [&](crash_report const& other)
+        {
+            return other.m_target == report.m_target &&
+                   std::chrono::abs(other.m_at - report.m_at) < same_end_window;
+        });
+    if (known != reports.end())
+    {
+        bool const is_smaller = report.m_weight < known->m_weight;
+        known->m_weight = std::min(known->m_weight, report.m_weight);
+        return is_smaller;
+    }
     bool const is_cleared =
         record.m_last_answer && report.m_at <= *record.m_last_answer;
-    if (is_known || is_cleared || reports.size() >= max_crash_reports)
+    if (is_cleared || reports.size() >= max_crash_reports)
     {
         return false;
     }
@@ -146,21 +156,34 @@
     suspects.m_records.erase(weakest);
 }
 
-suspect_record& get_or_create_record(crash_suspects& suspects,
-                                     content_id content)
+/// Adds the reports to the record unless the content was answered lately.
+record_change add_reports(crash_suspects& suspects, content_id content,
+                          suspect_record& record,
+                          std::vector<crash_report> const& reports,
+                          time_point now)
 {
-    if (suspects.m_records.size() >= max_suspect_records &&
-        !suspects.m_records.contains(content))
+    auto const local_answer = last_local_answer(suspects, content);
+    if (!reports.empty() && is_recent(local_answer, now))
     {
-        remove_weakest(suspects);
+        record.m_last_answer = std::max(record.m_last_answer, local_answer);
+        record.m_reports.clear();
+        return record_change::contradicted;
     }
-    return suspects.m_records[content];
+    bool is_changed = false;
+    if (!is_recent(record.m_last_answer, now))
+    {
+        for (auto const& report : reports)
+        {
+            is_changed = add_report(record, report) || is_changed;
+        }
+    }
+    return is_changed ? record_change::changed : record_change::none;
 }
 
 } // namespace
 
-bool record_crash(crash_suspects& suspects, content_id content,
-                  crash_report const& report, time_point now)
+record_change record_crash(crash_suspects& suspects, content_id content,
+                           crash_report const& report, time_point now)
 {
     suspect_record received;
     received.m_reports.push_back(report);
@@ -181,10 +204,13 @@
     return true;
 }
 
-bool merge_record(crash_suspects& suspects, content_id content,
-                  suspect_record const& received, time_point now)
+record_change merge_record(crash_suspects& suspects, content_id content,
+                           suspect_record const& received, time_point now)
 {
-    auto& record = get_or_create_record(suspects, content);
+    auto const found = suspects.m_records.find(content);
+    bool const is_known = found != suspects.m_records.end();
+    suspect_record added;
+    auto& record = is_known ? found->second : added;
     bool is_changed = false;
     if (received.m_last_answer > record.m_last_answer)
     {
@@ -198,18 +224,18 @@
         record.m_last_trial = received.m_last_trial;
         is_changed = true;
     }
-    if (!is_answered_recently(suspects, record, content, now))
+    auto const change =
+        add_reports(suspects, content, record, received.m_reports, now);
+    if (!is_known && (is_changed || change != record_change::none))
     {
-        for (auto const& report : received.m_reports)
+        if (suspects.m_records.size() >= max_suspect_records)
         {
-            is_changed = add_report(record, report) || is_changed;
+            remove_weakest(suspects);
         }
+        suspects.m_records.emplace(content, std::move(added));
     }
-    if (last_event(record) == time_point::min())
-    {
-        suspects.m_records.erase(content);
-    }
-    return is_changed;
+    return is_changed && change == record_change::none ? record_change::changed
+                                                       : change;
 }
 
 crash_verdict judge_request(crash_suspects& suspects, content_id content,
--- a/src/core/crash_suspects.hpp
+++ b/src/core/crash_suspects.hpp
@@ -19,11 +19,12 @@
 /// A target ended while it ran requests with the content.
 struct crash_report
 {
-    /// The same at all hosts. Each end of a target has its own.
-    std::uint64_t m_event = 0;
+    /// Identifies the target, so that hosts that each saw a part of one end
+    /// report the same one.
+    std::uint64_t m_target = 0;
     time_point m_at{};
     /// Share of the content in the requests that the target ran, above 0 and at
-    /// most 1.
+    /// most 1. Of several reports of one end, the smallest is kept.
     double m_weight = 1;
 };
 
@@ -63,7 +64,7 @@
 
     absl::flat_hash_map<content_id, suspect_record, content_hash> m_records;
     /// Direct-mapped by content; a later answer replaces an earlier one.
-    std::array<answered_content, 1024> m_recent_answers{};
+    std::array<answered_content, 4096> m_recent_answers{};
 };
 
 /// Largest number of contents with a record. The weakest suspicion makes room
@@ -74,18 +75,28 @@
 /// handled.
 inline constexpr std::size_t max_crash_reports = 8;
 
-/// Adds a report. Returns whether the record has changed.
-bool record_crash(crash_suspects& suspects, content_id content,
-                  crash_report const& report, time_point now);
+/// What has become of reports.
+enum class record_change : std::uint8_t
+{
+    none,
+    changed,
+    /// This host has answered the content lately, which the other hosts have to
+    /// know.
+    contradicted,
+};
+
+/// Adds a report.
+record_change record_crash(crash_suspects& suspects, content_id content,
+                           crash_report const& report, time_point now);
 
 /// Records that a target answered a request with this content. Returns whether
 /// this has cleared reports, which the other hosts have to know.
 bool record_answer(crash_suspects& suspects, content_id content,
                    time_point now);
 
-/// Adds what another host knows. Returns whether the record has changed.
-bool merge_record(crash_suspects& suspects, content_id content,
-                  suspect_record const& received, time_point now);
+/// Adds what another host knows.
+record_change merge_record(crash_suspects& suspects, content_id content,
+                           suspect_record const& received, time_point now);
 
 /// How a request with this content is to be handled.
 struct crash_verdict
@@ -95,7 +106,7 @@
     /// The request must not be sent to a target.
     bool m_is_refused = false;
     /// The request is let through to see whether it still ends its target. The
-    /// other hosts have to know, so that none of them lets another one through.
+    /// other hosts have to know, so that they do not let another one through.
     bool m_is_trial = false;
     /// Time until the next trial, if the request is refused.
     duration m_retry_after{0};
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -119,6 +119,11 @@
                        attempt_outcome outcome, time_point now,
                        service_budgets& budgets)
 {
+    if (request.m_is_suspected)
+    {
+        return is_certainly_not_run(outcome) ? result_code::request_suspected
+                                             : result_code_for(outcome);
+    }
     bool const allowed =
         may_retry(outcome, request.m_idempotent) &&
         request.m_arrival.m_earlier_attempts == 0 &&
@@ -194,7 +199,7 @@
             return;
         }
         // A request that may have ended a target never runs at two.
-        if (count_live_attempts(request) != 1 ||
+        if (count_live_attempts(request) != 1 || request.m_is_suspected ||
             count_target_ends(request) > 0 ||
             request.m_attempt_count >= allowed_attempts(pool, request))
         {
@@ -367,7 +372,8 @@
     pool.m_mean_free_slots +=
         mean_free_slots_weight *
         (count_slots(pool, now).m_healthy_free - pool.m_mean_free_slots);
-    if (!request.m_spilled && wait > duration::zero())
+    if (!request.m_spilled && request.m_target_ends == 0 &&
+        wait > duration::zero())
     {
         auto* option = choose_spill(pool.m_spill_options, wait, now);
         if (option != nullptr &&
@@ -563,7 +569,7 @@
         {
             continue;
         }
-        request.m_arrival.m_target_ends = max_target_ends;
+        request.m_is_suspected = true;
         if (request.m_queued)
         {
             waiting.push_back(id);
@@ -577,6 +583,7 @@
         refuse(pool, found, result_code::request_suspected, out);
     }
     dispatch_queued(pool, now, out);
+    prune_timers(pool);
 }
 
 void on_timer(pool& pool, time_point now, service_budgets& budgets,
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -207,8 +207,8 @@
 void on_summary(pool& pool, pool_summary const& summary, duration cost,
                 time_point now);
 
-/// Refuses the waiting requests with this content, which are now suspected to
-/// crash their targets. Requests in flight get no further attempt.
+/// Refuses the waiting requests with this content, which is now suspected to
+/// crash targets. Those in flight get no further attempt.
 void refuse_suspects(pool& pool, content_id content, time_point now,
                      pool_effects& out);
 
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -35,7 +35,7 @@
 {
     target_entry* m_target = nullptr;
     /// Both the request and one that the target runs have lost a target before.
-    bool m_is_shared_by_accused = false;
+    bool m_runs_other_accused = false;
     bool m_is_slow = false;
     double m_log_slowness = 0;
     double m_score = 0;
@@ -47,9 +47,9 @@
     {
         return true;
     }
-    if (a.m_is_shared_by_accused != b.m_is_shared_by_accused)
+    if (a.m_runs_other_accused != b.m_runs_other_accused)
     {
-        return b.m_is_shared_by_accused;
+        return b.m_runs_other_accused;
     }
     if (a.m_is_slow != b.m_is_slow)
     {
@@ -181,7 +181,9 @@
 {
     auto const& request = entry->second;
     auto const& arrival = request.m_arrival;
-    if (arrival.m_spilled || arrival.m_spill_refusals >= max_spill_refusals)
+    // A request that may crash its target is not passed on to another zone.
+    if (arrival.m_spilled || arrival.m_spill_refusals >= max_spill_refusals ||
+        count_target_ends(request) > 0)
     {
         return false;
     }
--- a/src/core/pool_probing.hpp
+++ b/src/core/pool_probing.hpp
@@ -12,7 +12,7 @@
                    pool_effects& out);
 
 /// Probes a target that closed the connection of an attempt, to see whether it
-/// has ended.
+/// has ended. If the budget does not allow it now, check_targets does it.
 void probe_after_loss(pool& pool, target_entry& target, time_point now,
                       service_budgets& budgets, pool_effects& out);
 
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -39,6 +39,9 @@
     /// targets shows that the target is back.
     bool m_draining = false;
     bool m_probe_pending = false;
+    /// The target closed the connection of an attempt and has not been probed
+    /// since.
+    bool m_is_end_unconfirmed = false;
     int m_in_flight = 0;
     /// Of these, attempts of requests that have lost a target before.
     int m_accused_in_flight = 0;
@@ -94,6 +97,8 @@
     /// An attempt that may have run ended without an answer, so the request can
     /// no longer be refused as not run.
     bool m_may_have_run = false;
+    /// The content became suspected after the request had arrived.
+    bool m_is_suspected = false;
     /// Attempts whose connection was lost. Their targets may have crashed.
     int m_lost_attempts = 0;
     result_code m_may_have_run_code = result_code::ok;
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -374,7 +374,7 @@
         for (auto const& report : entry.m_reports)
         {
             writer.begin_array(3);
-            writer.put(report.m_event);
+            writer.put(report.m_target_hash);
             writer.put(report.m_age);
             writer.put(report.m_weight);
         }
@@ -384,7 +384,7 @@
 crash_report_entry read_crash_report(field_reader fields)
 {
     crash_report_entry report;
-    report.m_event = fields.get<std::uint64_t>();
+    report.m_target_hash = fields.get<std::uint64_t>();
     report.m_age = get_age(fields);
     report.m_weight = fields.get<double>();
     if (!std::isfinite(report.m_weight) || report.m_weight <= 0 ||
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -174,7 +174,8 @@
 /// One end of a target; see core::crash_report.
 struct crash_report_entry
 {
-    std::uint64_t m_event = 0;
+    /// See core::crash_report::m_target.
+    std::uint64_t m_target_hash = 0;
     core::duration m_age{0};
     double m_weight = 1;
 };
--- a/src/serve/crash_reports.cpp
+++ b/src/serve/crash_reports.cpp
@@ -44,7 +44,7 @@
     for (auto const& report : record.m_reports)
     {
         entry.m_reports.push_back(
-            {report.m_event, age(report.m_at), report.m_weight});
+            {report.m_target, age(report.m_at), report.m_weight});
     }
     if (record.m_last_answer)
     {
@@ -63,7 +63,7 @@
     for (auto const& report : entry.m_reports)
     {
         record.m_reports.push_back(
-            {report.m_event, now() - report.m_age, report.m_weight});
+            {report.m_target_hash, now() - report.m_age, report.m_weight});
     }
     if (entry.m_last_answer_age)
     {
@@ -76,7 +76,7 @@
     return record;
 }
 
-/// Sends the records of these contents to all hosts.
+/// Sends the records of these contents to all linked hosts.
 void share_records(entry_host& host,
                    std::vector<core::content_id> const& contents)
 {
@@ -122,7 +122,9 @@
     }
 }
 
-/// Acts on a changed record.
+/// Acts on a changed record. The other hosts get it at once if the content
+/// became suspected or ceased to be, also from hosts that were told: not every
+/// two hosts are linked.
 void apply_change(entry_host& host, core::content_id content, bool was_suspect)
 {
     bool const is_suspect = core::is_suspect(host.m_crash_suspects, content);
@@ -141,12 +143,21 @@
         is_suspect ? "request is suspected to crash targets"
                    : "request is no longer suspected",
         {{"content", to_text(content)}, {"target_ends", std::to_string(ends)}});
+    share_records(host, {content});
     if (is_suspect)
     {
         refuse_waiting(host, content);
     }
 }
 
+std::uint64_t hash_target(target_record const& target)
+{
+    auto const text = target.m_service + '/' + target.m_name + '@' +
+                      target.m_endpoint.m_address + ':' +
+                      std::to_string(target.m_endpoint.m_port);
+    return XXH64(text.data(), text.size(), 0);
+}
+
 } // namespace
 
 core::content_id make_content_id(net::http_request const& request)
@@ -190,57 +201,60 @@
 }
 
 void on_attempt_lost(entry_host& host, active_call const& call,
-                     core::target_id target)
+                     core::target_id target, bool has_answer_begun)
 {
     auto& lost = host.m_lost_requests[target];
     if (now() - lost.m_since > loss_window)
     {
-        lost = {now(), {}};
+        lost = {};
+        lost.m_since = now();
+    }
+    ++lost.m_count;
+    if (!has_answer_begun)
+    {
+        lost.m_contents.push_back(call.m_content);
     }
-    lost.m_contents.push_back(call.m_content);
 }
 
 void on_target_ended(entry_host& host, core::target_id target)
 {
     auto const found = host.m_lost_requests.find(target);
-    if (found == host.m_lost_requests.end())
-    {
-        return;
-    }
-    auto const lost = std::move(found->second);
-    host.m_lost_requests.erase(found);
-    if (now() - lost.m_since > max_confirmation_time)
+    if (found == host.m_lost_requests.end() ||
+        now() - found->second.m_since > max_confirmation_time ||
+        found->second.m_count == found->second.m_reported_count)
     {
         return;
     }
+    found->second.m_reported_count = found->second.m_count;
+    auto const lost = found->second;
     std::map<core::content_id, int> counts;
     for (auto const content : lost.m_contents)
     {
         ++counts[content];
     }
-    auto const event = host.m_random();
-    std::vector<core::content_id> changed;
+    auto const& record = host.m_targets.at(target);
     for (auto const& [content, count] : counts)
     {
-        auto const weight = count / static_cast<double>(lost.m_contents.size());
+        auto const weight = count / static_cast<double>(lost.m_count);
         bool const was_suspect =
             core::is_suspect(host.m_crash_suspects, content);
-        bool const is_new =
-            core::record_crash(host.m_crash_suspects, content,
-                               {event, lost.m_since, weight}, now());
-        logging::write(logging::level::info, "serve.crashes",
-                       "target ended while it ran the request",
-                       {{"target", host.m_targets.at(target).m_name},
-                        {"content", to_text(content)},
-                        {"weight", absl::StrFormat("%.2f", weight)},
-                        {"counts", is_new ? "yes" : "no"}});
-        if (is_new)
+        auto const change = core::record_crash(
+            host.m_crash_suspects, content,
+            {hash_target(record), lost.m_since, weight}, now());
+        logging::write(
+            logging::level::info, "serve.crashes",
+            "target ended while it ran the request",
+            {{"target", record.m_name},
+             {"content", to_text(content)},
+             {"weight", absl::StrFormat("%.2f", weight)},
+             {"counts",
+              change == core::record_change::changed ? "yes" : "no"}});
+        if (change == core::record_change::changed)
         {
-            changed.push_back(content);
+            host.m_unshared_contents.insert(content);
             apply_change(host, content, was_suspect);
         }
     }
-    share_records(host, changed);
 }
 
 void on_target_alive(entry_host& host, core::target_id target,
@@ -259,8 +273,8 @@
         core::is_suspect(host.m_crash_suspects, call.m_content);
     if (core::record_answer(host.m_crash_suspects, call.m_content, now()))
     {
+        host.m_unshared_contents.insert(call.m_content);
         apply_change(host, call.m_content, was_suspect);
-        share_records(host, {call.m_content});
     }
 }
 
@@ -271,8 +285,13 @@
     {
         bool const was_suspect =
             core::is_suspect(host.m_crash_suspects, entry.m_content);
-        if (core::merge_record(host.m_crash_suspects, entry.m_content,
-                               to_record(entry), now()))
+        auto const change = core::merge_record(
+            host.m_crash_suspects, entry.m_content, to_record(entry), now());
+        if (change == core::record_change::contradicted)
+        {
+            host.m_unshared_contents.insert(entry.m_content);
+        }
+        if (change != core::record_change::none)
         {
             apply_change(host, entry.m_content, was_suspect);
         }
@@ -292,8 +311,14 @@
     }
 }
 
-void expire_crash_suspects(entry_host& host)
+void maintain_crash_suspects(entry_host& host)
 {
+    if (!host.m_unshared_contents.empty())
+    {
+        share_records(host, {host.m_unshared_contents.begin(),
+                             host.m_unshared_contents.end()});
+        host.m_unshared_contents.clear();
+    }
     core::remove_expired_records(host.m_crash_suspects, now());
     std::erase_if(
         host.m_lost_requests, [](auto const& entry)
--- a/src/serve/crash_reports.hpp
+++ b/src/serve/crash_reports.hpp
@@ -20,12 +20,17 @@
 struct lost_requests
 {
     core::time_point m_since{};
+    /// Contents of the requests without any part of an answer, one entry for
+    /// each request.
     std::vector<core::content_id> m_contents;
+    int m_count = 0;
+    /// The value of m_count when the end of the target was last reported.
+    int m_reported_count = 0;
 };
 
-/// Computes the content id of a request from method, path, body and, if the
-/// caller gives it, the authorization. Network addresses are not part of it:
-/// those of a caller change, and many callers may send the same request.
+/// Computes the content id of a request from method, host name, path, body and,
+/// if the caller gives it, the authorization. Network addresses are not part of
+/// it: those of a caller change, and many callers may send the same request.
 core::content_id make_content_id(net::http_request const& request);
 
 /// Refuses the call if its content is suspected to crash targets, and returns
@@ -34,9 +39,9 @@
 bool refuse_if_suspect(entry_host& host, active_call& call);
 
 /// Records that the connection of an attempt was lost before its answer was
-/// complete.
+/// complete. A request whose answer had begun is not suspected.
 void on_attempt_lost(entry_host& host, active_call const& call,
-                     core::target_id target);
+                     core::target_id target, bool has_answer_begun);
 
 /// Called when a target refuses connections or another one has its address, so
 /// that it has ended. Reports the requests that it lost just before.
@@ -57,8 +62,9 @@
 /// Sends all records to a host to which a link has come up.
 void send_crash_suspects(entry_host& host, std::string const& peer);
 
-/// Removes expired records. Called at intervals.
-void expire_crash_suspects(entry_host& host);
+/// Sends the records that have changed but are no suspects yet, and removes
+/// expired ones. Called at intervals.
+void maintain_crash_suspects(entry_host& host);
 
 } // namespace hawthornspur::serve
 
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -220,12 +220,23 @@
         }
         return;
     case net::exchange_outcome::closed:
+        on_attempt_lost(host, call, attempt.m_target, false);
+        return;
     case net::exchange_outcome::truncated:
-        on_attempt_lost(host, call, attempt.m_target);
+        on_attempt_lost(host, call, attempt.m_target, true);
         return;
     case net::exchange_outcome::connect_failed:
-        on_target_ended(host, attempt.m_target);
+    {
+        // At the limit of connections there is no exchange, and a cut link lets
+        // the time pass; neither shows that the target has ended.
+        bool const is_refused = attempt.m_exchange_id != 0 &&
+                                now() - attempt.m_start_time < connect_timeout;
+        if (is_refused)
+        {
+            on_target_ended(host, attempt.m_target);
+        }
         return;
+    }
     case net::exchange_outcome::silent:
     case net::exchange_outcome::malformed:
     case net::exchange_outcome::too_large:
@@ -255,7 +266,8 @@
                                 attempt.m_load, attempt.m_is_draining};
     auto const pool_id = call->m_pool;
     report_evidence(host, *call, attempt, outcome);
-    if (call->m_relayed_attempt == number)
+    call = find_call(host, id);
+    if (call != nullptr && call->m_relayed_attempt == number)
     {
         finish_relayed_answer(host, *call, outcome);
     }
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -121,7 +121,7 @@
 {
     expire_forwards(host);
     expire_held_calls(host);
-    expire_crash_suspects(host);
+    maintain_crash_suspects(host);
     if (host.m_once_table != nullptr)
     {
         core::remove_expired_keys(*host.m_once_table, now());
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -142,6 +142,8 @@
         m_leaving_targets;
 
     core::crash_suspects m_crash_suspects;
+    /// Contents with changed records that the other hosts are still to be told.
+    std::set<core::content_id> m_unshared_contents;
     std::unordered_map<core::target_id, lost_requests> m_lost_requests;
 
     std::map<incoming_forward_id, incoming_forward> m_incoming_forwards;
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -486,15 +486,15 @@
         fail_call(host, call, result_code::spill_refused);
         return;
     }
+    auto arrival = pool->m_spilled.at(call.m_id);
+    pool->m_spilled.erase(call.m_id);
     if (refuse_if_suspect(host, call))
     {
         return;
     }
-    auto arrival = pool->m_spilled.at(call.m_id);
     arrival.m_target_ends = call.m_target_ends;
     // The rules may have changed since the request was spilled.
     arrival.m_kind = make_arrival(*pool, call).m_kind;
-    pool->m_spilled.erase(call.m_id);
     ++call.m_spill_refusals;
     call.m_is_queued = true;
     core::pool_effects effects;
