Refuse a request that arrives too slowly with 408

Cause: the timeout used the code of a request that cannot be parsed. Change: result code request_timeout (1016, not run, 408). Conclusion: a timeout says nothing about the form of the request.

--- a/include/hawthornspur/result_code.hpp
+++ b/include/hawthornspur/result_code.hpp
@@ -30,6 +30,7 @@
     ambiguous_framing = 1013,
     method_not_allowed = 1014,
     once_key_reused = 1015,
+    request_timeout = 1016,
 
     // 2xxx: the request was refused and did not run.
     queue_full = 2001,
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -48,6 +48,8 @@
      "The method is not accepted here."},
     {once_key_reused, not_run, 409, "once_key_reused",
      "The at-most-once key was used before with a different request."},
+    {request_timeout, not_run, 408, "request_timeout",
+     "The request took too long to arrive."},
     {queue_full, not_run, 503, "queue_full", "The queue of the pool is full."},
     {deadline_unreachable, not_run, 503, "deadline_unreachable",
      "The expected wait exceeds the deadline."},
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -133,7 +133,7 @@
     if (m_framer.has_partial_request() &&
         event_loop::now() - m_request_start > m_settings.m_request_timeout)
     {
-        refuse({result_code::malformed_request, "the request takes too long"});
+        refuse({result_code::request_timeout, "the request takes too long"});
         return false;
     }
     if (m_framer.take_continue())
