Check a target's address when its connections are lost

Callers that repeated a deadly request at once still lost six of six targets in the system tests, and a host that was started later did not refuse it.

Cause: the end of a target was confirmed by a probe, and the share of the probe budget that one of up to 32 hosts has allows one probe in several seconds. Ends were forgotten before they were confirmed; the budget is empty when it matters. Change: the host opens a connection to the target's address and closes it, which costs a target that has ended nothing. Until the check has ended, two losses of one content refuse it for 0.2 s. The test of the neighbours fills the retry budget first: without it, a lost request is not sent again whatever crashed its target.

--- a/src/core/crash_suspects.cpp
+++ b/src/core/crash_suspects.cpp
@@ -19,6 +19,7 @@
 constexpr int min_ends_with_weight = 2;
 constexpr double min_weight = 1;
 constexpr int min_ends = 3;
+constexpr duration confirmation_time = std::chrono::milliseconds(200);
 constexpr duration first_hold = std::chrono::seconds(10);
 constexpr duration hold_after_min_ends = std::chrono::minutes(1);
 constexpr duration max_hold = std::chrono::minutes(10);
@@ -41,14 +42,17 @@
                            { return sum + report.m_weight; });
 }
 
-bool is_suspect(suspect_record const& record)
+bool is_suspect(int ends, double weight)
 {
     // Weights are sums of fractions such as 1/3.
     constexpr double rounding_error = 1e-6;
-    auto const ends = count_ends(record);
-    return ends >= min_ends ||
-           (ends >= min_ends_with_weight &&
-            total_weight(record) >= min_weight - rounding_error);
+    return ends >= min_ends || (ends >= min_ends_with_weight &&
+                                weight >= min_weight - rounding_error);
+}
+
+bool is_suspect(suspect_record const& record)
+{
+    return is_suspect(count_ends(record), total_weight(record));
 }
 
 /// Time after the last end or trial in which the request is refused. It doubles
@@ -239,20 +243,27 @@
 }
 
 crash_verdict judge_request(crash_suspects& suspects, content_id content,
-                            time_point now)
+                            unconfirmed_ends const& unconfirmed, time_point now)
 {
     crash_verdict verdict;
     auto const found = suspects.m_records.find(content);
-    if (found == suspects.m_records.end() || is_expired(found->second, now))
+    bool const is_known =
+        found != suspects.m_records.end() && !is_expired(found->second, now);
+    auto const ends = is_known ? count_ends(found->second) : 0;
+    verdict.m_target_ends = ends + unconfirmed.m_count;
+    if (!is_known || !is_suspect(found->second))
     {
+        auto const weight = is_known ? total_weight(found->second) : 0;
+        bool const is_answered =
+            is_recent(last_local_answer(suspects, content), now);
+        verdict.m_is_refused =
+            !is_answered &&
+            is_suspect(verdict.m_target_ends, weight + unconfirmed.m_weight);
+        verdict.m_retry_after =
+            verdict.m_is_refused ? confirmation_time : duration::zero();
         return verdict;
     }
     auto& record = found->second;
-    verdict.m_target_ends = count_ends(record);
-    if (!is_suspect(record))
-    {
-        return verdict;
-    }
     verdict.m_retry_after = remaining_hold(record, now);
     verdict.m_is_refused = verdict.m_retry_after > duration::zero();
     if (verdict.m_is_refused)
--- a/src/core/crash_suspects.hpp
+++ b/src/core/crash_suspects.hpp
@@ -112,8 +112,20 @@
     duration m_retry_after{0};
 };
 
-/// Decides about a request and, if it is let through as a trial, records it.
+/// Targets that closed connections of requests with one content and have not
+/// been probed since.
+struct unconfirmed_ends
+{
+    int m_count = 0;
+    /// Sum of the shares of the content in the requests that were lost.
+    double m_weight = 0;
+};
+
+/// Decides about a request and, if it is let through as a trial, records it. If
+/// only unconfirmed ends make the content suspected, it is refused for the time
+/// that it takes to confirm them.
 crash_verdict judge_request(crash_suspects& suspects, content_id content,
+                            unconfirmed_ends const& unconfirmed,
                             time_point now);
 
 /// Whether requests with this content are refused, trials aside.
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -430,10 +430,6 @@
     {
         earn(budgets.m_retry);
     }
-    else if (end.m_outcome == attempt_outcome::closed)
-    {
-        probe_after_loss(pool, *target, now, budgets, out);
-    }
     if (!request.m_answered && (end.m_outcome == attempt_outcome::ok ||
                                 end.m_outcome == attempt_outcome::server_error))
     {
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -40,7 +40,6 @@
         return false;
     }
     target.m_probe_pending = true;
-    target.m_is_end_unconfirmed = false;
     target.m_last_probe = now;
     ++target.m_rate.m_probes;
     out.emplace_back(probe_effect{target.m_spec.m_id});
@@ -112,29 +111,20 @@
 bool is_probe_due(pool const& pool, target_entry const& target, time_point now)
 {
     return can_be_probed(target) &&
-           (target.m_is_end_unconfirmed ||
-            is_slowness_stale(pool, target, now) ||
+           (is_slowness_stale(pool, target, now) ||
             (target.m_in_flight == 0 &&
              now - last_contact(target) >= recent_answer_window));
 }
 
-/// Targets that may have ended come first, then the one that answered longest
-/// ago.
-bool is_probed_before(target_entry const& a, target_entry const& b)
-{
-    return a.m_is_end_unconfirmed != b.m_is_end_unconfirmed
-               ? a.m_is_end_unconfirmed
-               : a.m_last_answer < b.m_last_answer;
-}
-
-/// The target that is to be probed next, or null.
+/// The target due for a probe whose last answer is oldest, or null.
 target_entry* find_probe_target(pool& pool, time_point now)
 {
     target_entry* stalest = nullptr;
     for (auto& target : pool.m_targets)
     {
         if (is_probe_due(pool, target, now) &&
-            (stalest == nullptr || is_probed_before(target, *stalest)))
+            (stalest == nullptr ||
+             target.m_last_answer < stalest->m_last_answer))
         {
             stalest = &target;
         }
@@ -186,17 +176,6 @@
     }
 }
 
-void probe_after_loss(pool& pool, target_entry& target, time_point now,
-                      service_budgets& budgets, pool_effects& out)
-{
-    target.m_is_end_unconfirmed = true;
-    if (!can_be_probed(target) || !try_probe(pool, target, now, budgets, out))
-    {
-        pool.m_next_probe_check =
-            std::min(pool.m_next_probe_check, now + slowness_check_interval);
-    }
-}
-
 void resume_probing(pool& pool, time_point now)
 {
     if (now - pool.m_last_arrival >= active_pool_window)
--- a/src/core/pool_probing.hpp
+++ b/src/core/pool_probing.hpp
@@ -11,11 +11,6 @@
 void check_targets(pool& pool, time_point now, service_budgets& budgets,
                    pool_effects& out);
 
-/// Probes a target that closed the connection of an attempt, to see whether it
-/// has ended. If the budget does not allow it now, check_targets does it.
-void probe_after_loss(pool& pool, target_entry& target, time_point now,
-                      service_budgets& budgets, pool_effects& out);
-
 /// Makes the next probe check due now if the pool was idle, since the targets
 /// of an idle pool are probed less often. Called before an arrival is recorded.
 void resume_probing(pool& pool, time_point now);
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -39,9 +39,6 @@
     /// targets shows that the target is back.
     bool m_draining = false;
     bool m_probe_pending = false;
-    /// The target closed the connection of an attempt and has not been probed
-    /// since.
-    bool m_is_end_unconfirmed = false;
     int m_in_flight = 0;
     /// Of these, attempts of requests that have lost a target before.
     int m_accused_in_flight = 0;
--- a/src/serve/crash_reports.cpp
+++ b/src/serve/crash_reports.cpp
@@ -23,10 +23,13 @@
 /// The connections of a target that ends are closed within this time.
 constexpr auto loss_window = std::chrono::milliseconds(200);
 
-/// A target that has ended is noticed within this time, by a probe or by the
-/// next attempt at it.
+/// A target that has ended is noticed within this time, by the check of its
+/// address or by the next attempt at it.
 constexpr auto max_confirmation_time = std::chrono::seconds(2);
 
+/// A target in another zone accepts or refuses a connection within about 10 ms.
+constexpr auto check_timeout = std::chrono::milliseconds(300);
+
 std::string to_text(core::content_id content)
 {
     return absl::StrFormat("%016x", content.m_value);
@@ -150,6 +153,43 @@
     }
 }
 
+/// Losses of requests with this content whose targets may have ended.
+core::unconfirmed_ends count_unconfirmed(entry_host const& host,
+                                         core::content_id content)
+{
+    core::unconfirmed_ends ends;
+    for (auto const& [target, lost] : host.m_lost_requests)
+    {
+        auto const count =
+            std::count(lost.m_contents.begin(), lost.m_contents.end(), content);
+        if (count > 0 && lost.m_reported_count == 0 &&
+            now() - lost.m_since < max_confirmation_time)
+        {
+            ++ends.m_count;
+            ends.m_weight += static_cast<double>(count) / lost.m_count;
+        }
+    }
+    return ends;
+}
+
+/// Finds out whether the target still accepts connections.
+void check_target(entry_host& host, core::target_id target)
+{
+    host.m_connect_checker->check(
+        host.m_targets.at(target).m_endpoint, check_timeout,
+        [&host, target, started_at = now()](net::connect_result result)
+        {
+            if (result == net::connect_result::refused)
+            {
+                on_target_ended(host, target);
+            }
+            else if (result == net::connect_result::accepted)
+            {
+                on_target_alive(host, target, started_at);
+            }
+        });
+}
+
 std::uint64_t hash_target(target_record const& target)
 {
     auto const text = target.m_service + '/' + target.m_name + '@' +
@@ -180,7 +220,8 @@
     auto const content = make_content_id(call.m_accepted.m_request);
     call.m_content = content;
     auto const verdict =
-        core::judge_request(host.m_crash_suspects, content, now());
+        core::judge_request(host.m_crash_suspects, content,
+                            count_unconfirmed(host, content), now());
     call.m_target_ends = verdict.m_target_ends;
     if (verdict.m_is_refused)
     {
@@ -208,6 +249,7 @@
     {
         lost = {};
         lost.m_since = now();
+        check_target(host, target);
     }
     ++lost.m_count;
     if (!has_answer_begun)
@@ -261,7 +303,7 @@
                      core::time_point sent_at)
 {
     auto const found = host.m_lost_requests.find(target);
-    if (found != host.m_lost_requests.end() && sent_at > found->second.m_since)
+    if (found != host.m_lost_requests.end() && sent_at >= found->second.m_since)
     {
         host.m_lost_requests.erase(found);
     }
--- a/src/serve/crash_reports.hpp
+++ b/src/serve/crash_reports.hpp
@@ -48,7 +48,8 @@
 void on_target_ended(entry_host& host, core::target_id target);
 
 /// Called when a target has answered a request or probe that was sent at
-/// `sent_at`. Connections lost before were not lost by its end.
+/// `sent_at`, or accepted a connection then. Connections lost before were not
+/// lost by its end.
 void on_target_alive(entry_host& host, core::target_id target,
                      core::time_point sent_at);
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -191,6 +191,7 @@
         return failure(client);
     }
     host->m_http_client = take(std::move(client));
+    host->m_connect_checker = std::make_unique<net::connect_checker>(loop);
     host->m_platform_calls = host->m_adapter.m_make_calls(
         *host->m_http_client, {host->m_settings.m_platform.m_address,
                                host->m_settings.m_platform.m_port});
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -10,6 +10,7 @@
 #include "core/pool.hpp"
 #include "core/route_match.hpp"
 #include "core/routing.hpp"
+#include "net/connect_checker.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -159,6 +160,7 @@
 
     platform::platform_calls m_platform_calls;
     std::unique_ptr<net::http_client> m_http_client;
+    std::unique_ptr<net::connect_checker> m_connect_checker;
     std::unique_ptr<net::peer_network> m_peer_network;
     std::unique_ptr<net::http_server> m_caller_server;
     std::unique_ptr<net::http_server> m_administration_server;
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -58,12 +58,6 @@
     options.m_timeout = probe_timeout;
     options.m_max_connections = found->second.m_max_connections;
     options.m_max_answer_bytes = max_probe_answer_bytes;
-    if (host.m_lost_requests.contains(target))
-    {
-        // An idle connection to a target that has ended may not have been
-        // noticed to be closed yet.
-        options.m_max_idle_time = core::duration(0);
-    }
     net::http_request const request{"GET",
                                     service->m_probe_budget.m_path,
                                     {{"Host", pool_id.m_service}},
@@ -93,26 +87,16 @@
                                started_at});
         }
     };
-    auto const exchange = std::make_shared<net::exchange_id>(0);
-    auto on_end = [&host, pool_id, answer, exchange,
-                   started_at = now()](net::exchange_outcome outcome)
+    auto on_end = [&host, pool_id, answer](net::exchange_outcome outcome)
     {
-        bool const is_refused =
-            outcome == net::exchange_outcome::connect_failed &&
-            *exchange != 0 && now() - started_at < probe_timeout;
-        if (is_refused)
-        {
-            on_target_ended(host, answer->m_target);
-        }
         answer->m_healthy =
             answer->m_healthy && outcome == net::exchange_outcome::complete;
         on_probe_end(host, pool_id, *answer);
     };
-    *exchange =
-        host.m_http_client->send(found->second.m_endpoint, request, options,
-                                 {.m_on_head = std::move(on_head),
-                                  .m_on_data = {},
-                                  .m_on_end = std::move(on_end)});
+    host.m_http_client->send(found->second.m_endpoint, request, options,
+                             {.m_on_head = std::move(on_head),
+                              .m_on_data = {},
+                              .m_on_end = std::move(on_end)});
 }
 
 } // namespace hawthornspur::serve
--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -199,6 +199,12 @@
     {
         return "/neighbour-" + std::to_string(i);
     };
+    // Successful requests fill the retry budget, without which no lost request
+    // is sent again.
+    for (std::size_t i = 0; i < 60; ++i)
+    {
+        CHECK(is_served(cluster, i % 3, "/harmless"));
+    }
     std::vector<std::shared_ptr<answer>> answers;
     for (std::size_t i = 0; i < neighbours; ++i)
     {
