Use the document in force and linked hosts only when a call is rerouted

On the same path, a call forwarded on to another zone did not look at links or at the hosts it had tried, so the loss of the owner there sent it in a circle until the stack ended. A request that may have run was protected from "not run" only in its second classification. Change: a rerouted call gets the document in force and keeps the part of its route; ranked owners come from that document only; the next zone's owner is chosen like any other; fail_call replaces "not run" for a request that may have run and must not run again. Conclusion: fixed by reading; tests of them are open.

--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -8,6 +8,8 @@
 #include "serve/start_queue.hpp"
 #include "serve/store_sync.hpp"
 
+#include <optional>
+
 namespace hawthornspur::serve
 {
 
@@ -41,9 +43,25 @@
     fail_call(host, call, result_code::host_not_ready);
 }
 
+/// The host with the first choice among those that are linked to this one and
+/// that the call has not tried.
+std::optional<core::next_hop> choose_reachable_owner(entry_host& host,
+                                                     active_call const& call,
+                                                     core::pool_id const& pool)
+{
+    auto const is_reachable = [&](std::string const& name)
+    {
+        return host.m_peer_network != nullptr &&
+               host.m_peer_network->is_linked(name);
+    };
+    return core::choose_owner(
+        host.m_routing, *call.m_classified.m_configuration, pool,
+        host.m_settings.m_name, is_reachable, call.m_excluded_hosts);
+}
+
 /// Forwards a request that another host forwarded to the owner of a zone in
 /// which its service has no target. The other host has no list of targets.
-/// Returns false if the request stays here.
+/// Returns false if the request stays here; otherwise it may have ended.
 bool forward_to_other_zone(entry_host& host, active_call& call)
 {
     if (call.m_origin != call_origin::forwarded_to_owner ||
@@ -59,14 +77,15 @@
     {
         return false;
     }
-    core::pool_id const pool{call.m_classified.m_service->m_name, zone};
-    auto const& order = core::ranked_owners(host.m_routing, document, pool);
-    if (order.empty() || order.front() == host.m_settings.m_name)
+    auto const owner = choose_reachable_owner(
+        host, call, {call.m_classified.m_service->m_name, zone});
+    if (!owner || owner->m_owner == host.m_settings.m_name)
     {
         return false;
     }
-    return forward_call(host, call, order.front(),
-                        net::forward_purpose::to_owner, zone);
+    static_cast<void>(forward_call(host, call, owner->m_owner,
+                                   net::forward_purpose::to_owner, zone));
+    return true;
 }
 
 } // namespace
@@ -102,14 +121,7 @@
         return;
     }
     call.m_pool = {call.m_classified.m_service->m_name, zone};
-    auto const is_reachable = [&](std::string const& name)
-    {
-        return host.m_peer_network != nullptr &&
-               host.m_peer_network->is_linked(name);
-    };
-    auto const route = core::choose_owner(host.m_routing, document, call.m_pool,
-                                          host.m_settings.m_name, is_reachable,
-                                          call.m_excluded_hosts);
+    auto const route = choose_reachable_owner(host, call, call.m_pool);
     if (route && route->m_owner != host.m_settings.m_name)
     {
         forward_call(host, call, route->m_owner,
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -160,4 +160,19 @@
     return classified;
 }
 
+bool replace_document(classified_request& classified,
+                      std::shared_ptr<core::configuration const> document)
+{
+    auto const found = find_by_kind(*document, classified.m_service->m_name,
+                                    classified.m_kind->m_name);
+    if (!has_value(found))
+    {
+        return false;
+    }
+    classified.m_service = value(found).m_service;
+    classified.m_kind = value(found).m_kind;
+    classified.m_configuration = std::move(document);
+    return true;
+}
+
 } // namespace hawthornspur::serve
--- a/src/serve/classify.hpp
+++ b/src/serve/classify.hpp
@@ -24,6 +24,11 @@
                  core::part_selector& selector, std::string const& own_zone,
                  core::time_point now);
 
+/// Replaces the document by one of the same generation, which may have other
+/// targets. Returns false if it lacks the service or the kind.
+bool replace_document(classified_request& classified,
+                      std::shared_ptr<core::configuration const> document);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -3,6 +3,7 @@
 #include "core/retry_budget.hpp"
 #include "serve/account.hpp"
 #include "serve/admit.hpp"
+#include "serve/classify.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
@@ -115,17 +116,18 @@
 {
     host.m_metrics.count_forward(reason);
     call.m_excluded_hosts.push_back(failed);
-    bool const is_configuration_changed =
-        host.m_configuration.m_in_force->m_generation !=
-        call.m_classified.m_configuration->m_generation;
-    if (is_configuration_changed)
+    // Under the same generation, the request stays with the part of its route
+    // that was chosen for it, but the targets may have changed.
+    auto const& in_force = host.m_configuration.m_in_force;
+    auto& classified = call.m_classified;
+    bool const is_same_generation =
+        in_force->m_generation == classified.m_configuration->m_generation;
+    if (is_same_generation && replace_document(classified, in_force))
     {
-        run_filters(host, call);
+        admit_call(host, call);
         return;
     }
-    // Without a change, the request stays with the part of its route that was
-    // chosen for it.
-    admit_call(host, call);
+    run_filters(host, call);
 }
 
 void handle_lost_forward(entry_host& host, active_call& call,
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -77,7 +77,8 @@
         fail_call(host, call, result_code::peer_link_lost);
         return;
     }
-    // A held call that runs under a key passes the filters a second time.
+    // A held or rerouted call that runs under a key passes the filters a second
+    // time.
     if (call.m_running_key ||
         deduplicate_call(host, call) == deduplicate_result::passed)
     {
@@ -195,6 +196,16 @@
 
 void fail_call(entry_host& host, active_call& call, result_code code)
 {
+    // "Not run" would release the key and allow the caller to send the request
+    // again.
+    bool const may_repeat = call.m_classified.m_kind != nullptr &&
+                            call.m_classified.m_kind->m_execution ==
+                                core::execution_rule::idempotent;
+    if (call.m_may_have_run && (!may_repeat || call.m_running_key) &&
+        info(code).m_execution == execution::not_run)
+    {
+        code = result_code::peer_link_lost;
+    }
     complete_key(host, call, code);
     if (call.m_sink.m_fail)
     {
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -122,7 +122,7 @@
     call->m_is_queued = false;
     pool.m_spilled[call->m_id] = make_arrival(pool, *call);
     auto const& order =
-        core::ranked_owners(host.m_routing, *call->m_classified.m_configuration,
+        core::ranked_owners(host.m_routing, *host.m_configuration.m_in_force,
                             {pool.m_id.m_service, spill.m_zone});
     if (order.empty() || order.front() == host.m_settings.m_name ||
         !forward_call(host, *call, order.front(), net::forward_purpose::spill,
