--- a/review/standins.py
+++ b/review/standins.py
@@ -218,13 +218,17 @@
         return {"key": key, "value": base64.b64encode(value).decode(),
                 "rev": revision, "created": created, "lease": lease}
 
-    def put(self, key, value):
-        """A write of the operator or of an upstream. Returns the time of the
-        acknowledgement."""
+    def beat(self, key, value):
+        """Like put(), without a line in the record."""
         with self.changed:
             self.revision += 1
             self.write(key, json.dumps(value).encode())
-        at = time.monotonic()
+        return time.monotonic()
+
+    def put(self, key, value):
+        """A write of the operator or of an upstream. Returns the time of the
+        acknowledgement."""
+        at = self.beat(key, value)
         self.record.write(f"store acknowledged {key}: {json.dumps(value)}")
         return at
 
