--- a/review/standins.py
+++ b/review/standins.py
@@ -24,7 +24,7 @@
           "rollback_slack_ms": 250, "max_skew_ms": 5000, "budget_ratio": 0.2,
           "budget_window_s": 10, "budget_slack": 58, "recovery_s": 15,
           "ttl_max_s": 5, "probes_per_s": 60}
-MEMORY_BYTES = 260 * 1000 * 1000  # memory_mb of the settings
+MEMORY_BYTES = 260 * 1024 * 1024  # memory_mb of the settings
 
 
 class Closed(Exception):
