--- a/review/standins.py
+++ b/review/standins.py
@@ -162,6 +162,7 @@
 
     def close(self):
         """Ends the server like the end of its process."""
+        self.listener.shutdown(socket.SHUT_RDWR)  # wakes accept()
         self.listener.close()
         with self.lock:
             for connection in self.connections:
