--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,7 +21,7 @@
     try:
         upstreams = [
             standins.Upstream(record, f"i-{service}-{zone[-1]}{index}", service, zone,
-                              "127.0.12.1", WORK)
+                              standins.UPSTREAM_ADDRESS, WORK)
             for service in ("plaza", "pay") for zone in ZONES
             for index in (1, 2)]
         fleet.store.put("op/config", standins.configuration(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,7 @@
     fleet = standins.Fleet(record, ["centro-a"], 8)
     try:
         upstreams = [standins.Upstream(record, f"i-{service}{index}", service,
-                                       "centro-a", "127.0.12.1")
+                                       "centro-a", standins.UPSTREAM_ADDRESS)
                      for service in ("plaza", "pay") for index in (1, 2)]
         for upstream in upstreams:
             fleet.store.put("servers/" + upstream.name, upstream.entry())
