Count failed properties of the framer and the send queue

Cause: two tests called rc::check() without CHECK(). It prints a falsified property and returns false, so the tests passed whatever it found. The new property test of request boundaries, written after them, printed "Falsifiable" on the old code and passed.

Change: the result is checked, as in the other property tests.

--- a/src/net/request_framer_test.cpp
+++ b/src/net/request_framer_test.cpp
@@ -279,7 +279,7 @@
 // Guards against a result that depends on the TCP segments of a request.
 TEST_CASE("a request is accepted in pieces of any size")
 {
-    rc::check(
+    CHECK(rc::check(
         []
         {
             std::string body;
@@ -296,7 +296,7 @@
             auto const output = frame(bytes, piece);
             RC_ASSERT(output.m_is_complete);
             RC_ASSERT(output.m_code == result_code::ok);
-        });
+        }));
 }
 
 // Guards against a code whose refusal is not valid JSON or lacks a header.
--- a/src/net/send_queue_test.cpp
+++ b/src/net/send_queue_test.cpp
@@ -58,7 +58,7 @@
 // count of queued bytes, which would block a link permanently.
 TEST_CASE("bodies are complete and in order for any sequence of operations")
 {
-    rc::check(
+    CHECK(rc::check(
         []
         {
             send_queue queue(unlimited_bytes);
@@ -98,7 +98,7 @@
             {
                 RC_ASSERT(received[id] == data);
             }
-        });
+        }));
 }
 
 // Guards against a configuration document that delays requests or arrives
