Read the bodies of requests in one place

Callers saw: the text of a request in the body of a HEAD request ran at a target as a request that nobody had sent, and its answer went to the caller's next request.

Cause: request_framer finds the end of a body for any method, and evhttp parsed what it released once more. evhttp reads no body for HEAD, so the body stayed in the input buffer and was parsed as the next request.

Evidence: on the code before, the new test of the server fails for HEAD, with a length and in chunks, pipelined or not, and for none of the six other methods.

Change: evhttp gets a head without a body, and the server takes the request from the framer. Nothing that a caller sends is left for evhttp to parse, whatever the method and the framing. A request that was not received as one closes its connection.

--- a/fuzz/http_heads.cpp
+++ b/fuzz/http_heads.cpp
@@ -44,6 +44,14 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
     "0\r\n\r\n"};
 
+/// The next request in canonical form; empty without one.
+std::string take_bytes(request_framer& framer)
+{
+    auto const request = framer.take();
+    return request ? to_bytes(request->m_head) + request->m_body
+                   : std::string();
+}
+
 /// Returns the bytes that pass the request checks and the code of a refusal, or
 /// ok. The input is added in random pieces of up to `max_piece` bytes.
 std::pair<std::string, result_code> frame_request(fuzz::engine& random,
@@ -57,11 +65,11 @@
         auto const piece = 1 + fuzz::random_below(random, max_piece);
         framer.add(std::string_view(input).substr(position, piece));
         position += piece;
-        out += framer.take();
+        out += take_bytes(framer);
         while (!framer.refusal() && framer.is_request_in_flight())
         {
             framer.on_answered();
-            out += framer.take();
+            out += take_bytes(framer);
         }
         if (framer.refusal())
         {
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -24,6 +24,17 @@
 /// bytes still arrive would reset it and discard the answer.
 constexpr timeval linger_timeout{1, 0};
 
+/// What evhttp needs to know of a request: whether the answer has a body and
+/// whether the connection stays open.
+std::string make_evhttp_head(request_head const& head)
+{
+    request_head reduced;
+    reduced.m_method = head.m_method;
+    reduced.m_request_target.push_back('/');
+    reduced.m_closes_connection = head.m_closes_connection;
+    return to_bytes(reduced);
+}
+
 } // namespace
 
 caller_connection::caller_connection(bufferevent* transport,
@@ -124,7 +135,7 @@
 
 bool caller_connection::release_request()
 {
-    auto const bytes = m_framer.take();
+    auto request = m_framer.take();
     if (m_framer.refusal())
     {
         refuse(*m_framer.refusal());
@@ -145,10 +156,12 @@
         ::send(bufferevent_getfd(m_transport), continue_response.data(),
                continue_response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     }
-    if (bytes.empty())
+    if (!request)
     {
         return false;
     }
+    auto const bytes = make_evhttp_head(request->m_head);
+    m_released_request = std::move(request);
     auto* input = bufferevent_get_input(m_transport);
     m_is_modifying_input = true;
     // A bufferevent freezes the end of its input buffer for other writers.
@@ -159,9 +172,19 @@
     return true;
 }
 
-void caller_connection::on_request(evhttp_request* request)
+std::optional<http_request>
+caller_connection::take_request(evhttp_request* request)
 {
+    auto released = std::exchange(m_released_request, std::nullopt);
+    if (!released)
+    {
+        return std::nullopt;
+    }
     evhttp_request_set_on_complete_cb(request, on_answered, this);
+    return http_request{std::move(released->m_head.m_method),
+                        std::move(released->m_head.m_request_target),
+                        std::move(released->m_head.m_headers),
+                        std::move(released->m_body)};
 }
 
 void caller_connection::on_answered(evhttp_request* /*request*/, void* self)
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -2,10 +2,12 @@
 #define HAWTHORNSPUR_NET_CALLER_CONNECTION_HPP
 
 #include "core/time.hpp"
+#include "net/http_message.hpp"
 #include "net/request_framer.hpp"
 #include <hawthornspur/result_code.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 struct bufferevent;
@@ -35,10 +37,11 @@
     std::function<void(caller_connection&)> m_on_closed;
 };
 
-/// Validates what a caller sends before evhttp parses it. It removes the bytes
-/// from the input buffer as they are read from the socket and puts back
-/// validated requests, one at a time. It exists from the accept until evhttp
-/// frees the connection.
+/// Reads what a caller sends in place of evhttp. It removes the bytes from the
+/// input buffer as they are read from the socket and validates them. For each
+/// request it puts back a head without a body, so that evhttp has nothing left
+/// that it could parse as another request. It exists from the accept until
+/// evhttp frees the connection.
 class caller_connection
 {
 public:
@@ -60,7 +63,9 @@
     }
 
     /// Must be called for each request that evhttp passes to the server.
-    void on_request(evhttp_request* request);
+    /// Returns the request as it was received, or nothing if evhttp found one
+    /// that this object did not release.
+    std::optional<http_request> take_request(evhttp_request* request);
     void set_exchange(http_exchange* exchange) noexcept
     {
         m_exchange = exchange;
@@ -91,14 +96,16 @@
                                  void* self);
     /// Moves all bytes of the input buffer to the framer.
     void move_input(evbuffer* input);
-    /// Puts the next request of the framer into the input buffer. False if none
-    /// is complete.
+    /// Puts a head for the next request of the framer into the input buffer.
+    /// False if none is complete.
     bool release_request();
 
     bufferevent* m_transport;
     http_server_settings const& m_settings;
     caller_connection_handlers const& m_handlers;
     request_framer m_framer;
+    /// Released to evhttp, which has not passed it to the server yet.
+    std::optional<framed_request> m_released_request;
     evhttp_connection* m_evcon = nullptr;
     http_exchange* m_exchange = nullptr;
     core::time_point m_request_start{};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -9,8 +9,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 
 #include <algorithm>
 #include <unordered_map>
@@ -27,53 +25,6 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-char const* method_name(evhttp_cmd_type type)
-{
-    switch (type)
-    {
-    case EVHTTP_REQ_GET:
-        return "GET";
-    case EVHTTP_REQ_POST:
-        return "POST";
-    case EVHTTP_REQ_HEAD:
-        return "HEAD";
-    case EVHTTP_REQ_PUT:
-        return "PUT";
-    case EVHTTP_REQ_DELETE:
-        return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-        return "OPTIONS";
-    case EVHTTP_REQ_PATCH:
-        return "PATCH";
-    default:
-        return "";
-    }
-}
-
-http_request read_request(evhttp_request* request)
-{
-    http_request parsed;
-    parsed.m_method = method_name(evhttp_request_get_command(request));
-    parsed.m_uri = evhttp_request_get_uri(request);
-    auto* headers = evhttp_request_get_input_headers(request);
-    for (auto* header = headers->tqh_first; header != nullptr;
-         header = header->next.tqe_next)
-    {
-        parsed.m_headers.emplace_back(header->key, header->value);
-    }
-    // Both describe the transfer of the body, which is complete.
-    remove_header(parsed.m_headers, "Transfer-Encoding");
-    remove_header(parsed.m_headers, "Content-Length");
-    auto* body = evhttp_request_get_input_buffer(request);
-    auto const size = evbuffer_get_length(body);
-    parsed.m_body.resize(size);
-    if (size > 0)
-    {
-        evbuffer_remove(body, parsed.m_body.data(), size);
-    }
-    return parsed;
-}
-
 } // namespace
 
 struct http_server::state
@@ -201,10 +152,17 @@
     auto* connection =
         m_connections_by_evcon.at(evhttp_request_get_connection(request));
     ++m_counters.m_requests;
-    connection->on_request(request);
-    auto parsed = read_request(request);
-    m_handler(std::move(parsed),
-              std::make_shared<http_exchange>(request, *connection));
+    auto received = connection->take_request(request);
+    auto exchange = std::make_shared<http_exchange>(request, *connection);
+    if (!received)
+    {
+        // Nobody sent this request; dropping the exchange closes the
+        // connection.
+        logging::write(logging::level::error, "net.http",
+                       "connection closed, unvalidated bytes were parsed");
+        return;
+    }
+    m_handler(std::move(*received), std::move(exchange));
 }
 
 http_server::http_server(std::unique_ptr<state> owned_state)
@@ -253,13 +211,8 @@
     server.m_deferred_timer = take(std::move(deferred));
     evhttp_set_allowed_methods(server.m_http,
                                static_cast<ev_uint16_t>(allowed_methods));
-    // request_framer enforces the limits. A rewritten head may be longer than
-    // the received one, so evhttp gets larger limits.
-    evhttp_set_max_headers_size(
-        server.m_http,
-        static_cast<ev_ssize_t>(2 * settings.m_max_headers_bytes));
-    evhttp_set_max_body_size(
-        server.m_http, static_cast<ev_ssize_t>(settings.m_max_body_bytes + 1));
+    // request_framer enforces the limits and hands evhttp no bodies.
+    evhttp_set_max_body_size(server.m_http, 0);
     evhttp_set_default_content_type(server.m_http, nullptr);
     auto const microseconds =
         std::chrono::duration_cast<std::chrono::microseconds>(
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -176,6 +177,59 @@
     CHECK(fixture.m_server->counters().m_connections_accepted == 1);
 }
 
+// Guards against a body that stays in the input buffer and is parsed as the
+// next request: evhttp reads none for HEAD.
+TEST_CASE("a request in the body of another one is not run")
+{
+    std::string const inner =
+        "PUT /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+    auto const size = std::to_string(inner.size());
+    std::vector<std::string> const framed_bodies{
+        "Content-Length: " + size + "\r\n\r\n" + inner,
+        "Transfer-Encoding: chunked\r\n\r\n1\r\nP\r\n" +
+            [&]
+            {
+                std::ostringstream hexadecimal;
+                hexadecimal << std::hex << inner.size() - 1;
+                return hexadecimal.str();
+            }() +
+            "\r\n" + inner.substr(1) + "\r\n0\r\n\r\n"};
+    for (std::string const method :
+         {"GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "PATCH"})
+    {
+        for (auto const& framed_body : framed_bodies)
+        {
+            for (bool const is_pipelined : {false, true})
+            {
+                CAPTURE(method);
+                CAPTURE(framed_body);
+                CAPTURE(is_pipelined);
+                auto loop = take(event_loop::create());
+                server_fixture fixture(*loop);
+                raw_connection caller(*loop, fixture.m_server->port());
+                auto const outer =
+                    method + " /outer HTTP/1.1\r\nHost: a\r\n" + framed_body;
+                caller.send(is_pipelined ? outer + get("/next") : outer);
+                REQUIRE(run_until(*loop, [&]
+                                  { return fixture.m_requests.size() == 1; }));
+                CHECK(fixture.m_requests[0].m_method == method);
+                CHECK(fixture.m_requests[0].m_body == inner);
+                fixture.m_exchanges[0]->reply({200, {}}, "");
+                if (!is_pipelined)
+                {
+                    REQUIRE(run_until(
+                        *loop, [&]
+                        { return contains(caller.m_received, "\r\n\r\n"); }));
+                    caller.send(get("/next"));
+                }
+                REQUIRE(run_until(*loop, [&]
+                                  { return fixture.m_requests.size() == 2; }));
+                CHECK(fixture.m_requests[1].m_uri == "/next");
+            }
+        }
+    }
+}
+
 // Guards against evhttp aborting the process when data arrives while an answer
 // is sent, and against unbounded memory for such data.
 TEST_CASE("requests received during an answer are held and answered later")
--- a/src/net/request_framer.cpp
+++ b/src/net/request_framer.cpp
@@ -33,7 +33,7 @@
     m_raw += bytes;
 }
 
-std::string request_framer::take()
+std::optional<framed_request> request_framer::take()
 {
     assert(!m_refusal);
     while (!m_refusal && step())
@@ -41,12 +41,10 @@
     }
     if (m_refusal || !std::exchange(m_is_ready, false))
     {
-        return {};
+        return std::nullopt;
     }
     m_head.m_length = m_body.size();
-    auto out = to_bytes(m_head);
-    out += std::exchange(m_body, {});
-    return out;
+    return framed_request{std::exchange(m_head, {}), std::exchange(m_body, {})};
 }
 
 bool request_framer::take_continue() noexcept
--- a/src/net/request_framer.hpp
+++ b/src/net/request_framer.hpp
@@ -13,9 +13,16 @@
 namespace hawthornspur::net
 {
 
+/// A validated request with its whole body, whose length is that of the head.
+struct framed_request
+{
+    request_head m_head;
+    std::string m_body;
+};
+
 /// Splits the bytes of a connection into requests and returns them one at a
-/// time, rewritten in an unambiguous form for evhttp. evhttp itself is lenient
-/// with framing and answers some faults without a result code.
+/// time. evhttp itself is lenient with framing, reads no body for some methods
+/// and answers some faults without a result code.
 class request_framer
 {
 public:
@@ -24,10 +31,10 @@
     /// Adds bytes from the caller, in pieces of any size.
     void add(std::string_view bytes);
 
-    /// Returns the next request, always with a Content-Length. Empty while an
-    /// earlier request is in flight or the request is incomplete; check
-    /// refusal() then. Precondition: no refusal().
-    std::string take();
+    /// Returns the next request. Nothing while an earlier request is in flight
+    /// or the request is incomplete; check refusal() then. Precondition: no
+    /// refusal().
+    std::optional<framed_request> take();
 
     /// Returns true once if the caller waits for "100 Continue" before it sends
     /// the body.
--- a/src/net/request_framer_test.cpp
+++ b/src/net/request_framer_test.cpp
@@ -26,6 +26,14 @@
     bool m_is_complete = false;
 };
 
+/// The next request in canonical form; empty without one.
+std::string take_bytes(request_framer& framer)
+{
+    auto const request = framer.take();
+    return request ? to_bytes(request->m_head) + request->m_body
+                   : std::string();
+}
+
 framer_output frame(std::string const& input,
                     std::size_t piece = std::string::npos)
 {
@@ -36,7 +44,7 @@
         auto const part = std::string_view(input).substr(offset, piece);
         framer.add(part);
         offset += part.size();
-        output.m_bytes += framer.take();
+        output.m_bytes += take_bytes(framer);
     }
     if (framer.refusal())
     {
@@ -266,10 +274,10 @@
     auto const first = get("X: 1\r\n");
     auto const second = get("X: 2\r\n");
     framer.add(first + second + "GARBAGE\n");
-    CHECK(framer.take().find("X: 1") != std::string::npos);
-    CHECK(framer.take().empty());
+    CHECK(take_bytes(framer).find("X: 1") != std::string::npos);
+    CHECK(!framer.take());
     framer.on_answered();
-    CHECK(framer.take().find("X: 2") != std::string::npos);
+    CHECK(take_bytes(framer).find("X: 2") != std::string::npos);
     CHECK(!framer.refusal());
     framer.on_answered();
     framer.take();
--- a/src/net/request_head.hpp
+++ b/src/net/request_head.hpp
@@ -49,8 +49,8 @@
 result<request_head> parse_request_head(std::string_view bytes,
                                         request_head_limits const& limits);
 
-/// Serializes the head with a Content-Length, in a form that evhttp parses
-/// unambiguously.
+/// Serializes the head with a Content-Length, in a form that any parser reads
+/// in the same way.
 std::string to_bytes(request_head const& head);
 
 /// True if the text is a valid method or header name (RFC 9110, section 5.6.2).
