Give peers the operators' document as it was written

Cause: hosts that read the store parse the operators' text with the users' rules. A refused generation was not requested again, from nobody. A text above 2 MiB broke the links.

Change: peers get the operators' text, and each host parses it with the same function, so no check can differ. A host that cannot use it reads the store at once; one that knows of a newer document for 0.9 s without getting it does so too, more and more rarely (core/missed_change). Documents above 1,000,000 bytes are not sent to peers.

--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -127,7 +127,8 @@
     std::uint64_t m_generation = 0;
 };
 
-/// A configuration document in canonical form.
+/// A configuration document: as the users' store holds it, otherwise in
+/// canonical form.
 struct configuration_reply
 {
     std::uint64_t m_generation = 0;
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logging.hpp"
 #include "config/document.hpp"
+#include "config/json_text.hpp"
 #include "core/document_source.hpp"
 #include "core/ownership.hpp"
 #include "platform/call_limiter.hpp"
@@ -107,8 +108,6 @@
     for (auto& service : document.m_services)
     {
         auto& retries = service.m_retry_budget;
-        // Documents of peers are complete already. The same limits give the
-        // same result.
         if (bounds.m_retry_ratio)
         {
             retries.m_ratio = budget_share * *bounds.m_retry_ratio;
@@ -157,14 +156,14 @@
     }
 }
 
+/// `text` is the document as peers receive it; empty if it is to be printed.
 void apply_document(entry_host& host, core::configuration document,
-                    core::configuration_source source)
+                    core::configuration_source source,
+                    std::string const& text = {})
 {
-    std::shared_ptr<core::configuration const> peer_document;
     if (host.m_store_sync != nullptr)
     {
         complete_document(host, document);
-        peer_document = std::make_shared<core::configuration const>(document);
         if (has_target_list(host))
         {
             document = core::with_registered_targets(
@@ -188,9 +187,7 @@
     case core::offer_result::same:
         return;
     }
-    host.m_configuration_sync->m_peer_document =
-        peer_document == nullptr ? shared : peer_document;
-    host.m_configuration_sync->m_peer_document_text.clear();
+    host.m_configuration_sync->m_peer_document_text = text;
     log_document(*shared, source, "configuration in force");
     host.m_metrics.count_event("configuration_in_force");
     core::remove_missing_routes(host.m_part_selector, *shared);
@@ -276,6 +273,17 @@
     }
 }
 
+void reject_peer_document(entry_host& host,
+                          net::configuration_reply const& reply,
+                          std::string const& reason)
+{
+    core::record_rejected_document(host.m_configuration, reply.m_generation);
+    logging::write(logging::level::error, "serve.configuration",
+                   "document of a peer rejected",
+                   {{"generation", std::to_string(reply.m_generation)},
+                    {"reason", reason}});
+}
+
 void read_configuration(entry_host& host)
 {
     auto on_result =
@@ -324,10 +332,16 @@
     return success();
 }
 
-void apply_operator_document(entry_host& host, core::configuration document)
+status apply_operator_document(entry_host& host, std::string const& text,
+                               core::configuration_source source)
 {
-    apply_document(host, std::move(document),
-                   core::configuration_source::store);
+    auto document = host.m_adapter.m_store_layout->m_read_configuration(text);
+    if (!has_value(document))
+    {
+        return failure(document);
+    }
+    apply_document(host, take(std::move(document)), source, text);
+    return success();
 }
 
 void refresh_targets(entry_host& host)
@@ -388,38 +402,49 @@
                               net::configuration_request const& request)
 {
     auto& sync = *host.m_configuration_sync;
-    auto const& document = sync.m_peer_document;
-    if (document == nullptr || document->m_generation <= request.m_generation)
+    auto const generation = generation_in_force(host);
+    if (generation <= request.m_generation)
     {
         return;
     }
     if (sync.m_peer_document_text.empty())
     {
-        sync.m_peer_document_text = config::print_document(*document);
+        sync.m_peer_document_text =
+            config::print_document(*host.m_configuration.m_in_force);
+    }
+    if (sync.m_peer_document_text.size() > config::max_text_bytes)
+    {
+        // Two of them on the way would exceed what a link accepts and break it.
+        // The other host reads the store.
+        host.m_metrics.count_event("document_too_large_for_peers");
+        return;
     }
     static_cast<void>(host.m_peer_network->send(
-        from, net::configuration_reply{document->m_generation,
-                                       sync.m_peer_document_text}));
+        from, net::configuration_reply{generation, sync.m_peer_document_text}));
 }
 
 void on_configuration_reply(entry_host& host,
                             net::configuration_reply const& reply)
 {
+    if (host.m_store_sync != nullptr)
+    {
+        auto const applied = apply_operator_document(
+            host, reply.m_document, core::configuration_source::peer);
+        if (!has_value(applied))
+        {
+            reject_peer_document(host, reply, failure(applied).m_message);
+            read_configuration_now(host);
+        }
+        return;
+    }
     auto parsed = config::parse_document(reply.m_document);
     if (auto const* faults = std::get_if<config::fault_list>(&parsed))
     {
-        core::record_rejected_document(host.m_configuration,
-                                       reply.m_generation);
-        logging::write(logging::level::error, "serve.configuration",
-                       "document of a peer rejected",
-                       {{"reason", config::describe(*faults)}});
+        reject_peer_document(host, reply, config::describe(*faults));
         return;
     }
     auto& document = std::get<core::configuration>(parsed);
-    if (host.m_configuration_sync->m_store != nullptr)
-    {
-        host.m_configuration_sync->m_store->cache_parts(document);
-    }
+    host.m_configuration_sync->m_store->cache_parts(document);
     apply_document(host, std::move(document), core::configuration_source::peer);
 }
 
--- a/src/serve/configuration_driver.hpp
+++ b/src/serve/configuration_driver.hpp
@@ -2,7 +2,7 @@
 #define HAWTHORNSPUR_SERVE_CONFIGURATION_DRIVER_HPP
 
 #include "base/result.hpp"
-#include "core/configuration.hpp"
+#include "core/configuration_state.hpp"
 #include "net/peer_messages.hpp"
 
 #include <cstdint>
@@ -18,9 +18,12 @@
 /// which fetch the document.
 status start_configuration_sync(entry_host& host);
 
-/// Applies a document that operators wrote to a store that also holds the
-/// targets. Zones, registered targets and budgets are added to it.
-void apply_operator_document(entry_host& host, core::configuration document);
+/// Parses a document that operators wrote to a store that also holds the
+/// targets, and applies it. Zones, registered targets and budgets are added to
+/// it. The text is what other hosts get, so that each host parses the same one
+/// in the same way. Errors: store_answer_malformed.
+status apply_operator_document(entry_host& host, std::string const& text,
+                               core::configuration_source source);
 
 /// Replaces the targets of the document in force by those registered now.
 void refresh_targets(entry_host& host);
--- a/src/serve/configuration_sync.hpp
+++ b/src/serve/configuration_sync.hpp
@@ -31,9 +31,8 @@
     std::uint64_t m_requested_generation = 0;
     core::time_point m_request_time{};
     std::size_t m_requests = 0;
-    /// The document in force as peers receive it, without registered targets.
-    /// Its text is printed at the first request.
-    std::shared_ptr<core::configuration const> m_peer_document;
+    /// The document in force as peers receive it: the text that operators wrote
+    /// to the users' store, otherwise printed at the first request.
     std::string m_peer_document_text;
 };
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -122,6 +122,7 @@
     expire_forwards(host);
     expire_held_calls(host);
     maintain_crash_suspects(host);
+    read_missed_configuration(host);
     if (host.m_once_table != nullptr)
     {
         core::remove_expired_keys(*host.m_once_table, now());
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -193,26 +193,20 @@
 
 void apply_configuration_value(entry_host& host, std::string const& value)
 {
-    auto document = host.m_adapter.m_store_layout->m_read_configuration(value);
-    if (!has_value(document))
+    auto const applied =
+        apply_operator_document(host, value, core::configuration_source::store);
+    if (!has_value(applied))
     {
         core::record_rejected_document(host.m_configuration, 0);
         logging::write(logging::level::error, "serve.store",
                        "stored document not taken",
-                       {{"reason", failure(document).m_message}});
-        return;
+                       {{"reason", failure(applied).m_message}});
     }
-    apply_operator_document(host, take(std::move(document)));
 }
 
-void apply_snapshot(entry_host& host, range_watch& range,
-                    platform::stored_range const& snapshot)
+void apply_configuration_snapshot(entry_host& host,
+                                  platform::stored_range const& snapshot)
 {
-    if (&range == &host.m_store_sync->m_targets)
-    {
-        apply_target_snapshot(host, snapshot);
-        return;
-    }
     for (auto const& item : snapshot.m_items)
     {
         if (item.m_key == host.m_adapter.m_store_layout->m_configuration_key)
@@ -222,6 +216,17 @@
     }
 }
 
+void apply_snapshot(entry_host& host, range_watch& range,
+                    platform::stored_range const& snapshot)
+{
+    if (&range == &host.m_store_sync->m_targets)
+    {
+        apply_target_snapshot(host, snapshot);
+        return;
+    }
+    apply_configuration_snapshot(host, snapshot);
+}
+
 void apply_changes(entry_host& host, range_watch& range,
                    platform::range_changes const& changes)
 {
@@ -487,6 +492,39 @@
             now() - *range.m_catching_up_since >= max_catch_up_time);
 }
 
+void read_configuration_now(entry_host& host)
+{
+    host.m_metrics.count_event("missed_document_read");
+    host.m_platform_calls.m_get_range(
+        host.m_store_sync->m_configuration.m_prefix,
+        platform::freshness::latest,
+        [&host](result<platform::stored_range> const& answer)
+        {
+            detect_pause(host);
+            if (!has_value(answer))
+            {
+                host.m_metrics.count_event("store_call_failed");
+                return;
+            }
+            apply_configuration_snapshot(host, value(answer));
+        });
+}
+
+void read_missed_configuration(entry_host& host)
+{
+    if (host.m_store_sync != nullptr &&
+        core::is_own_read_due(host.m_store_sync->m_missed_change,
+                              host.m_configuration, now()))
+    {
+        logging::write(
+            logging::level::warn, "serve.store",
+            "reading the document that peers announced and did not send",
+            {{"generation",
+              std::to_string(host.m_configuration.m_newest_generation)}});
+        read_configuration_now(host);
+    }
+}
+
 void observe_store_epoch(entry_host& host, platform::store_epoch epoch)
 {
     auto const& range = host.m_store_sync->m_configuration;
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_SERVE_STORE_SYNC_HPP
 
 #include "base/result.hpp"
+#include "core/missed_change.hpp"
 #include "core/store_position.hpp"
 #include "core/store_role.hpp"
 #include "core/target_directory.hpp"
@@ -79,6 +80,7 @@
     core::time_point m_last_host_read_time{};
     int m_host_read_count = 0;
 
+    core::missed_change m_missed_change;
     core::store_role m_role = core::store_role::standby;
     /// This host has known others for long enough to know the leaders.
     bool m_has_settled_contact = false;
@@ -103,6 +105,14 @@
 /// called after each change of membership or of a link.
 void update_store_role(entry_host& host);
 
+/// Reads the operators' document once, whatever the role of this host. An
+/// answer that fails is not repeated.
+void read_configuration_now(entry_host& host);
+
+/// Calls read_configuration_now() if other hosts have announced a document that
+/// this one could not get from them. To be called at regular intervals.
+void read_missed_configuration(entry_host& host);
+
 /// Compares the epoch of another read with that of the ranges. A watch that was
 /// opened after the store came back from an earlier state may not answer for
 /// long.
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -383,7 +383,8 @@
                          host.m_calls.begin()->second->m_classified.m_service !=
                              nullptr;
               });
-    serve::apply_operator_document(host, take(read_document(document)));
+    REQUIRE(has_value(serve::apply_operator_document(
+        host, document, core::configuration_source::store)));
     answer_delayed_reads(*fixture_state.m_views[0]);
 }
 
