Refuse calls that may outlast a planned stop

Operators of a similar system reported requests cut at the end of the grace, among them such that may not be repeated: the same fault.

Cause: a stopping host accepted any request for 0.6 of the stop, also from other hosts. What remained, 2.2 s here, is shorter than many deadlines.

Change: core/stop_schedule holds the times of a stop. A call that arrives after its begin is accepted if its deadline is before the cut; otherwise it is refused as not run and can run at another host. Copies of a keyed request that runs or has run still get its answer. Calls that end in time are accepted until address answers expire. With a kill after less than 6 s, the cut is no earlier than the last twelfth of that time.

--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -10,6 +10,7 @@
 #include "core/pool.hpp"
 #include "core/route_match.hpp"
 #include "core/routing.hpp"
+#include "core/stop_schedule.hpp"
 #include "net/connect_checker.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -155,8 +156,10 @@
     start_queue m_start_queue;
 
     stop_stage m_stop_stage = stop_stage::running;
-    core::time_point m_stop_deadline{};
-    core::time_point m_address_answers_expire{};
+    /// Valid unless the stage is `running`.
+    core::stop_schedule m_stop_schedule;
+    /// Time at which a finished stop ends the process.
+    core::time_point m_exit_time{};
 
     platform::platform_calls m_platform_calls;
     std::unique_ptr<net::http_client> m_http_client;
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -13,6 +13,7 @@
 #include "serve/pools.hpp"
 #include "serve/relay.hpp"
 #include "serve/start_queue.hpp"
+#include "serve/stop.hpp"
 
 #include <cassert>
 #include <utility>
@@ -79,11 +80,19 @@
     }
     // A held or rerouted call that runs under a key passes the filters a second
     // time.
-    if (call.m_running_key ||
-        deduplicate_call(host, call) == deduplicate_result::passed)
+    if (!call.m_running_key &&
+        deduplicate_call(host, call) != deduplicate_result::passed)
     {
-        admit_call(host, call);
+        return;
+    }
+    if (!is_accepted(host, call))
+    {
+        host.m_metrics.count_event("stop_too_short");
+        call.m_retry_after = other_host_retry_delay;
+        fail_call(host, call, result_code::host_leaving);
+        return;
     }
+    admit_call(host, call);
 }
 
 active_call* find_call(entry_host& host, core::request_id id) noexcept
--- a/src/serve/stop.cpp
+++ b/src/serve/stop.cpp
@@ -5,7 +5,6 @@
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
 
-#include <algorithm>
 #include <vector>
 
 namespace hawthornspur::serve
@@ -17,34 +16,12 @@
 /// Time in which the last answers and messages are sent from socket buffers.
 constexpr auto linger_time = std::chrono::milliseconds(200);
 
-/// Time between the end of the stop and the platform's kill signal.
-constexpr auto kill_margin = std::chrono::milliseconds(500);
-
-/// Share of the stop time in which new requests are accepted. The rest is for
-/// requests in flight: the longest deadline of a route is a third of the usual
-/// 6 s.
-constexpr double leaving_share = 0.6;
-
-/// Longest time that the stop may take: the limit in the settings, or less if
-/// the platform ends the process earlier.
-core::duration max_stop_time(entry_host const& host)
-{
-    auto const& grace = host.m_deployment_bounds.m_stop_grace;
-    return grace ? std::min(host.m_settings.m_stop_bound,
-                            std::max(core::duration(0), *grace - kill_margin))
-                 : host.m_settings.m_stop_bound;
-}
-
-/// Time in which callers with earlier address answers are served. The rest of
-/// the stop time is for requests in flight.
-core::duration leaving_time(entry_host const& host)
+core::stop_limits find_stop_limits(entry_host const& host)
 {
-    auto const lifetime =
-        host.m_configuration.m_in_force == nullptr
-            ? core::duration(0)
-            : host.m_configuration.m_in_force->m_address_lifetime;
-    return std::min(lifetime, std::chrono::duration_cast<core::duration>(
-                                  max_stop_time(host) * leaving_share));
+    auto const& document = host.m_configuration.m_in_force;
+    return {host.m_settings.m_stop_bound, host.m_deployment_bounds.m_stop_grace,
+            document == nullptr ? core::duration(0)
+                                : document->m_address_lifetime};
 }
 
 void fail_remaining_calls(entry_host& host)
@@ -72,12 +49,19 @@
 void finish_stop(entry_host& host)
 {
     host.m_stop_stage = stop_stage::finished;
-    host.m_stop_deadline = now() + linger_time;
+    host.m_exit_time = now() + linger_time;
     logging::write(logging::level::info, "serve.stop", "all calls have ended");
 }
 
 } // namespace
 
+bool is_accepted(entry_host const& host, active_call const& call) noexcept
+{
+    return host.m_stop_stage == stop_stage::running ||
+           core::is_accepted(host.m_stop_schedule, call.m_arrival_time,
+                             call.m_classified.m_deadline);
+}
+
 void begin_stop(entry_host& host, std::string const& reason)
 {
     if (host.m_stop_stage != stop_stage::running)
@@ -89,8 +73,8 @@
     logging::write(logging::level::info, "serve.stop", "planned stop started",
                    {{"reason", reason}});
     host.m_stop_stage = stop_stage::leaving;
-    host.m_stop_deadline = now() + max_stop_time(host);
-    host.m_address_answers_expire = now() + leaving_time(host);
+    host.m_stop_schedule =
+        core::make_stop_schedule(find_stop_limits(host), now());
     announce_self(host);
 }
 
@@ -102,20 +86,20 @@
     }
     if (host.m_stop_stage == stop_stage::finished)
     {
-        if (now() >= host.m_stop_deadline)
+        if (now() >= host.m_exit_time)
         {
             host.m_loop->stop();
         }
         return;
     }
-    if (now() >= host.m_stop_deadline)
+    if (now() >= host.m_stop_schedule.m_cut)
     {
         fail_remaining_calls(host);
         finish_stop(host);
         return;
     }
     if (host.m_stop_stage == stop_stage::leaving &&
-        now() >= host.m_address_answers_expire)
+        now() >= host.m_stop_schedule.m_address_answers_expire)
     {
         host.m_stop_stage = stop_stage::finishing;
         host.m_caller_server->close_listener();
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -84,6 +84,51 @@
     CHECK_MESSAGE(served.m_head.m_status == 200, get_result_code(served));
 }
 
+// Guards against a request that is accepted late in a stop and cut at its end.
+// Its caller could have sent it to another host.
+TEST_CASE("a stopping host accepts only calls that end before the stop")
+{
+    test_cluster cluster(1, 1);
+    cluster.host(0).m_settings.m_stop_bound = std::chrono::seconds(2);
+    cluster.document().m_address_lifetime = std::chrono::seconds(10);
+    static_cast<void>(cluster.apply_configuration(cluster.document()));
+    cluster.wait_for_agreement(2, 1);
+    auto const earlier =
+        cluster.send(0, "POST", "/x", {{"X-Service-Time-Us", "1200000"}});
+    cluster.run_until([&] { return cluster.total_run_count() == 1; });
+    serve::begin_stop(cluster.host(0), "test");
+    cluster.run_for(std::chrono::milliseconds(1250));
+    std::vector<std::shared_ptr<answer>> long_calls;
+    std::vector<std::shared_ptr<answer>> short_calls;
+    for (auto const* method : {"GET", "POST"})
+    {
+        long_calls.push_back(cluster.send(0, method, "/x",
+                                          {{"Hawthornspur-Deadline-Ms", "1500"},
+                                           {"X-Service-Time-Us", "1000000"}}));
+        short_calls.push_back(cluster.send(0, method, "/x",
+                                           {{"Hawthornspur-Deadline-Ms", "400"},
+                                            {"X-Service-Time-Us", "20000"}}));
+    }
+    for (auto const& call : long_calls)
+    {
+        cluster.run_until([&] { return call->m_is_done; });
+        CHECK(get_result_code(*call) ==
+              static_cast<unsigned>(result_code::host_leaving));
+        CHECK(get_outcome(*call) == "not-run");
+        CHECK(net::find_header(call->m_head.m_headers, "Retry-After"));
+        CHECK(net::find_header(call->m_head.m_headers, "Connection") ==
+              "close");
+    }
+    for (auto const& call : short_calls)
+    {
+        cluster.run_until([&] { return call->m_is_done; });
+        CHECK(call->m_head.m_status == 200);
+    }
+    cluster.run_until([&] { return earlier->m_is_done; });
+    CHECK(earlier->m_head.m_status == 200);
+    CHECK(cluster.total_run_count() == 3);
+}
+
 // Guards against a repeated stop signal that moves the stop deadline.
 TEST_CASE("a second stop keeps the deadline of the first")
 {
@@ -92,9 +137,9 @@
         cluster.send(0, "POST", "/x", {{"X-Service-Time-Us", "600000"}});
     cluster.run_until([&] { return cluster.total_run_count() == 1; });
     serve::begin_stop(cluster.host(0), "first");
-    auto const deadline = cluster.host(0).m_stop_deadline;
+    auto const cut = cluster.host(0).m_stop_schedule.m_cut;
     serve::begin_stop(cluster.host(0), "second");
-    CHECK(cluster.host(0).m_stop_deadline == deadline);
+    CHECK(cluster.host(0).m_stop_schedule.m_cut == cut);
     cluster.run_until([&] { return slow->m_is_done; });
     CHECK(slow->m_head.m_status == 200);
 }
