Refuse answers with more headers than a link carries

Cause: the check of answers allows heads of 64 KiB, thus up to 16,384 headers, and a message between hosts holds 8,192. Such an answer passed at the host that received it; the host that had forwarded the request rejected the message and closed the link, on which all other requests were lost. Found while looking for bounds that differ between hosts, not seen in operation.

Change: an answer with more than 4,096 headers is malformed, for callers of either host.

Tests: "a link carries the head of each valid answer", with up to 16,000 headers.

--- a/src/net/answer_validator.cpp
+++ b/src/net/answer_validator.cpp
@@ -20,6 +20,9 @@
 constexpr int last_status = 599;
 constexpr int first_status = 100;
 constexpr int switching_protocols = 101;
+/// A message between hosts holds 8,192 headers at most; one with more would
+/// break the link to the host that forwarded the request.
+constexpr int max_headers = 4096;
 
 error malformed(std::string message)
 {
@@ -56,8 +59,13 @@
 status check_headers(std::string_view head, bool& is_chunked)
 {
     int framing_headers = 0;
+    int headers = 0;
     while (!head.starts_with(line_end))
     {
+        if (++headers > max_headers)
+        {
+            return malformed("too many headers");
+        }
         auto const end = head.find(line_end);
         auto const line = head.substr(0, end);
         head.remove_prefix(end + line_end.size());
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -1,3 +1,4 @@
+#include "net/answer_validator.hpp"
 #include "net/datagram_codec.hpp"
 #include "net/msgpack_fields.hpp"
 #include "net/peer_messages.hpp"
@@ -223,6 +224,32 @@
     CHECK(info(code).m_execution == execution::unknown);
 }
 
+// Guards against an answer that passes the checks at the host that receives it
+// and breaks the link to the host that forwarded the request.
+TEST_CASE("a link carries the head of each valid answer")
+{
+    constexpr std::size_t max_head_bytes = std::size_t{64} << 10U;
+    bool is_any_refused = false;
+    for (std::size_t count : {100U, 4000U, 5000U, 8200U, 16'000U})
+    {
+        CAPTURE(count);
+        http_headers const headers(count, {"a", ""});
+        std::string bytes = "HTTP/1.1 200 OK\r\n";
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            bytes += "a:\r\n";
+        }
+        answer_validator validator(max_head_bytes);
+        if (!has_value(validator.filter(bytes + "\r\n")))
+        {
+            is_any_refused = true;
+            continue;
+        }
+        CHECK(has_value(decode(encode(answer_head{7, {200, headers}, 42}))));
+    }
+    CHECK(is_any_refused);
+}
+
 // Guards against records that change between hosts.
 TEST_CASE("a datagram survives encoding and decoding")
 {
