Wait in a planned stop until answers have left the process

Callers saw: a stopping host exited with status 0 while the last part of an answer was still in its buffers, and a slow caller got 200 and a part of the body.

Cause: the process exited 200 ms after the last call had ended.

Change: the stop ends when the server has no unfinished answer and the links have no queued bytes, at the latest at the cut.

--- a/bench/end_to_end/cluster.py
+++ b/bench/end_to_end/cluster.py
@@ -63,6 +63,7 @@
         self.control_ports = []
         self.platform = None
         self.generation = 0
+        self.stop_bound = "30s"
 
     def __enter__(self):
         return self
@@ -116,7 +117,7 @@
         ports = self.hosts.get(name, {}).get("ports") or {
             part: free_port() for part in ("callers", "peers", "administration")}
         settings = {"name": name, "zone": zone, "log_level": "warn",
-                    "stop_bound": "30s", "platform_calls_per_second": 20,
+                    "stop_bound": self.stop_bound, "platform_calls_per_second": 20,
                     "platform": {"address": LOOPBACK, "port": self.platform}}
         for part, port in ports.items():
             settings[part] = {"address": LOOPBACK, "port": port}
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -75,6 +75,11 @@
     {
         return m_has_disconnected_early;
     }
+    /// A request was released, and its answer is not in the socket yet.
+    bool has_unfinished_answer() const noexcept
+    {
+        return m_framer.is_request_in_flight();
+    }
     bool has_partial_request() const noexcept
     {
         return !m_is_refused && m_framer.has_partial_request();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -258,6 +258,15 @@
     return m_state->m_counters;
 }
 
+std::size_t http_server::unfinished_answers() const
+{
+    auto const& all = m_state->m_connections;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(),
+                      [](auto const& entry)
+                      { return entry.first->has_unfinished_answer(); }));
+}
+
 void http_server::close_listener()
 {
     if (m_state->m_socket != nullptr)
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -71,6 +71,10 @@
     std::uint16_t port() const noexcept;
     http_server_counters const& counters() const noexcept;
 
+    /// Requests whose answer has not been handed to the operating system
+    /// completely.
+    std::size_t unfinished_answers() const;
+
     /// Stops accepting connections; open ones stay usable.
     void close_listener();
 
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -575,6 +575,16 @@
                            : 0;
 }
 
+std::size_t peer_network::queued_bytes() const
+{
+    std::size_t bytes = 0;
+    for (auto const& [host, remote] : m_state->m_peers)
+    {
+        bytes += remote.m_link == nullptr ? 0 : remote.m_link->queued_bytes();
+    }
+    return bytes;
+}
+
 void peer_network::send_datagram(std::string const& address, std::uint16_t port,
                                  core::membership_message const& message)
 {
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -133,6 +133,9 @@
     /// Bytes queued for a host, for back-pressure; 0 without a link.
     std::size_t queued_bytes(std::string const& host) const;
 
+    /// Bytes queued for all hosts.
+    std::size_t queued_bytes() const;
+
     /// Sends a membership message by UDP. It may be lost.
     void send_datagram(std::string const& address, std::uint16_t port,
                        core::membership_message const& message);
--- a/src/serve/stop.cpp
+++ b/src/serve/stop.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-/// Time in which the last answers and messages are sent from socket buffers.
+/// Time in which the last answers and messages are sent after a cut.
 constexpr auto linger_time = std::chrono::milliseconds(200);
 
 core::stop_limits find_stop_limits(entry_host const& host)
@@ -46,6 +46,14 @@
                    {{"calls_cut", std::to_string(ids.size())}});
 }
 
+/// Whether answers to callers or messages to other hosts are still in buffers of
+/// this process.
+bool has_unsent_bytes(entry_host const& host)
+{
+    return host.m_caller_server->unfinished_answers() > 0 ||
+           host.m_peer_network->queued_bytes() > 0;
+}
+
 void finish_stop(entry_host& host)
 {
     host.m_stop_stage = stop_stage::finished;
@@ -104,8 +112,11 @@
         host.m_stop_stage = stop_stage::finishing;
         host.m_caller_server->close_listener();
     }
-    if (host.m_stop_stage == stop_stage::finishing && host.m_calls.empty() &&
-        host.m_incoming_forwards.empty() && host.m_outgoing_answers.empty())
+    bool const has_calls = !host.m_calls.empty() ||
+                           !host.m_incoming_forwards.empty() ||
+                           !host.m_outgoing_answers.empty();
+    if (host.m_stop_stage == stop_stage::finishing && !has_calls &&
+        !has_unsent_bytes(host))
     {
         finish_stop(host);
     }
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -1,11 +1,69 @@
+#include "net/socket_address.hpp"
 #include "serve/stop.hpp"
 #include "test_cluster.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace hawthornspur::test
 {
 
+namespace
+{
+
+/// A caller with a small receive buffer that reads only when it is told to.
+class slow_caller
+{
+public:
+    explicit slow_caller(std::uint16_t port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        int const buffer_bytes = 4096;
+        ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                     sizeof buffer_bytes);
+        auto const address = net::parse_address("127.0.0.1", port);
+        REQUIRE(::connect(m_socket, address->get(), address->m_length) == 0);
+    }
+    ~slow_caller()
+    {
+        ::close(m_socket);
+    }
+    slow_caller(slow_caller const&) = delete;
+    slow_caller& operator=(slow_caller const&) = delete;
+
+    void send(std::string_view bytes)
+    {
+        REQUIRE(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(bytes.size()));
+    }
+    /// Reads a part of what has arrived. Returns false if nothing has; without
+    /// MSG_DONTWAIT, at the end of the connection.
+    bool read(int flags = MSG_DONTWAIT)
+    {
+        std::array<char, 16384> buffer{};
+        auto const count =
+            ::recv(m_socket, buffer.data(), buffer.size(), flags);
+        m_received_bytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+        return count > 0;
+    }
+    std::size_t received_bytes() const noexcept
+    {
+        return m_received_bytes;
+    }
+
+private:
+    int m_socket;
+    std::size_t m_received_bytes = 0;
+};
+
+} // namespace
+
 // Guards against a planned stop that fails requests: callers send to all hosts
 // while the owner stops.
 TEST_CASE("a planned stop of the owner fails no request")
@@ -129,6 +187,45 @@
     CHECK(cluster.total_run_count() == 3);
 }
 
+// Guards against a process that exits with a part of an answer still in its
+// buffers, which the caller takes for a broken connection.
+TEST_CASE("a stop waits until a slow caller has its answer")
+{
+    test_cluster cluster(1, 1);
+    auto& host = cluster.host(0);
+    // More than the sockets hold. The call ends when the rest of its answer
+    // fits the host's buffer.
+    constexpr std::size_t answer_bytes = 16U << 20U;
+    cluster.set_target_faults(0, R"({"answer_bytes":)" +
+                                     std::to_string(answer_bytes) + "}");
+    slow_caller caller(host.m_caller_server->port());
+    caller.send("GET /x HTTP/1.1\r\nHost: map\r\n\r\n");
+    cluster.run_until([&] { return cluster.total_run_count() == 1; });
+    cluster.run_until(
+        [&]
+        {
+            static_cast<void>(host.m_calls.empty() || caller.read());
+            return host.m_calls.empty();
+        });
+    REQUIRE(host.m_caller_server->unfinished_answers() == 1);
+    serve::begin_stop(host, "test");
+    // Longer than the address lifetime of 1 s.
+    cluster.run_for(std::chrono::seconds(2));
+    CHECK(host.m_stop_stage == serve::stop_stage::finishing);
+    cluster.run_until(
+        [&]
+        {
+            static_cast<void>(caller.read());
+            return host.m_stop_stage == serve::stop_stage::finished;
+        });
+    cluster.kill(0);
+    // The operating system sends the rest.
+    while (caller.read(0))
+    {
+    }
+    CHECK(caller.received_bytes() > answer_bytes);
+}
+
 // Guards against a repeated stop signal that moves the stop deadline.
 TEST_CASE("a second stop keeps the deadline of the first")
 {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,10 @@
 EXIT_OK = 0
 EXIT_OTHER_FAILURE = 8
 START_ATTEMPTS = 3
+# With --short-stops. Longer than the deadline, so that no call has to be cut.
+SHORT_STOP = "2s"
+SHORT_STOP_RATE = 30
+SHORT_STOP_SERVICE_MS = 250
 # Time after which an operator notices that the store has lost a change.
 REWRITE_SECONDS = 0.5
 # RULES of the users' platform (LIMIT): what a target gets in some 4 s, from 3 s
@@ -227,8 +231,9 @@
     """Chooses random faults, injects them and ends them after a while. Faults
     may overlap."""
 
-    def __init__(self, running, rng, start, all_faults):
+    def __init__(self, running, rng, start, all_faults, short_stops):
         self.running = running
+        self.short_stops = short_stops
         self.rng = rng
         self.start = start
         self.all_faults = all_faults
@@ -269,6 +274,8 @@
         if self.all_faults:
             faults += [self.restore_store, self.restore_store, self.change,
                        self.limit_rate, self.limit_rate]
+        if self.short_stops:
+            faults += [self.stop] * 6
         self.rng.choice(faults)()
 
     def burst(self):
@@ -501,6 +508,14 @@
                f"{status.get('ready')}, generation {status.get('generation')}")
 
 
+def find_cut_calls(running):
+    """Yields the hosts whose planned stops cut calls."""
+    for name in running.hosts:
+        with open(running.path(name + ".log"), encoding="utf-8") as lines:
+            if any("stop bound reached" in line for line in lines):
+                yield f"a planned stop of {name} cut calls"
+
+
 def save_logs(running, seed, folder, problems):
     destination = os.path.join(folder, f"seed-{seed}")
     shutil.copytree(running.folder.name, destination, dirs_exist_ok=True)
@@ -511,11 +526,13 @@
         print(f"seed {seed}: {problem}", flush=True)
 
 
-def run_seed(build, seed, keep, all_faults):
+def run_seed(build, seed, keep, all_faults, short_stops):
     rng = random.Random(seed)
     print(f"seed {seed}", flush=True)
     with proxy.ProxyLoop() as proxies, SoakCluster(build, proxies,
                                                    rng) as running:
+        if short_stops:
+            running.stop_bound = SHORT_STOP
         try:
             running.start_all()
         except RuntimeError as error:
@@ -525,13 +542,15 @@
         monitor = GenerationMonitor(running)
         monitor.start()
         plan = {"seed": seed,
-                "kinds": cluster.kinds(deadline_ms=DEADLINE_MS,
-                                       once_share=0.5, service_ms=10),
+                "kinds": cluster.kinds(
+                    deadline_ms=DEADLINE_MS, once_share=0.5,
+                    service_ms=SHORT_STOP_SERVICE_MS if short_stops else 10),
                 "schedule": [{"duration_ms": LOAD_SECONDS * 1000,
-                              "rate": RATE}]}
+                              "rate": SHORT_STOP_RATE if short_stops
+                              else RATE}]}
         load = running.load(plan)
         start = time.monotonic()
-        faults = FaultInjector(running, rng, start, all_faults)
+        faults = FaultInjector(running, rng, start, all_faults, short_stops)
         deadly = None
         if all_faults and seed % 2:
             # Its own generator leaves the other faults of the seed as they are.
@@ -543,6 +562,8 @@
         monitor.is_stopped.set()
         monitor.join()
         problems = faults.problems + monitor.problems
+        if short_stops:
+            problems += find_cut_calls(running)
         for name, host in running.hosts.items():
             if host["process"].poll() is not None:
                 problems.append(
@@ -585,13 +606,16 @@
                         help="also restores of the store, rate limits of "
                         "targets, requests that crash targets; a seed "
                         "then plays another day")
+    parser.add_argument("--short-stops", action="store_true",
+                        help="many planned stops, little longer than the "
+                        "calls, which they must not cut")
     parser.add_argument("--keep", default="soak-logs",
                         help="folder for the logs of failed seeds")
     arguments = parser.parse_args()
     seeds = read_seeds(arguments)
     failed = [seed for seed in seeds
               if not run_seed(arguments.build, seed, arguments.keep,
-                              arguments.all_faults)]
+                              arguments.all_faults, arguments.short_stops)]
     print(f"{len(seeds)} seeds, failed: {failed or 'none'}")
     return 1 if failed else 0
 
