Never report a read that may have run as not run

Callers saw: a read that had run at a lost owner was refused with "not run" when it could not be sent a second time.

Cause: the check in fail_call() covered only requests that are not idempotent or have a key, and a spilled request whose link was lost was not marked as possibly run.

Change: a call that may have run gets peer_link_lost in place of any "not run" code, whatever its kind, and spilled requests are marked.

Tests: "a read that ran at a killed owner is never reported as not run" failed before.

--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -155,13 +155,13 @@
         fail_call(host, call, result_code::peer_link_lost);
         return;
     }
+    call.m_may_have_run = true;
     if (forward.m_purpose == net::forward_purpose::spill)
     {
         host.m_metrics.count_forward("retry_after_link_loss");
         requeue_spilled_call(host, call);
         return;
     }
-    call.m_may_have_run = true;
     reroute_call(host, call, forward.m_host_name, "retry_after_link_loss");
 }
 
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -205,13 +205,9 @@
 
 void fail_call(entry_host& host, active_call& call, result_code code)
 {
-    // "Not run" would release the key and allow the caller to send the request
-    // again.
-    bool const may_repeat = call.m_classified.m_kind != nullptr &&
-                            call.m_classified.m_kind->m_execution ==
-                                core::execution_rule::idempotent;
-    if (call.m_may_have_run && (!may_repeat || call.m_running_key) &&
-        info(code).m_execution == execution::not_run)
+    // "Not run" must be true. It would also release the key and allow the
+    // caller to send the request again.
+    if (call.m_may_have_run && info(code).m_execution == execution::not_run)
     {
         code = result_code::peer_link_lost;
     }
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -48,6 +48,32 @@
     cluster.run_until([&] { return cluster.find_owner(other) != owner; });
 }
 
+// Guards against a read that is reported as not run although it ran at the
+// owner that was lost, when it cannot be sent a second time.
+TEST_CASE("a read that ran at a killed owner is never reported as not run")
+{
+    test_cluster cluster(3, 1);
+    auto const owner = cluster.find_owner(0);
+    auto const other = (owner + 1) % 3;
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK(cluster.send_and_wait(other, "GET", "/x").m_head.m_status == 200);
+    }
+    auto const read = cluster.send(other, "GET", "/x",
+                                   {{"Hawthornspur-Deadline-Ms", "3000"},
+                                    {"X-Service-Time-Us", "60000000"}});
+    cluster.run_until([&] { return cluster.total_run_count() == 11; });
+    // Nothing is left to run it again.
+    cluster.document().m_services.front().m_targets.clear();
+    cluster.wait_for_agreement(cluster.apply_configuration(cluster.document()),
+                               3);
+    cluster.kill(owner);
+    cluster.run_until([&] { return read->m_is_done; });
+    CHECK(read->m_head.m_status >= 500);
+    CHECK(get_outcome(*read) != "not-run");
+    CHECK(cluster.total_run_count() == 11);
+}
+
 // Guards against a request that is refused as unknown because its owner was
 // lost after its route had moved and its former service had been removed, and
 // against one that runs twice because the new document forbids repeating it.
