--- a/src/core/stop_schedule.hpp
+++ b/src/core/stop_schedule.hpp
@@ -28,6 +28,8 @@
     time_point m_cut{};
 };
 
+/// The times of a stop that begins now. Calls in flight have until shortly
+/// before the kill.
 stop_schedule make_stop_schedule(stop_limits const& limits, time_point now);
 
 /// Whether a call that arrived at `arrival` and ends by `deadline` is accepted.
