--- /dev/null
+++ b/tests/soak/platform_soak.py
@@ -0,0 +1,510 @@
+#!/usr/bin/env python3
+"""Fault soak on the users' platform: entry hosts with the platform's adapter,
+its store, targets and callers as processes and sockets on loopback. The seed
+determines the scenario, the faults and their times.
+Usage: platform_soak.py [--build DIR] [--seeds A-B] [--scenario NAME]"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "..", "review"))
+import platform_rules as rules  # pylint: disable=wrong-import-position
+import standins  # pylint: disable=wrong-import-position
+
+ZONES = ["a", "b", "c"]
+HOSTS_PER_ZONE = 2
+TARGETS_PER_ZONE = {"map": 3, "pay": 2}
+SLOTS = 3
+RATE = 250  # requests a second
+LOAD_SECONDS = 24
+MAX_ATTEMPTS = 2
+DEADLINE_SECONDS = {"map": 1.5, "pay": 2.0}
+# Share of the callers that keep to a host of an old address answer.
+STALE_SHARE = 0.15
+HEARTBEAT_SECONDS = 1.5
+REFRESH_SECONDS = 1.0
+
+
+class Target:
+    """A target that serves, rejects or resets requests, as its faults say."""
+
+    def __init__(self, run, name, service, zone):
+        self.run = run
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.work = 0.02
+        self.running = 0
+        self.reset_share = 0.0
+        self.is_shedding = False
+        self.limit = None
+        self.is_leaving = False  # says so in its answers
+        self.state = "ready"
+        self.is_registered = True
+        self.server = None
+        self.writers = set()
+
+    async def open(self):
+        self.server = await asyncio.start_server(
+            self.serve, standins.UPSTREAM_ADDRESS, 0, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def close(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.run.records.ended_targets.add(self.name)
+
+    def entry(self, sequence):
+        return {"service": self.service, "zone": self.zone, "version": "v1",
+                "address": f"{standins.UPSTREAM_ADDRESS}:{self.port}",
+                "capacity": SLOTS, "state": self.state, "warmup_left_ms": 0,
+                "sequence": sequence, "born": 1}
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        peer = writer.get_extra_info("peername")
+        # While this runs, the caller waits for the answer to its first request.
+        host = await asyncio.to_thread(self.run.find_host, peer)
+        try:
+            while True:
+                await self.answer(reader, writer, host)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def answer(self, reader, writer, host):
+        line, headers = await read_head(reader)
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        words = [f"X-Instance-Id: {self.name}", "X-Instance-Load: "
+                 f"{self.running},0,{SLOTS},100"]
+        if self.is_leaving:
+            words.append("Server-Leaving: 1")
+        if self.limit:
+            words.append(f"Server-Limit: {self.limit}")
+        if line.split()[1] == "/health":
+            status = "200 OK" if not self.is_leaving else "503 Leaving"
+            write(writer, status, words, b"")
+            return
+        now = time.monotonic()
+        request = headers.get("x-request-id", "")
+        words.append(f"X-Request-Id: {request}")
+        arrival = rules.Arrival(
+            now, request, self.service, self.name, host,
+            now + int(headers.get("x-deadline-ms", 10**6)) / 1000, False)
+        self.run.records.arrivals.append(arrival)
+        if headers.get("x-target-instance", self.name) != self.name:
+            arrival.is_other_target = True
+            write(writer, "421 Misdirected", words, b"")
+            return
+        if self.is_shedding or self.running >= 4 * SLOTS:
+            write(writer, "503 Full", words + ["X-Not-Executed: 1"], b"")
+            return
+        arrival.ran = True
+        self.running += 1
+        await asyncio.sleep(self.work * self.run.rng.uniform(0.5, 1.5))
+        self.running -= 1
+        if self.run.rng.random() < self.reset_share:
+            writer.transport.abort()
+            raise ConnectionResetError
+        write(writer, "200 OK", words +
+              [f"X-Server-Signature: sig.{request}"], b"answer")
+        if self.run.caller_hosts.get(request) and (self.is_leaving or
+                                                   self.limit):
+            self.run.words[request] = (self, host)
+
+
+async def read_head(reader):
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines[1:] if line)
+    return lines[0], {name.lower(): value.strip() for name, _, value in pairs}
+
+
+def write(writer, status, headers, body):
+    text = "\r\n".join([f"HTTP/1.1 {status}", *headers,
+                        f"Content-Length: {len(body)}"])
+    writer.write(text.encode() + b"\r\n\r\n" + body)
+
+
+class Run:
+    """One seed: the fleet, the targets, the callers and the faults."""
+
+    def __init__(self, seed, scenario, build):
+        self.rng = random.Random(seed)
+        self.scenario = scenario
+        self.records = rules.Records()
+        self.folder = tempfile.mkdtemp(prefix=f"platform-soak-{seed}-")
+        os.makedirs(os.path.join(self.folder, "target"))
+        os.symlink(os.path.join(os.path.abspath(build), "src", "cli",
+                                "hawthornspur"),
+                   os.path.join(self.folder, "target", "hawthornspur"))
+        # The starter of the stand-ins runs the program from this folder.
+        standins.REPOSITORY = self.folder
+        standins.BOUNDS["budget_slack"] = rules.BUDGET_SLACK
+        self.record = standins.Record(self.folder)
+        self.fleet = standins.Fleet(self.record, ZONES, HOSTS_PER_ZONE)
+        for host in self.fleet.hosts:
+            host.store = standins.Door(self.fleet.store)
+        self.targets = []
+        self.caller_zones = ZONES
+        self.addresses = {}
+        self.idle = {}  # (caller zone, address): idle connections
+        self.caller_hosts = {}  # id: host that took the request
+        self.words = {}  # id: (target that said something, dispatching host)
+        self.outcomes = {}
+        self.end = 0
+        self.sequence = 1
+        self.frozen = set()
+        self.hosts_by_address = {host.address: host
+                                 for host in self.fleet.hosts}
+
+    def log(self, text):
+        self.record.write(text)
+
+    def find_host(self, peer):
+        """The host whose process has the socket with this address."""
+        inode = None
+        wanted = "%08X:%04X" % (int.from_bytes(
+            bytes(int(part) for part in peer[0].split(".")), "little"), peer[1])
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            for row in table:
+                fields = row.split()
+                if fields[1] == wanted:
+                    inode = f"socket:[{fields[9]}]"
+        for host in self.fleet.hosts if inode else []:
+            folder = f"/proc/{host.process.pid}/fd"
+            try:
+                for name in os.listdir(folder):
+                    if os.readlink(os.path.join(folder, name)) == inode:
+                        return host.name
+            except OSError:
+                continue
+        return ""
+
+    async def start(self):
+        for zone in ZONES:
+            for service, number in TARGETS_PER_ZONE.items():
+                for index in range(number):
+                    target = Target(self, f"i-{service}-{zone}{index}",
+                                    service, zone)
+                    await target.open()
+                    self.targets.append(target)
+        self.fleet.store.put("op/config", standins.configuration(7, [
+            standins.route("r-map", "/map/", "map", "read_only", 1500,
+                           MAX_ATTEMPTS),
+            standins.route("r-pay", "/pay/", "pay", "non_idempotent", 2000,
+                           MAX_ATTEMPTS)], list(TARGETS_PER_ZONE)))
+        self.beat()
+        self.fleet.start()
+        if not await asyncio.to_thread(self.fleet.wait_until_ready):
+            raise RuntimeError("the hosts did not become ready")
+
+    def beat(self):
+        self.sequence += 1
+        for target in self.targets:
+            if target.is_registered:
+                self.fleet.store.beat("servers/" + target.name,
+                                      target.entry(self.sequence))
+
+    async def keep_beating(self):
+        while True:
+            self.beat()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def keep_resolving(self):
+        while True:
+            for zone in ZONES:
+                for host in self.rng.sample(self.fleet.hosts, 3):
+                    try:
+                        _, _, body = await asyncio.wait_for(exchange(
+                            (host.address, self.fleet.ports[1]),
+                            f"GET /api/resolve?name={standins.HOST_NAME}&"
+                            f"region=mx-centro&zone={zone} HTTP/1.1\r\n"
+                            "Host: x\r\n\r\n".encode()), 1)
+                        self.addresses[zone] = json.loads(body)["addresses"]
+                        break
+                    except (OSError, EOFError, ValueError, KeyError,
+                            asyncio.TimeoutError):
+                        continue
+            await asyncio.sleep(REFRESH_SECONDS)
+
+    async def call(self, number):
+        zone = self.rng.choice(self.caller_zones)
+        service = "map" if self.rng.random() < 0.7 else "pay"
+        known = self.addresses.get(zone, [])
+        if known and self.rng.random() > STALE_SHARE:
+            address = self.rng.choice(known).rsplit(":", 1)[0]
+        else:
+            address = self.rng.choice(self.fleet.hosts).address
+        name = f"q{number}"
+        host = self.hosts_by_address[address].name
+        now = time.monotonic()
+        deadline = DEADLINE_SECONDS[service]
+        self.records.requests[name] = rules.Request(
+            service, now, now + deadline, host, MAX_ATTEMPTS)
+        self.caller_hosts[name] = host
+        body = b"amount=100" if service == "pay" else b""
+        request = standins.make_request(
+            "PUT" if body else "GET", f"/{service}/1", name,
+            int(deadline * 1000), body)
+        status = "no answer"
+        try:
+            status = await asyncio.wait_for(
+                self.send((address, self.fleet.ports[0]), request), deadline)
+        except (OSError, EOFError, asyncio.TimeoutError, ValueError):
+            pass
+        key = (service, status)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        if status == 200 and name in self.words:
+            target, sender = self.words.pop(name)
+            for passing in {host, sender}:
+                if target.is_leaving:
+                    self.records.leaving.append(
+                        (target.name, time.monotonic(), passing))
+                if target.limit:
+                    self.records.limits.append((target.name, time.monotonic(),
+                                                target.limit, passing))
+
+    async def send(self, address, request):
+        """Uses an open connection until its host closes it."""
+        idle = self.idle.setdefault(address, [])
+        connection = idle.pop() if idle else None
+        if connection is None or connection[0].at_eof():
+            connection = await asyncio.open_connection(*address)
+        reader, writer = connection
+        try:
+            status, headers, _ = await exchange_on(reader, writer, request)
+        except BaseException:
+            writer.transport.abort()
+            raise
+        if headers.get("connection") == "close":
+            writer.close()
+        else:
+            idle.append(connection)
+        return status
+
+    async def load(self):
+        tasks, number = set(), 0
+        begin = time.monotonic()
+        while time.monotonic() < begin + LOAD_SECONDS:
+            number += 1
+            task = asyncio.ensure_future(self.call(number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(max(0, begin + number / RATE -
+                                    time.monotonic()))
+        await asyncio.gather(*tasks)
+        self.log(f"{number} requests, outcomes {self.outcomes}")
+
+    def signal(self, host, number):
+        """The process may have ended meanwhile."""
+        if host.process.poll() is None:
+            host.signal(number)
+
+    def disturb(self, host, begin):
+        self.records.disturbances[host.name].append((begin, time.monotonic()))
+
+    async def kill(self, host, number=signal.SIGKILL):
+        begin = time.monotonic()
+        self.records.disturbances[host.name].append((begin, float("inf")))
+        self.signal(host, number)
+        await asyncio.to_thread(host.process.wait)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        host.start()
+        self.records.disturbances[host.name].remove((begin, float("inf")))
+        self.disturb(host, begin)
+
+    async def freeze(self, host):
+        begin = time.monotonic()
+        self.records.disturbances[host.name].append((begin, float("inf")))
+        self.signal(host, signal.SIGSTOP)
+        await asyncio.sleep(self.rng.choice([0.3, 1, 3]))
+        self.signal(host, signal.SIGCONT)
+        self.records.disturbances[host.name].remove((begin, float("inf")))
+        self.disturb(host, begin)
+
+    async def disturb_hosts(self):
+        """Signals, stops and freezes that overlap; one host stays calm."""
+        await asyncio.sleep(3)
+        busy, calm = set(), self.rng.choice(self.fleet.hosts)
+        while True:
+            host = self.rng.choice(self.fleet.hosts)
+            if host is not calm and host not in busy:
+                busy.add(host)
+                action = self.rng.choice([
+                    self.kill, self.freeze,
+                    lambda one: self.kill(one, signal.SIGTERM)])
+                task = asyncio.ensure_future(action(host))
+                task.add_done_callback(
+                    lambda _, one=host: busy.discard(one))
+            await asyncio.sleep(self.rng.uniform(0.3, 2))
+
+    async def full_zone(self):
+        """The callers' zone is full and the others reject every request."""
+        self.caller_zones = [self.rng.choice(ZONES)]
+        for target in self.targets:
+            if target.zone not in self.caller_zones:
+                target.is_shedding = True
+            else:
+                target.work = 0.07
+
+    async def resets(self):
+        for target in self.targets:
+            target.reset_share = 0.4
+        await self.kill_in_turn()
+
+    async def kill_in_turn(self):
+        await asyncio.sleep(2)
+        while True:
+            for host in self.fleet.hosts:
+                await self.kill(host)
+                await asyncio.sleep(0.8)
+
+    async def moved_targets(self):
+        """Addresses of targets that ended belong to targets of the other
+        service, which reject what is not for them."""
+        for one, other in (("map", "pay"), ("pay", "map")):
+            mine = [t for t in self.targets if t.service == one]
+            target = self.rng.choice(mine)
+            other_port = next(t for t in self.targets if t.service == other)
+            target.port = other_port.port
+        await self.disturb_hosts()
+
+    async def leave(self, target, by_store):
+        await asyncio.sleep(self.rng.uniform(3, 10))
+        self.log(f"{target.name} leaves, by "
+                 f"{'store' if by_store else 'its answers'}")
+        target.is_leaving = True
+        if by_store:
+            target.state = "draining"
+            self.sequence += 1
+            at = await asyncio.to_thread(
+                self.fleet.store.put, "servers/" + target.name,
+                target.entry(self.sequence))
+            self.records.leaving.append((target.name, at, "store"))
+        await asyncio.sleep(self.rng.uniform(6, 9))
+        target.is_registered = False
+        target.close()
+        await asyncio.to_thread(self.fleet.store.delete,
+                                "servers/" + target.name)
+
+    async def drains(self):
+        """Targets leave, while the connections to the store go silent or the
+        store turns hosts away."""
+        self.fleet.store.lose_answers_on_open_connections()
+        for host in self.fleet.hosts:
+            if self.rng.random() < 0.3:
+                host.store.turn_away()
+                self.records.disturbances[host.name].append(
+                    (0, float("inf")))
+        for zone in ZONES:
+            mine = [t for t in self.targets if t.zone == zone]
+            for target in self.rng.sample(mine, 2):
+                asyncio.ensure_future(
+                    self.leave(target, self.rng.random() < 0.6))
+
+    async def leave_under_faults(self):
+        asyncio.ensure_future(self.drains_without_store_faults())
+        await self.disturb_hosts()
+
+    async def drains_without_store_faults(self):
+        for target in self.rng.sample(self.targets, 4):
+            asyncio.ensure_future(self.leave(target, self.rng.random() < 0.5))
+
+    async def limits(self):
+        for service in TARGETS_PER_ZONE:
+            mine = [t for t in self.targets if t.service == service]
+            for target in self.rng.sample(mine, 2):
+                target.limit = self.rng.choice([1, 3, 8])
+        await self.disturb_hosts()
+
+    async def play(self):
+        await self.start()
+        tasks = [asyncio.ensure_future(task) for task in (
+            self.keep_beating(), self.keep_resolving())]
+        await asyncio.sleep(2)
+        scenario = asyncio.ensure_future(SCENARIOS[self.scenario](self))
+        tasks.append(scenario)
+        await self.load()
+        if scenario.done():
+            scenario.result()
+        for task in tasks:
+            task.cancel()
+        for host in self.fleet.hosts:
+            # Hosts that ended by themselves: killed ones have been restarted.
+            code = host.process.poll()
+            if code not in (None, 0, -signal.SIGKILL):
+                yield f"{host.name} ended with {code}"
+        for problem in rules.find_problems(self.records):
+            yield problem
+
+
+SCENARIOS = {"full_zone": Run.full_zone, "resets": Run.resets,
+             "moved_targets": Run.moved_targets, "drains": Run.drains,
+             "leave_under_faults": Run.leave_under_faults,
+             "limits": Run.limits}
+
+
+async def exchange_on(reader, writer, request):
+    writer.write(request)
+    line, headers = await read_head(reader)
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return int(line.split()[1]), headers, body
+
+
+async def exchange(address, request):
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        return await exchange_on(reader, writer, request)
+    finally:
+        writer.close()
+
+
+async def collect(run):
+    return [problem async for problem in run.play()]
+
+
+def run_seed(seed, scenario, build):
+    run = Run(seed, scenario, build)
+    try:
+        problems = asyncio.run(collect(run))
+    finally:
+        run.fleet.stop()
+        for host in run.fleet.hosts:
+            host.store.close()
+    for problem in problems:
+        print(f"seed {seed}, {scenario}: {problem}", flush=True)
+    print(f"seed {seed}, {scenario}: {len(problems)} problems, outcomes "
+          f"{run.outcomes}, record in {run.folder}", flush=True)
+    return not problems
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seeds", default="1-6")
+    parser.add_argument("--scenario", choices=SCENARIOS)
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    is_good = True
+    for seed in range(int(first), int(last or first) + 1):
+        names = list(SCENARIOS)
+        scenario = options.scenario or names[(seed - 1) % len(names)]
+        is_good = run_seed(seed, scenario, options.build) and is_good
+    sys.stdout.flush()
+    # Threads of the stand-ins may still wait for their connections.
+    os._exit(0 if is_good else 1)
+
+
+if __name__ == "__main__":
+    main()
