Let one host decide on all repeats of a request

Cause: each step of a request decided on repeats by itself. A request spilled to another zone, rejected by a target there (and repeated there from that owner's budget), came back as "not run" and started over as if it had not been sent. Budgets were kept at each owner, were earned at the owner and again at each host that passed the answer on, and each held a part of the slack, so that owners before and after a change added up; in turn, a new owner started with nothing, and most of the budget stayed unused. Links lost after a forward were repeated without knowledge of the lost host's attempts.

Now the host that took the request from its caller, or the home of its key, decides on every attempt beyond the first; any other host makes one attempt at most, and reports its failure with the number of all attempts and their targets. A lost link counts as an attempt. Each request pays for its part of a repeat at the deciding host for a quarter of the window, so the limit follows from the requests, each counted once, however many hosts there are.

A property test drives budgets of hosts that are lost at random; core, net, serve and system tests pass.

The budget of successes stays in the caller library, where it limits one caller. The tests of the pool give their requests to the budget, since answers no longer earn; the model of the pool checks requests in place of successes, and that a spilled request is not repeated.

--- a/bench/policy/core_router.cpp
+++ b/bench/policy/core_router.cpp
@@ -1,4 +1,5 @@
 #include "core/pool.hpp"
+#include "core/repeat_decision.hpp"
 #include "core_state.hpp"
 #include "routers.hpp"
 
@@ -27,10 +28,12 @@
     auto const rate =
         state.m_fleet->m_scenario.m_probe_budget / max_entry_hosts;
     return state.m_budgets
-        .emplace(key, core::service_budgets{core::make_token_bucket(
-                                                rate, rate * bucket_seconds,
-                                                state.m_fleet->m_events.m_now),
-                                            {}})
+        .emplace(
+            key,
+            core::service_budgets{
+                core::make_token_bucket(rate, rate * bucket_seconds,
+                                        state.m_fleet->m_events.m_now),
+                core::make_repeat_budget({}, 1, state.m_fleet->m_events.m_now)})
         .first->second;
 }
 
@@ -110,6 +113,11 @@
               [&](core::pool& pool, core::service_budgets& budgets,
                   core::pool_effects& out)
               {
+                  if (!is_spilled)
+                  {
+                      core::record_request(budgets.m_repeat,
+                                           state->m_fleet->m_events.m_now);
+                  }
                   core::on_arrival(pool,
                                    {.m_request = {request},
                                     .m_kind = {planned.m_kind},
@@ -168,16 +176,31 @@
         call_pool_later(
             state, origin,
             host_link_delay(*state, owner, get_pool(*state, origin).m_owner),
-            [state, request, &planned](core::pool& pool,
-                                       core::service_budgets& budgets,
-                                       core::pool_effects& out)
+            [state, request, &planned,
+             outcome = core::outcome_of(effect.m_code)](
+                core::pool& pool, core::service_budgets& budgets,
+                core::pool_effects& out)
             {
+                auto const now = state->m_fleet->m_events.m_now;
+                // Without an outcome, the other zone made no attempt.
+                if (outcome &&
+                    core::decide_repeat({.m_outcome = *outcome,
+                                         .m_attempts = 1,
+                                         .m_max_attempts = 2,
+                                         .m_deadline = planned.m_deadline},
+                                        budgets.m_repeat,
+                                        now) != core::repeat_decision::allowed)
+                {
+                    out.emplace_back(core::refuse_effect{
+                        {request}, result_code::retry_budget_empty});
+                    return;
+                }
                 core::on_spill_refused(pool,
                                        {.m_request = {request},
                                         .m_kind = {planned.m_kind},
-                                        .m_deadline = planned.m_deadline},
-                                       state->m_fleet->m_events.m_now, budgets,
-                                       out);
+                                        .m_deadline = planned.m_deadline,
+                                        .m_prior_attempts = outcome ? 1 : 0},
+                                       now, budgets, out);
             });
         return;
     }
--- a/bench/policy/routers.hpp
+++ b/bench/policy/routers.hpp
@@ -35,7 +35,7 @@
 {
     std::uint64_t m_dispatches = 0;
     /// By core::attempt_reason.
-    std::array<std::uint64_t, 7> m_reasons{};
+    std::array<std::uint64_t, 8> m_reasons{};
     std::uint64_t m_spills = 0;
     std::uint64_t m_spills_refused = 0;
     std::uint64_t m_probes = 0;
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -98,8 +98,8 @@
     std::string m_path = "/health";
 };
 
-/// Token bucket for retries: each success adds m_ratio tokens, up to m_burst;
-/// a retry takes one.
+/// Attempts beyond the first of each request, over all hosts and in any span of
+/// repeat_limits::m_window: m_ratio for each request and m_burst in addition.
 struct retry_budget_config
 {
     double m_ratio = 0.1;
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -5,6 +5,7 @@
 #include "core/pool_dispatch.hpp"
 #include "core/pool_probing.hpp"
 #include "core/pool_state.hpp"
+#include "core/repeat_decision.hpp"
 #include "core/retry_rules.hpp"
 
 #include <algorithm>
@@ -23,9 +24,6 @@
 // for at most a third of their remaining time before they retry.
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
 constexpr duration max_retry_after = std::chrono::seconds(2);
-// A request that may have ended this many targets is not sent to another one.
-// One target may end by chance while it runs the request.
-constexpr int max_target_ends = 2;
 
 /// Removes timers of finished requests from the top of the heap, so that the
 /// host does not wake up for them.
@@ -105,42 +103,55 @@
     return true;
 }
 
-/// Maximum number of attempts of the request.
-attempt_number allowed_attempts(pool const& pool, request_entry const& request)
-{
-    auto const& kind = pool.m_kinds[request.m_arrival.m_kind.m_value];
-    return std::min(static_cast<attempt_number>(max_attempts),
-                    static_cast<attempt_number>(kind.m_config.m_max_attempts));
+/// Describes a further attempt after one with this outcome.
+repeat_proposal make_proposal(pool const& pool, request_entry const& request,
+                              attempt_outcome outcome)
+{
+    auto const& arrival = request.m_arrival;
+    auto const& kind = pool.m_kinds[arrival.m_kind.m_value];
+    repeat_proposal proposal;
+    proposal.m_is_decided_here = arrival.m_decides_on_repeats &&
+                                 !arrival.m_spilled &&
+                                 arrival.m_earlier_attempts == 0;
+    proposal.m_is_idempotent = request.m_idempotent;
+    proposal.m_outcome = outcome;
+    proposal.m_attempts =
+        arrival.m_prior_attempts + static_cast<int>(request.m_attempt_count);
+    proposal.m_max_attempts =
+        std::min(static_cast<int>(max_attempts), kind.m_config.m_max_attempts);
+    proposal.m_target_ends = count_target_ends(request);
+    proposal.m_is_suspected = request.m_is_suspected;
+    proposal.m_deadline = arrival.m_deadline;
+    return proposal;
 }
 
-/// Returns ok if the request gets another attempt, for which it takes a token
-/// from the retry budget; otherwise the code to refuse the request with.
+/// Returns ok if the request gets another attempt, which is then paid for;
+/// otherwise the code to refuse the request with.
 result_code plan_retry(pool const& pool, request_entry const& request,
                        attempt_outcome outcome, time_point now,
                        service_budgets& budgets)
 {
-    if (request.m_is_suspected)
-    {
-        return is_certainly_not_run(outcome) ? result_code::request_suspected
-                                             : result_code_for(outcome);
-    }
-    bool const allowed =
-        may_retry(outcome, request.m_idempotent) &&
-        request.m_arrival.m_earlier_attempts == 0 &&
-        request.m_attempt_count < allowed_attempts(pool, request) &&
-        (is_certainly_not_run(outcome) ||
-         count_target_ends(request) < max_target_ends) &&
-        request.m_arrival.m_deadline > now && has_untried_target(pool, request);
-    if (!allowed)
+    auto const proposal = make_proposal(pool, request, outcome);
+    auto decision = check_repeat(proposal, now);
+    if (decision == repeat_decision::allowed &&
+        !has_untried_target(pool, request))
     {
         return result_code_for(outcome);
     }
-    if (!try_spend(budgets.m_retry))
-    {
-        return is_certainly_not_run(outcome) ? result_code::retry_budget_empty
-                                             : result_code_for(outcome);
-    }
-    return result_code::ok;
+    decision = decide_repeat(proposal, budgets.m_repeat, now);
+    return decision == repeat_decision::allowed
+               ? result_code::ok
+               : refusal_code(decision, outcome);
+}
+
+/// Whether a second attempt may run beside the first one. A request that may
+/// have ended a target never runs at two.
+bool may_hedge(pool const& pool, request_entry const& request, time_point now)
+{
+    return count_live_attempts(request) == 1 &&
+           count_target_ends(request) == 0 &&
+           check_repeat(make_proposal(pool, request, attempt_outcome::silent),
+                        now) == repeat_decision::allowed;
 }
 
 /// Records the failure of an attempt. If it was the last one in flight, queues
@@ -198,10 +209,7 @@
             }
             return;
         }
-        // A request that may have ended a target never runs at two.
-        if (count_live_attempts(request) != 1 || request.m_is_suspected ||
-            count_target_ends(request) > 0 ||
-            request.m_attempt_count >= allowed_attempts(pool, request))
+        if (!may_hedge(pool, request, now))
         {
             return;
         }
@@ -426,10 +434,6 @@
     --target->m_in_flight;
     target->m_accused_in_flight -= attempt.m_is_accused ? 1 : 0;
     record_attempt_end(pool, *target, kind, end, attempt, now);
-    if (end.m_outcome == attempt_outcome::ok)
-    {
-        earn(budgets.m_retry);
-    }
     if (!request.m_answered && (end.m_outcome == attempt_outcome::ok ||
                                 end.m_outcome == attempt_outcome::server_error))
     {
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -5,7 +5,7 @@
 #include "core/ids.hpp"
 #include "core/kind_queue.hpp"
 #include "core/pool_effects.hpp"
-#include "core/retry_budget.hpp"
+#include "core/repeat_budget.hpp"
 #include "core/time.hpp"
 #include "core/token_bucket.hpp"
 
@@ -37,7 +37,7 @@
 {
     /// Tokens are seconds of target time.
     token_bucket m_probe;
-    retry_budget m_retry;
+    repeat_budget m_repeat;
 };
 
 /// How ownership of the pool began. After a crash of the previous owner, the
@@ -73,9 +73,16 @@
     request_id m_request;
     kind_id m_kind;
     time_point m_deadline;
-    /// Attempts already made by the caller or another host. The pool does not
-    /// retry a request that has any.
+    /// Attempts that the caller has made before. The pool does not repeat a
+    /// request that has any.
     int m_earlier_attempts = 0;
+    /// Whether this host decides on attempts beyond the first. Otherwise the
+    /// pool makes one attempt at most.
+    bool m_decides_on_repeats = true;
+    /// Attempts that hosts have made of this request, and the targets of those
+    /// whose targets are known. A further attempt has been paid for.
+    int m_prior_attempts = 0;
+    std::vector<target_id> m_tried_targets = {};
     /// Spilled by another zone; refused at once when no slot is free.
     bool m_spilled = false;
     /// Time by which an answer meets the target latency of the kind; empty if
--- a/src/core/pool_crash_test.cpp
+++ b/src/core/pool_crash_test.cpp
@@ -40,7 +40,7 @@
     rules.m_kinds = {idempotent};
     test.m_pool = make_pool(rules, pool_start::fresh, test.m_now);
     test.m_budgets.m_probe = make_token_bucket(10, 10, test.m_now);
-    test.m_budgets.m_retry.m_tokens = 100;
+    test.m_budgets.m_repeat.m_spare = {0, 100, 100, test.m_now};
     std::vector<pool_target> list;
     for (std::uint32_t id = 0; id < targets; ++id)
     {
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -25,7 +25,10 @@
 
 bool has_tried(request_entry const& request, target_id target)
 {
-    return std::any_of(request.m_attempts.begin(),
+    auto const& elsewhere = request.m_arrival.m_tried_targets;
+    return std::find(elsewhere.begin(), elsewhere.end(), target) !=
+               elsewhere.end() ||
+           std::any_of(request.m_attempts.begin(),
                        request.m_attempts.begin() + request.m_attempt_count,
                        [&](attempt_entry const& attempt)
                        { return attempt.m_target == target; });
@@ -211,6 +214,11 @@
 {
     assert(request.m_attempt_count < max_attempts && !request.m_answered);
     assert(target.m_in_flight < target.m_spec.m_slots);
+    if (reason == attempt_reason::first &&
+        request.m_arrival.m_prior_attempts > 0)
+    {
+        reason = attempt_reason::retry_after_other_host;
+    }
     bool const is_accused = count_target_ends(request) > 0;
     request.m_attempts[request.m_attempt_count] = {
         target.m_spec.m_id, now, true, is_accused,
@@ -568,7 +576,7 @@
                           : candidate{};
     if (best.m_target != nullptr && !best.m_is_slow)
     {
-        if (try_spend(budgets.m_retry))
+        if (try_spend(budgets.m_repeat, now))
         {
             dispatch(pool, request, *best.m_target, attempt_reason::hedge, now,
                      out);
@@ -590,7 +598,7 @@
         push(pool.m_timers, {now + delay, request.m_arrival.m_request});
         return;
     }
-    if (try_spend(budgets.m_retry))
+    if (try_spend(budgets.m_repeat, now))
     {
         dispatch(pool, request, *best.m_target, attempt_reason::hedge, now,
                  out);
--- a/src/core/pool_effects.hpp
+++ b/src/core/pool_effects.hpp
@@ -21,6 +21,8 @@
     retry_after_close,
     retry_after_malformed_answer,
     hedge,
+    /// Attempts of other hosts have ended without an answer.
+    retry_after_other_host,
 };
 
 /// Send the request to a target.
--- a/src/core/pool_fault_test.cpp
+++ b/src/core/pool_fault_test.cpp
@@ -68,7 +68,7 @@
     pool_fixture fixture;
     fixture.m_pool = make_pool(make_rules(), start, fixture.m_now);
     fixture.m_budgets.m_probe = make_token_bucket(0, 0, fixture.m_now);
-    fixture.m_budgets.m_retry.m_tokens = 10;
+    fixture.m_budgets.m_repeat.m_spare = {0, 10, 10, fixture.m_now};
     set_pool_targets(fixture, make_targets(targets, slots));
     return fixture;
 }
@@ -195,7 +195,7 @@
 TEST_CASE("a retry requires budget, no earlier attempts and an untried target")
 {
     auto no_budget = make_fixture(2, 1);
-    no_budget.m_budgets.m_retry.m_tokens = 0;
+    no_budget.m_budgets.m_repeat.m_spare.m_tokens = 0;
     auto const refused = arrive(no_budget, look_up);
     end_attempt(no_budget, refused, attempt_outcome::shed);
     CHECK(find_effect<refuse_effect>(no_budget, refused)->m_code ==
@@ -478,6 +478,29 @@
     CHECK(queue_length(*fixture.m_pool) == 2);
 }
 
+// Guards against arrivals beyond the limit of the route: a request rejected in
+// another zone started over in its own, as if it had not been sent.
+TEST_CASE("attempts of other hosts count and their targets are not tried again")
+{
+    auto fixture = make_fixture(3, 1);
+    request_id const id{fixture.m_next_request++};
+    on_arrival(*fixture.m_pool,
+               {.m_request = id,
+                .m_kind = look_up,
+                .m_deadline = fixture.m_now + std::chrono::seconds(2),
+                .m_prior_attempts = kind_config{}.m_max_attempts - 1,
+                .m_tried_targets = {{0}}},
+               fixture.m_now, fixture.m_budgets, fixture.m_out);
+    auto const attempt = find_effect<dispatch_effect>(fixture, id);
+    REQUIRE(attempt);
+    CHECK(attempt->m_target != target_id{0});
+    CHECK(attempt->m_reason == attempt_reason::retry_after_other_host);
+    end_attempt(fixture, id, attempt_outcome::shed);
+    CHECK(count_dispatches(fixture) == 1);
+    CHECK(find_effect<refuse_effect>(fixture, id)->m_code ==
+          result_code::target_shed);
+}
+
 // Guards against a new owner that uses slots which calls of the previous owner
 // still hold.
 TEST_CASE("slots inherited in a hand-over stay taken until the release time")
--- a/src/core/pool_model_test.cpp
+++ b/src/core/pool_model_test.cpp
@@ -22,7 +22,6 @@
 // Less than the probes that are due cost, so that the budget limits them.
 constexpr double probe_rate = 0.004;
 constexpr double retry_ratio = 1;
-constexpr double retry_burst = 5;
 constexpr std::uint32_t target_count = 6;
 constexpr kind_id at_most_once_kind{0};
 constexpr kind_id limited_kind{2};
@@ -72,7 +71,8 @@
     std::map<std::uint32_t, target_model> m_targets;
     std::vector<std::uint32_t> m_probes;
     double m_probe_seconds = 0;
-    double m_successes = 0;
+    /// Requests that pay for repeats.
+    double m_counted = 0;
     double m_retries = 0;
 };
 
@@ -103,8 +103,8 @@
     pool_harness harness;
     harness.m_pool = make_pool(make_rules(), pool_start::fresh, harness.m_now);
     harness.m_budgets.m_probe = make_token_bucket(probe_rate, 1, harness.m_now);
-    harness.m_budgets.m_retry.m_ratio = retry_ratio;
-    harness.m_budgets.m_retry.m_burst = retry_burst;
+    harness.m_budgets.m_repeat =
+        make_repeat_budget({retry_ratio, 0}, 1, harness.m_now);
     return harness;
 }
 
@@ -170,7 +170,10 @@
                                                present_slots(harness))));
     }
     harness.m_retries += effect.m_reason == attempt_reason::first ? 0 : 1;
-    RC_ASSERT(harness.m_retries <= retry_ratio * harness.m_successes + 1e-6);
+    RC_ASSERT(harness.m_retries <= retry_ratio * harness.m_counted + 1e-6);
+    // The host that spilled the request decides on its repeats.
+    RC_ASSERT(effect.m_reason == attempt_reason::first ||
+              !request.m_is_incoming_spill);
     request.m_attempts.push_back({effect.m_target});
 }
 
@@ -262,6 +265,11 @@
     request.m_deadline = harness.m_now + milliseconds(random_b % 400);
     request.m_is_incoming_spill = random_b % 11 == 0;
     harness.m_requests[id] = request;
+    if (!request.m_is_incoming_spill)
+    {
+        ++harness.m_counted;
+        record_request(harness.m_budgets.m_repeat, harness.m_now);
+    }
     on_arrival(*harness.m_pool,
                {.m_request = {id},
                 .m_kind = request.m_kind,
@@ -317,7 +325,6 @@
         attempt.m_may_have_run = !is_certainly_not_run(outcome);
         harness.m_targets.at(attempt.m_target.m_value).m_draining |=
             is_draining;
-        harness.m_successes += outcome == attempt_outcome::ok ? 1 : 0;
         if (outcome == attempt_outcome::ok)
         {
             harness.m_targets.at(attempt.m_target.m_value).m_answered =
@@ -490,7 +497,6 @@
             {
                 request.m_attempts[i].m_live = false;
                 request.m_attempts[i].m_may_have_run = true;
-                ++harness.m_successes;
                 on_attempt_ended(*harness.m_pool,
                                  {{id},
                                   static_cast<attempt_number>(i + 1),
--- a/src/core/pool_overload_test.cpp
+++ b/src/core/pool_overload_test.cpp
@@ -108,6 +108,7 @@
     call.m_deadline = request.m_deadline;
     call.m_objective = request.m_objective;
     pool_effects out;
+    record_request(state.m_budgets.m_repeat, state.m_now);
     on_arrival(*state.m_pool, call, state.m_now, state.m_budgets, out);
     handle_effects(state, std::move(out));
 }
@@ -298,7 +299,7 @@
     rules.m_kinds = {kind};
     state.m_pool = make_pool(rules, pool_start::fresh, state.m_start);
     state.m_budgets.m_probe = make_token_bucket(100, 100, state.m_start);
-    state.m_budgets.m_retry = {0.16, 16, 16};
+    state.m_budgets.m_repeat = make_repeat_budget({0.2, 16}, 1, state.m_start);
     std::vector<pool_target> targets;
     for (std::uint32_t id = 0; id < target_count; ++id)
     {
--- a/src/core/pool_slowness_test.cpp
+++ b/src/core/pool_slowness_test.cpp
@@ -47,7 +47,7 @@
     pool_fixture fixture;
     fixture.m_pool = make_pool(rules, pool_start::fresh, fixture.m_now);
     fixture.m_budgets.m_probe = make_token_bucket(100, 100, fixture.m_now);
-    fixture.m_budgets.m_retry.m_tokens = 10;
+    fixture.m_budgets.m_repeat.m_spare = {0, 10, 10, fixture.m_now};
     std::vector<pool_target> list;
     for (std::uint32_t id = 0; id < targets; ++id)
     {
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -51,9 +51,31 @@
     return headers;
 }
 
+void put_attempts(field_writer& writer, attempt_record const& attempts)
+{
+    writer.put(attempts.m_count);
+    writer.begin_array(attempts.m_targets.size());
+    for (auto const& target : attempts.m_targets)
+    {
+        writer.put(target);
+    }
+}
+
+attempt_record get_attempts(field_reader& reader)
+{
+    attempt_record attempts;
+    attempts.m_count = reader.get_count();
+    field_reader targets(reader.next());
+    while (!targets.is_at_end())
+    {
+        attempts.m_targets.push_back(targets.get<std::string>());
+    }
+    return attempts;
+}
+
 void write(std::string& out, forward_request const& message)
 {
-    auto writer = begin(out, wire_type::forward_request, 15);
+    auto writer = begin(out, wire_type::forward_request, 17);
     writer.put(message.m_id);
     writer.put(static_cast<std::uint8_t>(message.m_purpose));
     writer.put(message.m_service);
@@ -69,6 +91,7 @@
     put_headers(writer, message.m_headers);
     writer.put(message.m_body_size);
     writer.put(message.m_request_id);
+    put_attempts(writer, message.m_attempts);
 }
 
 peer_message read_forward_request(field_reader& reader)
@@ -92,6 +115,10 @@
     {
         message.m_request_id = reader.get<std::string>();
     }
+    if (!reader.is_at_end())
+    {
+        message.m_attempts = get_attempts(reader);
+    }
     return message;
 }
 
@@ -166,10 +193,11 @@
 
 void write(std::string& out, refusal const& message)
 {
-    auto writer = begin(out, wire_type::refusal, 3);
+    auto writer = begin(out, wire_type::refusal, 5);
     writer.put(message.m_id);
     writer.put(static_cast<std::uint16_t>(message.m_code));
     writer.put(message.m_retry_after);
+    put_attempts(writer, message.m_attempts);
 }
 
 peer_message read_refusal(field_reader& reader)
@@ -181,6 +209,10 @@
     {
         message.m_retry_after = reader.get_duration();
     }
+    if (!reader.is_at_end())
+    {
+        message.m_attempts = get_attempts(reader);
+    }
     auto const table = result_code_table();
     auto const is_known = std::any_of(table.begin(), table.end(),
                                       [&](result_code_info const& row)
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -32,6 +32,14 @@
     to_home,
 };
 
+/// Attempts that hosts have made of a request, over all of them.
+struct attempt_record
+{
+    int m_count = 0;
+    /// Names of their targets, as far as they are known.
+    std::vector<std::string> m_targets;
+};
+
 struct forward_request
 {
     forward_id m_id = 0;
@@ -54,6 +62,7 @@
     std::uint64_t m_body_size = 0;
     /// The id that the caller gave the request.
     std::string m_request_id = {};
+    attempt_record m_attempts = {};
 };
 
 struct body_chunk
@@ -91,6 +100,8 @@
     /// Delay after which the caller may retry a request that did not run; zero
     /// if unknown.
     core::duration m_retry_after = core::duration(0);
+    /// Attempts so far, including those made before the request was forwarded.
+    attempt_record m_attempts = {};
 };
 
 struct cancel_request
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -9,6 +9,7 @@
 #include "serve/store_sync.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace hawthornspur::serve
 {
@@ -97,6 +98,14 @@
         fail_call(host, call, result_code::host_paused);
         return;
     }
+    if (decides_on_repeats(call) && call.m_accepted.m_earlier_attempts == 0 &&
+        !std::exchange(call.m_is_counted, true))
+    {
+        core::record_request(
+            get_or_create_budgets(host, call.m_classified.m_service->m_name)
+                .m_repeat,
+            now());
+    }
     auto const& document = *call.m_classified.m_configuration;
     if (must_run_here(call))
     {
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -147,6 +147,11 @@
     classification_record m_classification;
     core::time_point m_arrival_time;
     int m_hops = 0;
+    /// Counted in the repeat budget of its service at this host.
+    bool m_is_counted = false;
+    /// Attempts that other hosts have made, or may have made before they were
+    /// lost.
+    net::attempt_record m_prior_attempts;
     core::pool_id m_pool;
     answer_sink m_sink;
     bool m_is_receiver_closed = false;
@@ -168,7 +173,8 @@
     int m_spill_refusals = 0;
     std::map<core::attempt_number, call_attempt> m_attempts;
     int m_attempt_count = 0;
-    std::string m_last_target;
+    /// Targets of this host's attempts.
+    std::vector<std::string> m_tried_targets;
     core::attempt_number m_relayed_attempt = 0;
     bool m_is_answer_started = false;
     core::duration m_target_time{0};
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -42,10 +42,9 @@
 /// request.
 constexpr core::duration max_address_lifetime = std::chrono::seconds(4);
 
-/// Part of the deployment's retry limits that the hosts use. The rest covers
-/// attempts that cross the end of an accounting window. The ratio is not
-/// divided among the hosts, since retries are earned by answers.
-constexpr double budget_share = 0.8;
+/// Part of the deployment's spare repeats that the hosts use. The rest covers
+/// arrivals that no host has decided on, such as copies made by a network.
+constexpr double spare_repeats_share = 0.8;
 
 std::string_view to_string(core::configuration_source source)
 {
@@ -102,20 +101,16 @@
         document.m_address_lifetime =
             std::min(*bounds.m_address_lifetime, max_address_lifetime);
     }
-    auto const owners =
-        std::max<std::size_t>(1, document.m_zones.size()) *
-        static_cast<std::size_t>(std::max(1, document.m_max_owners_per_zone));
     for (auto& service : document.m_services)
     {
         auto& retries = service.m_retry_budget;
         if (bounds.m_retry_ratio)
         {
-            retries.m_ratio = budget_share * *bounds.m_retry_ratio;
+            retries.m_ratio = *bounds.m_retry_ratio;
         }
         if (bounds.m_retry_burst)
         {
-            retries.m_burst = budget_share * *bounds.m_retry_burst /
-                              static_cast<double>(owners);
+            retries.m_burst = spare_repeats_share * *bounds.m_retry_burst;
         }
         for (auto& kind : service.m_kinds)
         {
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -303,7 +303,7 @@
     attempt.m_start_time = now();
     attempt.m_target_name = target->second.m_name;
     ++call.m_attempt_count;
-    call.m_last_target = attempt.m_target_name;
+    call.m_tried_targets.push_back(attempt.m_target_name);
     mark_key_dispatched(host, call);
     host.m_metrics.count_attempt(call.m_classified.m_service->m_name,
                                  effect.m_reason);
@@ -311,7 +311,9 @@
     attempt.m_exchange_id = host.m_http_client->send(
         target->second.m_endpoint,
         make_target_request(host, call,
-                            {time_left, target->second.m_name, number}),
+                            {time_left, target->second.m_name,
+                             number + static_cast<core::attempt_number>(
+                                          call.m_prior_attempts.m_count)}),
         options,
         {.m_on_head = [&host, id, number](net::http_response_head head,
                                           std::optional<std::uint64_t> length)
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -1,6 +1,8 @@
 #include "serve/forwarding.hpp"
 
-#include "core/retry_budget.hpp"
+#include "base/logging.hpp"
+#include "core/repeat_decision.hpp"
+#include "core/retry_rules.hpp"
 #include "serve/account.hpp"
 #include "serve/admit.hpp"
 #include "serve/classify.hpp"
@@ -62,6 +64,7 @@
     head.m_headers = accepted.m_request.m_headers;
     head.m_body_size = accepted.m_request.m_body.size();
     head.m_request_id = accepted.m_request_id;
+    head.m_attempts = all_attempts(call);
     return head;
 }
 
@@ -111,11 +114,9 @@
            code == result_code::not_pool_owner;
 }
 
-void reroute_call(entry_host& host, active_call& call,
-                  std::string const& failed, std::string_view reason)
+/// Admits the request again, to the owner of its pool at this time.
+void readmit_call(entry_host& host, active_call& call)
 {
-    host.m_metrics.count_forward(reason);
-    call.m_excluded_hosts.push_back(failed);
     // Under the same generation, the request stays with the part of its route
     // that was chosen for it, but the targets may have changed.
     auto const& in_force = host.m_configuration.m_in_force;
@@ -130,6 +131,74 @@
     run_filters(host, call);
 }
 
+void reroute_call(entry_host& host, active_call& call,
+                  std::string const& failed, std::string_view reason)
+{
+    host.m_metrics.count_forward(reason);
+    call.m_excluded_hosts.push_back(failed);
+    readmit_call(host, call);
+}
+
+core::repeat_proposal make_proposal(active_call const& call,
+                                    core::attempt_outcome outcome)
+{
+    auto const& kind = *call.m_classified.m_kind;
+    core::repeat_proposal proposal;
+    proposal.m_is_decided_here = decides_on_repeats(call);
+    proposal.m_is_idempotent =
+        kind.m_execution == core::execution_rule::idempotent;
+    proposal.m_outcome = outcome;
+    proposal.m_attempts = all_attempts(call).m_count;
+    proposal.m_max_attempts = kind.m_max_attempts;
+    proposal.m_target_ends = call.m_target_ends;
+    proposal.m_deadline = call.m_classified.m_deadline;
+    return proposal;
+}
+
+/// Decides whether a request is repeated whose last attempt was made, or may
+/// have been made, by another host.
+core::repeat_decision decide_after_forward(entry_host& host,
+                                           active_call const& call,
+                                           forwarded_call const& forward,
+                                           core::attempt_outcome outcome)
+{
+    auto const& service = call.m_classified.m_service->m_name;
+    auto const proposal = make_proposal(call, outcome);
+    auto const decision = core::decide_repeat(
+        proposal, get_or_create_budgets(host, service).m_repeat, now());
+    bool const is_allowed = decision == core::repeat_decision::allowed;
+    host.m_metrics.count_forward(is_allowed ? "repeat_allowed"
+                                            : "repeat_denied");
+    logging::write(logging::level::info, "serve.forwarding",
+                   is_allowed ? "request is repeated after another host's "
+                                "attempt"
+                              : "request is not repeated after another host's "
+                                "attempt",
+                   {{"request_id", call.m_accepted.m_request_id},
+                    {"service", service},
+                    {"host", forward.m_host_name},
+                    {"attempts", std::to_string(proposal.m_attempts)},
+                    {"max_attempts", std::to_string(proposal.m_max_attempts)},
+                    {"decision", std::to_string(static_cast<int>(decision))}});
+    return decision;
+}
+
+/// Sends a request again whose repeat is decided and paid for.
+void repeat_call(entry_host& host, active_call& call,
+                 forwarded_call const& forward, core::attempt_outcome outcome)
+{
+    if (!core::is_certainly_not_run(outcome))
+    {
+        call.m_may_have_run = true;
+    }
+    if (forward.m_purpose == net::forward_purpose::spill)
+    {
+        requeue_spilled_call(host, call);
+        return;
+    }
+    readmit_call(host, call);
+}
+
 void handle_lost_forward(entry_host& host, active_call& call,
                          forwarded_call const& forward)
 {
@@ -143,30 +212,70 @@
         fail_call(host, call, result_code::home_gone);
         return;
     }
-    bool const can_retry =
-        call.m_classified.m_kind->m_execution ==
-            core::execution_rule::idempotent &&
-        call.m_classified.m_deadline > now() &&
-        core::try_spend(
-            get_or_create_budgets(host, call.m_classified.m_service->m_name)
-                .m_retry);
-    if (!can_retry)
+    // The lost host may have sent the request to a target.
+    ++call.m_prior_attempts.m_count;
+    constexpr auto outcome = core::attempt_outcome::silent;
+    if (decide_after_forward(host, call, forward, outcome) !=
+        core::repeat_decision::allowed)
     {
+        remove_spilled_call(host, call);
         fail_call(host, call, result_code::peer_link_lost);
         return;
     }
-    call.m_may_have_run = true;
-    if (forward.m_purpose == net::forward_purpose::spill)
+    host.m_metrics.count_forward("retry_after_link_loss");
+    call.m_excluded_hosts.push_back(forward.m_host_name);
+    repeat_call(host, call, forward, outcome);
+}
+
+/// Handles a refusal after the other host, or one to which it passed the
+/// request on, made an attempt.
+void handle_failed_attempt(entry_host& host, active_call& call,
+                           forwarded_call const& forward, result_code code)
+{
+    auto const outcome = code == result_code::peer_link_lost
+                             ? core::attempt_outcome::silent
+                             : core::outcome_of(code);
+    bool const is_decided_here =
+        decides_on_repeats(call) &&
+        forward.m_purpose != net::forward_purpose::to_home;
+    if (!outcome || call.m_is_answer_started || !is_decided_here)
     {
-        host.m_metrics.count_forward("retry_after_link_loss");
-        requeue_spilled_call(host, call);
+        remove_spilled_call(host, call);
+        fail_call(host, call, code);
         return;
     }
-    reroute_call(host, call, forward.m_host_name, "retry_after_link_loss");
+    if (*outcome == core::attempt_outcome::closed)
+    {
+        ++call.m_target_ends;
+    }
+    auto const decision = decide_after_forward(host, call, forward, *outcome);
+    if (decision == core::repeat_decision::allowed)
+    {
+        repeat_call(host, call, forward, *outcome);
+        return;
+    }
+    remove_spilled_call(host, call);
+    fail_call(host, call, core::refusal_code(decision, *outcome));
 }
 
 } // namespace
 
+net::attempt_record all_attempts(active_call const& call)
+{
+    auto attempts = call.m_prior_attempts;
+    attempts.m_count += call.m_attempt_count;
+    attempts.m_targets.insert(attempts.m_targets.end(),
+                              call.m_tried_targets.begin(),
+                              call.m_tried_targets.end());
+    return attempts;
+}
+
+bool decides_on_repeats(active_call const& call) noexcept
+{
+    return call.m_origin == call_origin::caller ||
+           call.m_origin == call_origin::forwarded_to_home;
+}
+
 bool forward_call(entry_host& host, active_call& call, std::string const& to,
                   net::forward_purpose purpose, std::string const& zone)
 {
@@ -287,8 +396,6 @@
     {
         call->m_sink.m_end();
     }
-    core::earn(get_or_create_budgets(host, call->m_classified.m_service->m_name)
-                   .m_retry);
     complete_key_with_answer(host, *call);
     end_call(host, *call, result_code::ok);
 }
@@ -309,6 +416,12 @@
                           ? result_code::peer_link_lost
                           : refusal.m_code;
     call->m_retry_after = refusal.m_retry_after;
+    if (refusal.m_attempts.m_count > all_attempts(*call).m_count)
+    {
+        call->m_prior_attempts = refusal.m_attempts;
+        handle_failed_attempt(host, *call, forward, code);
+        return;
+    }
     bool const is_not_run = !call->m_is_answer_started &&
                             info(code).m_execution == execution::not_run;
     bool const is_refused_everywhere = code == result_code::request_suspected;
--- a/src/serve/forwarding.hpp
+++ b/src/serve/forwarding.hpp
@@ -18,6 +18,14 @@
 bool forward_call(entry_host& host, active_call& call, std::string const& to,
                   net::forward_purpose purpose, std::string const& zone = {});
 
+/// Attempts of the request that this host knows of, its own included.
+net::attempt_record all_attempts(active_call const& call);
+
+/// Whether this host decides on attempts of the request beyond the first: it
+/// took the request from its caller, or it is the home of its key. It also
+/// counts the request in its repeat budget.
+bool decides_on_repeats(active_call const& call) noexcept;
+
 /// Cancels a forwarded request at the other host.
 void cancel_forward(entry_host& host, active_call& call);
 
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -1,5 +1,6 @@
 #include "serve/incoming_forwards.hpp"
 
+#include "serve/forwarding.hpp"
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
 #include "serve/pipeline.hpp"
@@ -16,10 +17,12 @@
 
 void send_refusal(entry_host& host, incoming_forward_id const& id,
                   result_code code,
-                  core::duration retry_after = core::duration(0))
+                  core::duration retry_after = core::duration(0),
+                  net::attempt_record attempts = {})
 {
     static_cast<void>(host.m_peer_network->send(
-        id.first, net::refusal{id.second, code, retry_after}));
+        id.first,
+        net::refusal{id.second, code, retry_after, std::move(attempts)}));
 }
 
 /// Aborts an answer of which a part could not be queued, so that the receiver
@@ -105,8 +108,18 @@
     };
     sink.m_fail = [&host, id](result_code code, core::duration retry_after)
     {
-        host.m_outgoing_answers.erase(id);
-        send_refusal(host, id, code, retry_after);
+        net::attempt_record attempts;
+        auto const answer = host.m_outgoing_answers.find(id);
+        if (answer != host.m_outgoing_answers.end())
+        {
+            // Without a call, it failed before it could be sent to a target.
+            if (auto const* call = find_call(host, answer->second.m_call_id))
+            {
+                attempts = all_attempts(*call);
+            }
+            host.m_outgoing_answers.erase(answer);
+        }
+        send_refusal(host, id, code, retry_after, std::move(attempts));
     };
     sink.m_buffered_bytes = [&host, id]() -> std::size_t
     {
--- a/src/serve/metrics.cpp
+++ b/src/serve/metrics.cpp
@@ -257,6 +257,8 @@
         return "retry_after_malformed_answer";
     case hedge:
         return "hedge";
+    case retry_after_other_host:
+        return "retry_after_other_host";
     }
     return "unknown";
 }
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -133,6 +133,7 @@
     accepted.m_zone = head.m_zone;
     accepted.m_time_left = head.m_time_left;
     accepted.m_earlier_attempts = head.m_earlier_attempts;
+    call.m_prior_attempts = head.m_attempts;
     if (!head.m_once_key.empty())
     {
         accepted.m_once_key = head.m_once_key;
--- a/src/serve/platform_adapter.hpp
+++ b/src/serve/platform_adapter.hpp
@@ -26,6 +26,8 @@
     /// that is allowed in addition.
     std::optional<double> m_retry_ratio;
     std::optional<double> m_retry_burst;
+    /// The span of time in which these are counted, above zero.
+    std::optional<core::duration> m_retry_window;
     /// Probes of one target per second, over all hosts.
     std::optional<double> m_probes_per_second;
 };
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "core/ownership.hpp"
+#include "core/rate_share.hpp"
 #include "core/slot_usage.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/dispatch.hpp"
@@ -87,10 +88,30 @@
     apply_effects(host, *pool, std::move(effects));
 }
 
+/// The targets of other hosts' attempts that this host knows.
+std::vector<core::target_id> find_tried_targets(entry_host const& host,
+                                                active_call const& call)
+{
+    std::vector<core::target_id> found;
+    for (auto const& name : call.m_prior_attempts.m_targets)
+    {
+        for (auto const& [id, target] : host.m_targets)
+        {
+            if (target.m_name == name &&
+                target.m_service == call.m_classified.m_service->m_name)
+            {
+                found.push_back(id);
+            }
+        }
+    }
+    return found;
+}
+
 /// Describes the call to its pool. The kind is looked up by name, since the
 /// pool may have newer rules than those under which the call was classified.
 /// The pool refuses a kind that it does not have.
-core::arrival make_arrival(local_pool const& pool, active_call const& call)
+core::arrival make_arrival(entry_host const& host, local_pool const& pool,
+                           active_call const& call)
 {
     constexpr core::kind_id unknown_kind{
         std::numeric_limits<std::uint32_t>::max()};
@@ -103,6 +124,9 @@
                            core::execution_rule::idempotent;
     arrival.m_deadline = call.m_classified.m_deadline;
     arrival.m_earlier_attempts = call.m_accepted.m_earlier_attempts;
+    arrival.m_decides_on_repeats = decides_on_repeats(call);
+    arrival.m_prior_attempts = call.m_prior_attempts.m_count;
+    arrival.m_tried_targets = find_tried_targets(host, call);
     arrival.m_spilled = call.m_origin == call_origin::spilled;
     arrival.m_objective = call.m_classified.m_objective;
     arrival.m_spill_refusals = call.m_spill_refusals;
@@ -120,7 +144,7 @@
         return;
     }
     call->m_is_queued = false;
-    pool.m_spilled[call->m_id] = make_arrival(pool, *call);
+    pool.m_spilled[call->m_id] = make_arrival(host, pool, *call);
     auto const& order =
         core::ranked_owners(host.m_routing, *host.m_configuration.m_in_force,
                             {pool.m_id.m_service, spill.m_zone});
@@ -334,6 +358,30 @@
 
 } // namespace
 
+namespace
+{
+
+core::repeat_limits repeat_limits_of(entry_host const& host,
+                                     core::service_config const& service)
+{
+    core::repeat_limits limits;
+    limits.m_ratio = service.m_retry_budget.m_ratio;
+    limits.m_burst = service.m_retry_budget.m_burst;
+    limits.m_window =
+        host.m_deployment_bounds.m_retry_window.value_or(limits.m_window);
+    return limits;
+}
+
+/// Hosts that may take requests from callers. Lost ones may run on the other
+/// side of a partition.
+int count_hosts(entry_host const& host)
+{
+    auto const fleet = core::make_fleet_view(host.m_routing.m_hosts);
+    return std::max(1, fleet.m_present + fleet.m_lost);
+}
+
+} // namespace
+
 core::service_budgets& get_or_create_budgets(entry_host& host,
                                              std::string const& service)
 {
@@ -355,8 +403,8 @@
                 config->m_probe_budget.m_connection_cost;
             entry->second.m_probe = core::make_token_bucket(
                 share.count(), probe_and_connection_cost.count(), now());
-            entry->second.m_retry = {config->m_retry_budget.m_ratio,
-                                     config->m_retry_budget.m_burst, 0};
+            entry->second.m_repeat = core::make_repeat_budget(
+                repeat_limits_of(host, *config), count_hosts(host), now());
         }
     }
     return entry->second;
@@ -428,7 +476,7 @@
     }
     call.m_is_queued = true;
     core::pool_effects effects;
-    core::on_arrival(*pool->m_core_pool, make_arrival(*pool, call), now(),
+    core::on_arrival(*pool->m_core_pool, make_arrival(host, *pool, call), now(),
                      get_or_create_budgets(host, call.m_pool.m_service),
                      effects);
     apply_effects(host, *pool, std::move(effects));
@@ -492,9 +540,13 @@
     {
         return;
     }
-    arrival.m_target_ends = call.m_target_ends;
-    // The rules may have changed since the request was spilled.
-    arrival.m_kind = make_arrival(*pool, call).m_kind;
+    // The rules may have changed since the request was spilled, and a target
+    // of the other zone may have rejected it.
+    auto const current = make_arrival(host, *pool, call);
+    arrival.m_target_ends = current.m_target_ends;
+    arrival.m_kind = current.m_kind;
+    arrival.m_prior_attempts = current.m_prior_attempts;
+    arrival.m_tried_targets = current.m_tried_targets;
     ++call.m_spill_refusals;
     call.m_is_queued = true;
     core::pool_effects effects;
@@ -518,6 +570,15 @@
     {
         return;
     }
+    for (auto& [name, budgets] : host.m_service_budgets)
+    {
+        if (auto const* service =
+                core::find_service(*host.m_configuration.m_in_force, name))
+        {
+            core::set_limits(budgets.m_repeat, repeat_limits_of(host, *service),
+                             count_hosts(host), now());
+        }
+    }
     std::vector<core::pool_id> ids;
     for (auto const& [id, pool] : host.m_pools)
     {
