Keep targets out of use after any host has heard that they leave

Three causes of one class, a word that reaches only a part of those that are bound by it. The platform's adapter did not read what targets say in their answers. A host learned of the store's word only by its own watch, and a watch on a connection whose answer the store has lost waits 27 s; keep-alive probes pass there. And marks had no incarnation: the same name could be taken out of use or be brought back by what was said of another process.

Now the word of a process, from an answer, a probe, the store or another host, is kept in one place (core/target_departures) and ends only with a later incarnation. The host that hears it tells those that may send to the target: all linked hosts for an answer, the possible owners of its pool for the store's word, and each host whose link comes up. Watchers compare the store's revision, from a stale read that costs a tenth of a call, with that of their open watch every 1.2 s, and read the changes if the watch should have reported some.

--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -451,9 +451,10 @@
 
 void write(std::string& out, target_leaving const& message)
 {
-    auto writer = begin(out, wire_type::leaving, 2);
+    auto writer = begin(out, wire_type::leaving, 3);
     writer.put(message.m_service);
     writer.put(message.m_target);
+    writer.put(message.m_incarnation);
 }
 
 void write(std::string& out, generation_announcement const& message)
@@ -466,6 +467,10 @@
     target_leaving message;
     message.m_service = reader.get<std::string>();
     message.m_target = reader.get<std::string>();
+    if (!reader.is_at_end())
+    {
+        message.m_incarnation = reader.get<std::uint64_t>();
+    }
     return message;
 }
 
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -166,6 +166,8 @@
 {
     std::string m_service;
     std::string m_target;
+    /// Of the process that announced it; 0 if unknown.
+    std::uint64_t m_incarnation = 0;
 };
 
 struct advertised_limit
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -47,7 +47,7 @@
             configuration_request{12},
             configuration_reply{12, "{}"},
             handover_message{"map", "west", {{"t1", 2, 2.5}, {"t2", 0, 1}}},
-            target_leaving{"map", "t1"},
+            target_leaving{"map", "t1", 1700},
             generation_announcement{7},
             rate_limits_message{"map", "west", {{"t1", 1.5}, {"t2", 0}}},
             crash_suspects_message{
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -56,7 +56,8 @@
     auto const& configuration = host.m_configuration;
     auto const& self = core::self(*host.m_membership);
     auto leaving = nlohmann::json::array();
-    for (auto const& [target, since] : host.m_leaving_targets)
+    for (auto const& [target, departure] :
+         host.m_target_departures.m_departures)
     {
         leaving.push_back(
             {{"service", target.first}, {"target", target.second}});
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -111,6 +111,8 @@
     net::exchange_id m_exchange_id = 0;
     core::target_id m_target;
     std::string m_target_name;
+    /// Of the target's process that was listed when the attempt began.
+    std::uint64_t m_target_incarnation = 0;
     core::time_point m_start_time;
     /// The target reported that it did not run the request. The answer is not
     /// relayed.
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -125,9 +125,11 @@
     attempt.m_is_server_error = head.m_status >= first_server_error;
     attempt.m_is_draining = signals.m_is_draining;
     attempt.m_load = signals.m_load;
-    if (attempt.m_is_draining)
+    if (attempt.m_is_draining && !attempt.m_is_other_target)
     {
-        announce_leaving_target(host, attempt.m_target);
+        announce_leaving_target(host, {call->m_classified.m_service->m_name,
+                                       attempt.m_target_name,
+                                       attempt.m_target_incarnation});
     }
     if (!attempt.m_is_other_target)
     {
@@ -302,6 +304,7 @@
     attempt.m_target = effect.m_target;
     attempt.m_start_time = now();
     attempt.m_target_name = target->second.m_name;
+    attempt.m_target_incarnation = target->second.m_incarnation;
     ++call.m_attempt_count;
     call.m_tried_targets.push_back(attempt.m_target_name);
     mark_key_dispatched(host, call);
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -11,6 +11,7 @@
 #include "core/route_match.hpp"
 #include "core/routing.hpp"
 #include "core/stop_schedule.hpp"
+#include "core/target_departures.hpp"
 #include "net/connect_checker.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -46,6 +47,8 @@
     std::string m_name;
     net::endpoint m_endpoint;
     std::size_t m_max_connections = 0;
+    /// Of the process that is listed at present.
+    std::uint64_t m_incarnation = 0;
 };
 
 /// A pool that this host owns, or owned before and still has requests of.
@@ -138,10 +141,7 @@
 
     std::map<std::pair<std::string, std::string>, core::target_id> m_target_ids;
     std::unordered_map<core::target_id, target_record> m_targets;
-    /// Targets that are leaving, by service and name, with the time at which
-    /// this was last announced.
-    std::map<std::pair<std::string, std::string>, core::time_point>
-        m_leaving_targets;
+    core::target_departures m_target_departures;
 
     core::crash_suspects m_crash_suspects;
     /// Contents with changed records that the other hosts are still to be told.
--- a/src/serve/host_registration.cpp
+++ b/src/serve/host_registration.cpp
@@ -89,8 +89,7 @@
 {
     auto& sync = *host.m_store_sync;
     host.m_platform_calls.m_put_leased(
-        std::string(host_prefix) + host.m_settings.m_name,
-        format_registration_entry(host), sync.m_lease,
+        registration_key(host), format_registration_entry(host), sync.m_lease,
         [&host](result<std::uint64_t> const& written)
         {
             auto& sync = *host.m_store_sync;
@@ -150,6 +149,11 @@
 
 } // namespace
 
+std::string registration_key(entry_host const& host)
+{
+    return std::string(host_prefix) + host.m_settings.m_name;
+}
+
 void advance_registration(entry_host& host)
 {
     auto& sync = *host.m_store_sync;
--- a/src/serve/host_registration.hpp
+++ b/src/serve/host_registration.hpp
@@ -1,6 +1,8 @@
 #ifndef HAWTHORNSPUR_SERVE_HOST_REGISTRATION_HPP
 #define HAWTHORNSPUR_SERVE_HOST_REGISTRATION_HPP
 
+#include <string>
+
 namespace hawthornspur::serve
 {
 
@@ -11,6 +13,9 @@
 /// does nothing, so that its lease lapses.
 void advance_registration(entry_host& host);
 
+/// Key of this host's entry in the store.
+std::string registration_key(entry_host const& host);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -132,6 +132,7 @@
                                {{"host", peer}});
                 announce_generation(host, peer);
                 send_crash_suspects(host, peer);
+                send_departures(host, peer);
                 update_store_role(host);
                 // Not at once: it replaces the list of peers, and this is
                 // called by one of their links.
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -54,7 +54,9 @@
         }
         bool const is_leaving =
             target.m_state == core::target_state::draining ||
-            host.m_leaving_targets.contains({id.m_service, target.m_name});
+            core::is_departing(
+                host.m_target_departures,
+                {id.m_service, target.m_name, target.m_incarnation});
         targets.push_back({intern_target(host, id.m_service, target),
                            target.m_slots, is_leaving, target.m_cold_until});
     }
@@ -338,6 +340,7 @@
         record.m_name = target.m_name;
         record.m_endpoint = {target.m_address, target.m_port};
     }
+    record.m_incarnation = target.m_incarnation;
     record.m_max_connections =
         static_cast<std::size_t>(target.m_max_connections);
     return entry->second;
@@ -618,19 +621,4 @@
     }
 }
 
-bool mark_target_leaving(entry_host& host, std::string const& service,
-                         std::string const& target)
-{
-    auto const [entry, is_new] =
-        host.m_leaving_targets.try_emplace({service, target}, now());
-    entry->second = now();
-    if (is_new)
-    {
-        logging::write(logging::level::info, "serve.pools", "target is leaving",
-                       {{"service", service}, {"target", target}});
-        update_pools(host);
-    }
-    return is_new;
-}
-
 } // namespace hawthornspur::serve
--- a/src/serve/pools.hpp
+++ b/src/serve/pools.hpp
@@ -41,11 +41,6 @@
 /// and targets, and hands over those that other hosts own now.
 void update_pools(entry_host& host);
 
-/// Marks a target as leaving in all its pools. Returns false if it already was
-/// marked.
-bool mark_target_leaving(entry_host& host, std::string const& service,
-                         std::string const& target);
-
 /// Returns the pool on this host, or null.
 local_pool* find_pool(entry_host& host, core::pool_id const& id) noexcept;
 
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -21,6 +21,7 @@
 constexpr int first_error_status = 400;
 
 void on_probe_end(entry_host& host, core::pool_id const& pool_id,
+                  core::target_process const& process,
                   core::probe_answer const& answer)
 {
     auto* pool = find_pool(host, pool_id);
@@ -35,7 +36,7 @@
     apply_effects(host, *pool, std::move(effects));
     if (answer.m_draining)
     {
-        announce_leaving_target(host, answer.m_target);
+        announce_leaving_target(host, process);
     }
 }
 
@@ -70,7 +71,8 @@
         auto const signals =
             host.m_adapter.m_caller_interface.m_read_probe_signals(head, name);
         answer->m_healthy = answer->m_healthy && !signals.m_is_other_target;
-        answer->m_draining = signals.m_is_draining;
+        answer->m_draining =
+            signals.m_is_draining && !signals.m_is_other_target;
         answer->m_load = signals.m_load;
         if (signals.m_is_other_target)
         {
@@ -87,11 +89,15 @@
                                started_at});
         }
     };
-    auto on_end = [&host, pool_id, answer](net::exchange_outcome outcome)
+    auto on_end =
+        [&host, pool_id, answer,
+         process = core::target_process{pool_id.m_service, found->second.m_name,
+                                        found->second.m_incarnation}](
+            net::exchange_outcome outcome)
     {
         answer->m_healthy =
             answer->m_healthy && outcome == net::exchange_outcome::complete;
-        on_probe_end(host, pool_id, *answer);
+        on_probe_end(host, pool_id, process, *answer);
     };
     host.m_http_client->send(found->second.m_endpoint, request, options,
                              {.m_on_head = std::move(on_head),
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -60,6 +60,10 @@
 /// anew whether to read the store.
 constexpr auto role_check_interval = std::chrono::milliseconds(50);
 
+/// Shorter than the time in which a change of the targets must take effect.
+/// Each check costs a tenth of a call.
+constexpr auto watch_check_interval = std::chrono::milliseconds(1200);
+
 void read_range(entry_host& host, range_watch& range);
 
 void log_range(range_watch const& range, logging::level severity,
@@ -370,6 +374,65 @@
         });
 }
 
+/// Reads the changes that an open watch should have reported. If there are any,
+/// its connection is silent and another watch replaces it.
+void confirm_watch(entry_host& host, range_watch& range)
+{
+    host.m_platform_calls.m_watch_range(
+        range.m_prefix, *range.m_position.m_revision, confirmation_wait,
+        [&host, &range, number = range.m_call_number](
+            result<platform::range_changes> const& answer)
+        {
+            detect_pause(host);
+            if (number != range.m_call_number || !has_value(answer))
+            {
+                return;
+            }
+            auto const& changes = value(answer);
+            auto const known = range.m_position.m_revision.value_or(0);
+            if (!accept_answer(host, range, changes.m_epoch,
+                               std::max(known, changes.m_store_revision),
+                               answer_kind::changes) ||
+                changes.m_events.empty())
+            {
+                return;
+            }
+            host.m_metrics.count_event("store_watch_silent");
+            log_range(range, logging::level::warn, "store watch is silent", "");
+            ++range.m_call_number;
+            apply_changes(host, range, changes);
+            schedule_next_read(host, range, change_interval(host, range));
+        });
+}
+
+/// Compares the revision of the store with that of the open watch of the
+/// targets. A store whose answer was lost does not answer on the connection
+/// again, which keep-alive probes do not show.
+void check_target_watch(entry_host& host)
+{
+    auto& sync = *host.m_store_sync;
+    auto& range = sync.m_targets;
+    sync.m_watch_check_timer->start(watch_check_interval);
+    if (sync.m_role != core::store_role::watcher || range.m_is_polling ||
+        range.m_failing_since || !range.m_position.m_revision)
+    {
+        return;
+    }
+    host.m_platform_calls.m_get_range(
+        registration_key(host), platform::freshness::may_be_stale,
+        [&host, &range](result<platform::stored_range> const& answer)
+        {
+            detect_pause(host);
+            auto const& known = range.m_position;
+            if (has_value(answer) && known.m_revision &&
+                value(answer).m_epoch == known.m_epoch &&
+                value(answer).m_store_revision > *known.m_revision)
+            {
+                confirm_watch(host, range);
+            }
+        });
+}
+
 void read_range(entry_host& host, range_watch& range)
 {
     auto const role = host.m_store_sync->m_role;
@@ -568,6 +631,8 @@
                              read_range(host, targets);
                          }
                      }),
+          make_timer(host, sync.m_watch_check_timer,
+                     [&host] { check_target_watch(host); }),
           make_timer(host, sync.m_role_timer,
                      [&host]
                      {
@@ -594,6 +659,7 @@
         }
     }
     sync.m_start_time = now();
+    sync.m_watch_check_timer->start(watch_check_interval);
     update_store_role(host);
     return success();
 }
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -72,6 +72,8 @@
     /// Runs out when the targets have registered again after the store came
     /// back from an earlier state.
     std::unique_ptr<net::timer> m_restore_timer;
+    /// Runs out when the watch of the targets is to be checked.
+    std::unique_ptr<net::timer> m_watch_check_timer;
 
     /// Registration of this host and reads of the other hosts.
     std::unique_ptr<net::timer> m_registration_timer;
--- a/src/serve/stored_targets.cpp
+++ b/src/serve/stored_targets.cpp
@@ -4,6 +4,7 @@
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
+#include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/store_sync.hpp"
 
@@ -72,6 +73,16 @@
 
 void apply_registered_targets(entry_host& host)
 {
+    for (auto const& [name, entry] :
+         host.m_store_sync->m_target_directory.m_entries)
+    {
+        auto const& target = entry.m_target;
+        if (target.m_state == core::target_state::draining)
+        {
+            announce_registered_departure(
+                host, {target.m_service, name, target.m_incarnation});
+        }
+    }
     refresh_targets(host);
     auto const next =
         core::next_lapsed_removal(host.m_store_sync->m_target_directory);
