Pass on chunks of answers as they arrive

A report from other operators: a faulty server sends bytes without end, and the machine that called it keeps them all until it runs out of memory, with the requests of its other clients.

Here evhttp keeps a chunk until it is complete, and all trailers, of whatever size; only the deadline ended that. With a chunk that announces 2 GB, a host kept what arrived until the deadline, for each such connection, although the body was never relayed: max_answer_bytes and the limit of unread bytes count what evhttp has passed on. The heads, lines and other forms were bounded.

The validator, which sees all bytes before evhttp, now divides a chunked body anew: data goes on in chunks that end with what has arrived, extensions and trailers are left out. So both limits apply to it.

The new test of the client does not pass before the change: the data is not delivered, and its program ends with SIGPIPE. It passes now, and so do the other tests of net and the case that is added to endless_answer_test.

--- a/src/net/answer_validator.cpp
+++ b/src/net/answer_validator.cpp
@@ -3,6 +3,8 @@
 #include "base/text.hpp"
 #include "net/request_head.hpp"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <optional>
@@ -154,14 +156,19 @@
     return true;
 }
 
-bool answer_validator::check_chunks(std::string_view bytes)
+result<std::string> answer_validator::divide_chunks(std::string_view bytes)
 {
+    std::string out;
     while (!bytes.empty() && m_phase != chunk_phase::done)
     {
         if (m_phase == chunk_phase::data)
         {
             auto const size =
                 std::min<std::uint64_t>(m_remaining_bytes, bytes.size());
+            out += absl::StrCat(absl::Hex(size));
+            out += line_end;
+            out += bytes.substr(0, size);
+            out += line_end;
             bytes.remove_prefix(size);
             m_remaining_bytes -= size;
             m_phase = m_remaining_bytes == 0 ? chunk_phase::data_end
@@ -172,19 +179,24 @@
         m_line += bytes.substr(0, end);
         if (m_line.size() > m_max_head_bytes)
         {
-            return false;
+            return malformed("a line between two chunks is too long");
         }
         if (end == std::string_view::npos)
         {
-            return true;
+            return out;
         }
         bytes.remove_prefix(end + 1);
         if (!process_line())
         {
-            return false;
+            return malformed("invalid chunk");
+        }
+        if (m_phase == chunk_phase::done)
+        {
+            out += "0\r\n\r\n";
         }
     }
-    return true;
+    out += bytes;
+    return out;
 }
 
 result<std::string> answer_validator::filter(std::string_view bytes)
@@ -235,10 +247,16 @@
         else
         {
             m_is_head_complete = true;
-            if (m_is_chunked &&
-                !check_chunks(std::string_view(m_raw).substr(size)))
+            if (m_is_chunked)
             {
-                return malformed("invalid chunk");
+                auto const body =
+                    divide_chunks(std::string_view(m_raw).substr(size));
+                if (!has_value(body))
+                {
+                    return failure(body);
+                }
+                m_raw.resize(size);
+                m_raw += value(body);
             }
         }
     }
--- a/src/net/answer_validator.hpp
+++ b/src/net/answer_validator.hpp
@@ -11,9 +11,10 @@
 namespace hawthornspur::net
 {
 
-/// Validates an answer before evhttp parses it and removes interim answers.
-/// evhttp treats a 103 as the final answer and accepts heads with ambiguous
-/// framing.
+/// Validates an answer before evhttp parses it, removes interim answers and
+/// divides a chunked body anew. evhttp treats a 103 as the final answer,
+/// accepts heads with ambiguous framing, and keeps a chunk until it is complete
+/// and all trailers, whatever their size.
 class answer_validator
 {
 public:
@@ -24,7 +25,8 @@
 
     /// Adds received bytes and returns the bytes to pass to evhttp: none until
     /// the final head is complete, then the head and the bytes after it. Later
-    /// bytes go to evhttp without this call. Errors: target_answer_malformed.
+    /// bytes go to evhttp without this call, except those of a chunked body.
+    /// Errors: target_answer_malformed.
     result<std::string> filter(std::string_view bytes);
 
     /// filter() has returned the final head.
@@ -38,9 +40,10 @@
         return m_is_chunked;
     }
 
-    /// Validates bytes of a chunked body after the head, which are passed on
-    /// unchanged. False if they are malformed.
-    bool check_chunks(std::string_view bytes);
+    /// Returns the same part of the body in chunks that end with the received
+    /// bytes, without extensions and trailers. Bytes after the end of the body
+    /// are returned unchanged. Errors: target_answer_malformed.
+    result<std::string> divide_chunks(std::string_view bytes);
 
 private:
     enum class chunk_phase : std::uint8_t
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -192,17 +192,43 @@
                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
-/// Validates the bytes at the end of the input buffer before evhttp parses
-/// them, since evhttp reports an invalid chunk as a closed connection.
-bool check_chunks(client_connection& connection, evbuffer* input,
-                  std::size_t added)
+/// Adds bytes to the input buffer, for evhttp to parse.
+void add_input(client_connection& connection, evbuffer* input,
+               std::string_view bytes)
 {
-    evbuffer_ptr position{};
-    evbuffer_ptr_set(input, &position, evbuffer_get_length(input) - added,
-                     EVBUFFER_PTR_SET);
-    std::string bytes(added, '\0');
-    evbuffer_copyout_from(input, &position, bytes.data(), added);
-    return connection.m_validator.check_chunks(bytes);
+    connection.m_is_modifying_input = true;
+    // A bufferevent freezes the end of its input buffer for other writers.
+    evbuffer_unfreeze(input, 0);
+    evbuffer_add(input, bytes.data(), bytes.size());
+    evbuffer_freeze(input, 0);
+    connection.m_is_modifying_input = false;
+}
+
+std::string take_input(client_connection& connection, evbuffer* input)
+{
+    std::string bytes(evbuffer_get_length(input), '\0');
+    connection.m_is_modifying_input = true;
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    connection.m_is_modifying_input = false;
+    return bytes;
+}
+
+/// Divides the chunks of the `added` bytes at the end of the input buffer.
+/// Returns false if they are malformed.
+bool divide_new_chunks(client_connection& connection, evbuffer* input,
+                       std::size_t added)
+{
+    auto bytes = take_input(connection, input);
+    auto const parsed = bytes.size() - added;
+    auto const divided = connection.m_validator.divide_chunks(
+        std::string_view(bytes).substr(parsed));
+    if (!has_value(divided))
+    {
+        return false;
+    }
+    bytes.resize(parsed);
+    add_input(connection, input, bytes + value(divided));
+    return true;
 }
 
 void on_input(evbuffer* input, evbuffer_cb_info const* change, void* argument)
@@ -216,19 +242,14 @@
     if (exchange != nullptr && connection->m_validator.is_head_complete())
     {
         if (connection->m_validator.is_chunked() &&
-            !check_chunks(*connection, input, change->n_added))
+            !divide_new_chunks(*connection, input, change->n_added))
         {
             finish(*connection->m_client, exchange->m_id,
                    exchange_outcome::malformed);
         }
         return;
     }
-    auto const size = evbuffer_get_length(input);
-    std::string const bytes(
-        reinterpret_cast<char const*>(evbuffer_pullup(input, -1)), size);
-    connection->m_is_modifying_input = true;
-    evbuffer_drain(input, size);
-    connection->m_is_modifying_input = false;
+    auto const bytes = take_input(*connection, input);
     if (exchange == nullptr)
     {
         // evhttp aborts the process on some unsolicited bytes.
@@ -247,12 +268,7 @@
     {
         return;
     }
-    connection->m_is_modifying_input = true;
-    // A bufferevent freezes the end of its input buffer for other writers.
-    evbuffer_unfreeze(input, 0);
-    evbuffer_add(input, value(passed).data(), value(passed).size());
-    evbuffer_freeze(input, 0);
-    connection->m_is_modifying_input = false;
+    add_input(*connection, input, value(passed));
     stop_sending(connection);
 }
 
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -607,6 +607,35 @@
     CHECK(record.m_body.size() == 30'000'000);
 }
 
+// Guards against a server in trouble that announces one large chunk, of which
+// all bytes would be kept until the end of the exchange.
+TEST_CASE("the data of a chunk is delivered before the chunk is complete")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    server.m_on_connection = [](raw_connection& connection)
+    {
+        connection.m_on_data = [&connection]
+        {
+            connection.m_on_data = nullptr;
+            connection.send("HTTP/1.1 200 OK\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "7fffffff;name=value\r\n");
+            connection.send(std::string(100'000, 'x'));
+        };
+    };
+    exchange_record record;
+    client->send({"127.0.0.1", server.m_port}, post(),
+                 {.m_timeout = test_timeout, .m_max_answer_bytes = 200'000},
+                 record.handlers());
+    REQUIRE(run_until(*loop, [&] { return record.m_body.size() == 100'000; }));
+    CHECK(!record.m_outcome);
+    server.m_connections[0]->send(std::string(100'001, 'x'));
+    REQUIRE(run_until(*loop, [&] { return record.m_outcome.has_value(); }));
+    CHECK(*record.m_outcome == exchange_outcome::too_large);
+}
+
 // Guards against use after free when a handler cancels its own exchange and
 // when the client is destroyed with exchanges in every phase.
 TEST_CASE("handlers can cancel exchanges and the client can be destroyed")
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -60,6 +60,8 @@
         {"chunks",
          {ok_head + "Transfer-Encoding: chunked\r\n\r\n",
           "3e8\r\n" + filler + "\r\n"}},
+        {"one chunk",
+         {ok_head + "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", filler}},
         {"a chunk extension",
          {ok_head + "Transfer-Encoding: chunked\r\n\r\n3e8;x=", filler}},
         {"trailers",
