Bound the unread bytes of all answers together

Each answer may leave 256 KiB unread by its caller, so 2,000 callers that do not read could take half a gigabyte of a host with 260 MB. Now the bound of one answer shrinks with the number of calls, so that all together stay near 32 MiB.

Spare repeats are divided among the hosts that address answers name rather than among all, and a host starts with none when its callers come to it. A request pays for an eighth of the window in place of a quarter, so that 8/9 of the ratio can be used.

--- a/src/core/repeat_budget.cpp
+++ b/src/core/repeat_budget.cpp
@@ -10,8 +10,9 @@
 {
 
 // A span sees the repeats of requests that arrived up to one lifetime before
-// it. With a quarter of the span, steady load can use four fifths of the ratio.
-constexpr int lifetimes_per_window = 4;
+// it. With an eighth of the span, steady load can use eight ninths of the
+// ratio.
+constexpr int lifetimes_per_window = 8;
 constexpr double usable_share =
     lifetimes_per_window / (lifetimes_per_window + 1.0);
 constexpr int periods_per_lifetime = 25;
@@ -55,6 +56,12 @@
 void record_request(repeat_budget& budget, time_point now)
 {
     remove_expired(budget, now);
+    if (now - budget.m_last_request >= budget.m_lifetime)
+    {
+        budget.m_spare.m_tokens = 0;
+        budget.m_spare.m_updated_at = now;
+    }
+    budget.m_last_request = now;
     auto& periods = budget.m_periods;
     if (periods.empty() ||
         periods.back().m_start + budget.m_lifetime / periods_per_lifetime <=
--- a/src/core/repeat_budget.hpp
+++ b/src/core/repeat_budget.hpp
@@ -23,7 +23,7 @@
 /// targets beyond each first one, in any span of a given length over all hosts.
 ///
 /// Each request pays for a part of a repeat, at the host that took it from its
-/// caller and for a quarter of the span. Since a request is counted at one host
+/// caller and for an eighth of the span. Since a request is counted at one host
 /// only, the bound holds however many hosts there are and while they come, go,
 /// freeze or exchange their roles: nothing is handed over, and what a lost host
 /// could have spent is lost with it.
@@ -41,11 +41,15 @@
     /// Oldest first, none older than the lifetime.
     std::deque<period> m_periods;
     /// This host's part of the repeats that are allowed besides. A service with
-    /// few requests could never afford a whole repeat without it.
+    /// few requests could never afford a whole repeat without it. It is empty
+    /// when the first requests reach a host, so that hosts which take over
+    /// callers one after the other add nothing.
     token_bucket m_spare;
+    time_point m_last_request{};
 };
 
-/// An empty budget of one of `hosts` hosts that share the spare repeats.
+/// An empty budget of one of `hosts` hosts that share the spare repeats: those
+/// that take requests of the service from callers at the same time.
 repeat_budget make_repeat_budget(repeat_limits const& limits, int hosts,
                                  time_point now);
 
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -377,7 +377,7 @@
         call->m_sink.m_write(chunk.m_data);
     }
     if (!call->m_sink.m_buffered_bytes ||
-        call->m_sink.m_buffered_bytes() <= limits::max_buffered_answer_bytes)
+        call->m_sink.m_buffered_bytes() <= max_buffered_bytes(host))
     {
         grant_window(host, *call);
     }
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -4,6 +4,7 @@
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
 #include "serve/pipeline.hpp"
+#include "serve/relay.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -149,8 +150,7 @@
                          incoming_forward forward)
 {
     auto& answer = host.m_outgoing_answers[id];
-    answer.m_send_window =
-        static_cast<std::uint32_t>(limits::max_buffered_answer_bytes);
+    answer.m_send_window = static_cast<std::uint32_t>(max_buffered_bytes(host));
     core::request_id call_id;
     start_forwarded_call(host, to_call_origin(forward.m_head.m_purpose),
                          forward.m_head, std::move(forward.m_body),
--- a/src/serve/limits.hpp
+++ b/src/serve/limits.hpp
@@ -26,6 +26,11 @@
 inline constexpr std::size_t max_buffered_answer_bytes = std::size_t{256}
                                                          << 10U;
 
+/// The same for all answers together, an eighth of the memory of a small host.
+/// With many callers that do not read, each may leave less unread.
+inline constexpr std::size_t max_buffered_bytes_of_all = std::size_t{32} << 20U;
+inline constexpr std::size_t min_buffered_answer_bytes = std::size_t{8} << 10U;
+
 /// Largest answer that is kept for copies of an at-most-once request.
 inline constexpr std::size_t max_kept_answer_bytes = std::size_t{64} << 10U;
 
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -375,12 +375,17 @@
     return limits;
 }
 
-/// Hosts that may take requests from callers. Lost ones may run on the other
-/// side of a partition.
+/// Hosts that may take requests from callers at the same time: if the number of
+/// owners is limited, those that address answers name before and after a
+/// change. Lost hosts may run on the other side of a partition.
 int count_hosts(entry_host const& host)
 {
     auto const fleet = core::make_fleet_view(host.m_routing.m_hosts);
-    return std::max(1, fleet.m_present + fleet.m_lost);
+    auto const known = std::max(1, fleet.m_present + fleet.m_lost);
+    auto const& document = *host.m_configuration.m_in_force;
+    auto const named = 2 * document.m_max_owners_per_zone *
+                       std::max(1, static_cast<int>(document.m_zones.size()));
+    return named > 0 ? std::min(known, named) : known;
 }
 
 } // namespace
--- a/src/serve/relay.cpp
+++ b/src/serve/relay.cpp
@@ -4,6 +4,7 @@
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -22,6 +23,14 @@
 
 } // namespace
 
+std::size_t max_buffered_bytes(entry_host const& host)
+{
+    return std::clamp(limits::max_buffered_bytes_of_all /
+                          std::max<std::size_t>(1, host.m_calls.size()),
+                      limits::min_buffered_answer_bytes,
+                      limits::max_buffered_answer_bytes);
+}
+
 void keep_answer_data(active_call& call, std::string_view data)
 {
     if (!call.m_is_answer_kept)
@@ -73,7 +82,7 @@
         return;
     }
     call->m_sink.m_write(data);
-    if (call->m_sink.m_buffered_bytes() > limits::max_buffered_answer_bytes)
+    if (call->m_sink.m_buffered_bytes() > max_buffered_bytes(host))
     {
         host.m_http_client->set_reading(
             call->m_attempts.at(number).m_exchange_id, false);
--- a/src/serve/relay.hpp
+++ b/src/serve/relay.hpp
@@ -3,6 +3,7 @@
 
 #include "core/ids.hpp"
 
+#include <cstddef>
 #include <string_view>
 
 namespace hawthornspur::serve
@@ -20,6 +21,10 @@
 void relay_data(entry_host& host, core::request_id id,
                 core::attempt_number attempt, std::string_view data);
 
+/// Bytes of one answer that may wait for its receiver: less the more calls the
+/// host has. Above that, nothing more is read from the target or the peer.
+std::size_t max_buffered_bytes(entry_host const& host);
+
 /// Keeps a part of an at-most-once answer for later copies. An answer above
 /// limits::max_kept_answer_bytes is not kept at all.
 void keep_answer_data(active_call& call, std::string_view data);
