Repeat requests that reached no target without budget

Repeats are paid for since the deciding host counts them, also after an attempt whose connection failed, which reached no target and is no arrival: with targets that are down, requests were refused although nothing had been repeated.

An attempt of which no byte was sent now counts neither against max_attempts nor the budget; its host tries another target at once, up to four. A 421 is an arrival at another target and is told apart from a failed connection.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -115,8 +115,9 @@
                                  arrival.m_earlier_attempts == 0;
     proposal.m_is_idempotent = request.m_idempotent;
     proposal.m_outcome = outcome;
-    proposal.m_attempts =
-        arrival.m_prior_attempts + static_cast<int>(request.m_attempt_count);
+    proposal.m_attempts = arrival.m_prior_attempts +
+                          static_cast<int>(request.m_attempt_count) -
+                          request.m_unsent_attempts;
     proposal.m_max_attempts =
         std::min(static_cast<int>(max_attempts), kind.m_config.m_max_attempts);
     proposal.m_target_ends = count_target_ends(request);
@@ -125,20 +126,30 @@
     return proposal;
 }
 
-/// Returns ok if the request gets another attempt, which is then paid for;
-/// otherwise the code to refuse the request with.
+/// Returns ok if the request gets another attempt, which is then paid for
+/// unless the last one reached no target; otherwise the code to refuse the
+/// request with.
 result_code plan_retry(pool const& pool, request_entry const& request,
                        attempt_outcome outcome, time_point now,
                        service_budgets& budgets)
 {
     auto const proposal = make_proposal(pool, request, outcome);
+    bool const has_target = request.m_attempt_count < max_attempts &&
+                            has_untried_target(pool, request);
+    if (!has_reached_target(outcome) && !request.m_is_suspected &&
+        request.m_arrival.m_deadline > now)
+    {
+        return has_target ? result_code::ok : result_code_for(outcome);
+    }
     auto decision = check_repeat(proposal, now);
-    if (decision == repeat_decision::allowed &&
-        !has_untried_target(pool, request))
+    if (decision == repeat_decision::allowed)
     {
-        return result_code_for(outcome);
+        if (!has_target)
+        {
+            return result_code_for(outcome);
+        }
+        decision = decide_repeat(proposal, budgets.m_repeat, now);
     }
-    decision = decide_repeat(proposal, budgets.m_repeat, now);
     return decision == repeat_decision::allowed
                ? result_code::ok
                : refusal_code(decision, outcome);
@@ -149,6 +160,7 @@
 bool may_hedge(pool const& pool, request_entry const& request, time_point now)
 {
     return count_live_attempts(request) == 1 &&
+           request.m_attempt_count < max_attempts &&
            count_target_ends(request) == 0 &&
            check_repeat(make_proposal(pool, request, attempt_outcome::silent),
                         now) == repeat_decision::allowed;
@@ -162,6 +174,7 @@
 {
     auto& request = entry->second;
     request.m_last_code = result_code_for(outcome);
+    request.m_unsent_attempts += has_reached_target(outcome) ? 0 : 1;
     if (outcome == attempt_outcome::closed)
     {
         ++request.m_lost_attempts;
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -107,7 +107,11 @@
     server_error,
     /// The target declared that it did not run the request.
     shed,
+    /// No byte of the request reached a target.
     connect_failed,
+    /// Another target has the address and declared that it did not run the
+    /// request.
+    misdirected,
     /// No answer within the time limit; the connection was closed.
     silent,
     closed,
--- a/src/core/pool_fault_test.cpp
+++ b/src/core/pool_fault_test.cpp
@@ -501,6 +501,22 @@
           result_code::target_shed);
 }
 
+// Guards against a budget that is spent on targets which are down: a failed
+// connection is no arrival.
+TEST_CASE("an attempt that reached no target is repeated without budget")
+{
+    auto fixture = make_fixture(3, 1);
+    fixture.m_budgets.m_repeat.m_spare.m_tokens = 1;
+    auto const id =
+        arrive(fixture, claim, std::chrono::seconds(2), /*is_spilled=*/true);
+    end_attempt(fixture, id, attempt_outcome::connect_failed);
+    CHECK(find_effect<dispatch_effect>(fixture, id)->m_attempt == 2);
+    CHECK(fixture.m_budgets.m_repeat.m_spare.m_tokens == 1);
+    end_attempt(fixture, id, attempt_outcome::misdirected);
+    CHECK(find_effect<refuse_effect>(fixture, id)->m_code ==
+          result_code::connect_failed);
+}
+
 // Guards against a new owner that uses slots which calls of the previous owner
 // still hold.
 TEST_CASE("slots inherited in a hand-over stay taken until the release time")
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -96,6 +96,8 @@
     bool m_may_have_run = false;
     /// The content became suspected after the request had arrived.
     bool m_is_suspected = false;
+    /// Attempts that did not reach a target.
+    int m_unsent_attempts = 0;
     /// Attempts whose connection was lost. Their targets may have crashed.
     int m_lost_attempts = 0;
     result_code m_may_have_run_code = result_code::ok;
--- a/src/core/repeat_decision.cpp
+++ b/src/core/repeat_decision.cpp
@@ -72,7 +72,9 @@
     case result_code::target_shed:
         return attempt_outcome::shed;
     case result_code::connect_failed:
-        return attempt_outcome::connect_failed;
+        // Reported by a host that has made an attempt, so it was no failed
+        // connection.
+        return attempt_outcome::misdirected;
     case result_code::target_silent:
         return attempt_outcome::silent;
     case result_code::target_closed:
--- a/src/core/retry_rules.cpp
+++ b/src/core/retry_rules.cpp
@@ -6,7 +6,13 @@
 bool is_certainly_not_run(attempt_outcome outcome)
 {
     return outcome == attempt_outcome::shed ||
-           outcome == attempt_outcome::connect_failed;
+           outcome == attempt_outcome::connect_failed ||
+           outcome == attempt_outcome::misdirected;
+}
+
+bool has_reached_target(attempt_outcome outcome)
+{
+    return outcome != attempt_outcome::connect_failed;
 }
 
 bool is_failure(attempt_outcome outcome)
@@ -22,6 +28,7 @@
     {
     case attempt_outcome::shed:
     case attempt_outcome::connect_failed:
+    case attempt_outcome::misdirected:
         return true;
     case attempt_outcome::silent:
     case attempt_outcome::closed:
@@ -42,6 +49,7 @@
     case attempt_outcome::shed:
         return result_code::target_shed;
     case attempt_outcome::connect_failed:
+    case attempt_outcome::misdirected:
         return result_code::connect_failed;
     case attempt_outcome::silent:
         return result_code::target_silent;
@@ -64,6 +72,7 @@
     case attempt_outcome::shed:
         return attempt_reason::retry_after_shed;
     case attempt_outcome::connect_failed:
+    case attempt_outcome::misdirected:
         return attempt_reason::retry_after_connect_failure;
     case attempt_outcome::silent:
         return attempt_reason::retry_after_silence;
--- a/src/core/retry_rules.hpp
+++ b/src/core/retry_rules.hpp
@@ -11,6 +11,9 @@
 /// the target, or the target declared it.
 bool is_certainly_not_run(attempt_outcome outcome);
 
+/// Whether the attempt reached a target, which a repeat has to be paid for.
+bool has_reached_target(attempt_outcome outcome);
+
 /// Whether the outcome counts as a failure of the target. Complete server
 /// errors do, although they are relayed.
 bool is_failure(attempt_outcome outcome);
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -175,6 +175,8 @@
     int m_spill_refusals = 0;
     std::map<core::attempt_number, call_attempt> m_attempts;
     int m_attempt_count = 0;
+    /// Of these, attempts that reached no target.
+    int m_unsent_attempts = 0;
     /// Targets of this host's attempts.
     std::vector<std::string> m_tried_targets;
     core::attempt_number m_relayed_attempt = 0;
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -65,8 +65,7 @@
     case net::exchange_outcome::complete:
         if (attempt.m_is_other_target)
         {
-            // The intended target no longer has this address.
-            return core::attempt_outcome::connect_failed;
+            return core::attempt_outcome::misdirected;
         }
         if (attempt.m_is_shed)
         {
@@ -264,6 +263,8 @@
     auto const attempt = std::move(call->m_attempts.at(number));
     call->m_attempts.erase(number);
     call->m_target_time += now() - attempt.m_start_time;
+    call->m_unsent_attempts +=
+        outcome == net::exchange_outcome::connect_failed ? 1 : 0;
     if (outcome != net::exchange_outcome::complete || attempt.m_is_shed ||
         attempt.m_is_other_target)
     {
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -263,7 +263,7 @@
 net::attempt_record all_attempts(active_call const& call)
 {
     auto attempts = call.m_prior_attempts;
-    attempts.m_count += call.m_attempt_count;
+    attempts.m_count += call.m_attempt_count - call.m_unsent_attempts;
     attempts.m_targets.insert(attempts.m_targets.end(),
                               call.m_tried_targets.begin(),
                               call.m_tried_targets.end());
