--- a/fuzz/http_heads.cpp
+++ b/fuzz/http_heads.cpp
@@ -1,6 +1,7 @@
 // Fuzzes the checks that requests and answers pass before evhttp parses them.
 // Rules: no crash; the result does not depend on how the input is split into
-// reads; output that passed the checks passes them again unchanged.
+// reads, apart from where chunks of an answer end; output that passed the
+// checks passes them again unchanged.
 
 #include "byte_mutation.hpp"
 #include "net/answer_validator.hpp"
@@ -79,8 +80,33 @@
     return {out, result_code::ok};
 }
 
-/// Appends the bytes that pass the answer checks to `out`. Returns false when
-/// the answer is rejected.
+/// Joins the chunks of an answer that passed the checks. What follows is the
+/// end of the body, if it has one, and the bytes after it.
+std::string join_chunks(std::string const& answer)
+{
+    auto position = answer.find("\r\n\r\n");
+    if (position == std::string::npos)
+    {
+        return answer;
+    }
+    position += 4;
+    auto joined = answer.substr(0, position);
+    while (position < answer.size())
+    {
+        auto const line_end = answer.find("\r\n", position);
+        auto const size = std::stoul(answer.substr(position), nullptr, 16);
+        if (size == 0)
+        {
+            return joined + answer.substr(position);
+        }
+        joined += answer.substr(line_end + 2, size);
+        position = line_end + 2 + size + 2;
+    }
+    return joined;
+}
+
+/// Appends the bytes that pass the answer checks to `out`, with the chunks of a
+/// body joined. Returns false when the answer is rejected.
 bool validate_answer(fuzz::engine& random, std::string const& input,
                      std::size_t max_piece, std::string& out)
 {
@@ -112,6 +138,10 @@
         }
         out += value(passed);
     }
+    if (validator.is_head_complete() && validator.is_chunked())
+    {
+        out = join_chunks(out);
+    }
     return true;
 }
 
