Bind hosts without the store by what targets say in answers

The checker of the soak counted a host that the store turns away as disturbed, which excused it from Server-Leaving as well. Such a host is now out of touch with the store only.

--- a/tests/soak/platform_rules.py
+++ b/tests/soak/platform_rules.py
@@ -58,10 +58,14 @@
         self.limit_ends = {}  # target: time at which it ceases to name one
         self.ended_targets = set()
         self.disturbances = collections.defaultdict(list)  # host: (from, to)
+        # Hosts without a path to the store. They are out of touch, but bound
+        # by what targets say in answers.
+        self.turned_away = set()
 
     def is_in_touch(self, host, when, before=CONTACT_SECONDS):
-        return not any(begin <= when and when - before <= end
-                       for begin, end in self.disturbances[host])
+        return host not in self.turned_away and not any(
+            begin <= when and when - before <= end
+            for begin, end in self.disturbances[host])
 
     def was_disturbed_since(self, host, since, when):
         return any(begin <= when and end >= since
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -439,8 +439,7 @@
         for host in self.fleet.hosts:
             if self.rng.random() < 0.3:
                 host.store.turn_away()
-                self.records.disturbances[host.name].append(
-                    (0, float("inf")))
+                self.records.turned_away.add(host.name)
         for zone in ZONES:
             mine = [t for t in self.targets.values() if t.zone == zone]
             for target in self.rng.sample(mine, 2):
