Log why links go down and which requests they carried

"link down" named only the other host, and requests that ended with a link had no line.

Change: the line has the reason, how long the other host was silent, the unsent bytes and the numbers of requests in both directions; each of these requests has a line of its own at both hosts. A line "event loop delayed" and its counter tell a host that is short of processor time from a network that is full or cut.

--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -181,7 +181,7 @@
             {result_code::frame_malformed, "connection closed within a frame"});
         return;
     }
-    link->end();
+    link->end(link_end_reason::closed_by_peer);
 }
 
 void peer_link::on_connected()
@@ -312,7 +312,7 @@
     if (!m_handlers.m_on_verified(*this))
     {
         ++m_counters.m_duplicate_links;
-        end();
+        end(link_end_reason::replaced);
         return;
     }
     open();
@@ -499,6 +499,11 @@
                      evbuffer_get_length(bufferevent_get_output(m_transport));
 }
 
+link_end peer_link::describe_end(link_end_reason reason) const
+{
+    return {reason, event_loop::now() - m_last_receive_time, queued_bytes()};
+}
+
 void peer_link::on_tick()
 {
     auto const now = event_loop::now();
@@ -508,7 +513,7 @@
         if (now - m_start_time > handshake_timeout)
         {
             ++m_counters.m_handshake_timeouts;
-            end();
+            end(link_end_reason::silent);
             return;
         }
     }
@@ -525,7 +530,7 @@
         if (now - m_last_receive_time > limit)
         {
             ++m_counters.m_silent_links;
-            end();
+            end(link_end_reason::silent);
             return;
         }
         if (is_heartbeat_due(now))
@@ -570,15 +575,16 @@
         {{"code", std::to_string(static_cast<unsigned>(problem.m_code))},
          {"reason", problem.m_message},
          {"peer", m_peer.m_host}});
-    end();
+    end(link_end_reason::frame_refused);
 }
 
-void peer_link::end()
+void peer_link::end(link_end_reason reason)
 {
     if (m_phase != phase::closed)
     {
+        auto const description = describe_end(reason);
         close();
-        m_handlers.m_on_closed(*this);
+        m_handlers.m_on_closed(*this, description);
     }
 }
 
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -39,7 +39,7 @@
     std::function<void(peer_link&)> m_on_open;
     std::function<void(peer_link&, peer_message)> m_on_message;
     /// Called once when the link closes, except by close().
-    std::function<void(peer_link&)> m_on_closed;
+    std::function<void(peer_link&, link_end const&)> m_on_closed;
 };
 
 /// An authenticated TCP connection to another entry host.
@@ -92,6 +92,8 @@
     }
     /// Bytes that wait to be sent.
     std::size_t queued_bytes() const;
+    /// How the link ends if it is closed now for this reason.
+    link_end describe_end(link_end_reason reason) const;
     /// Time at which the last message other than a heartbeat was queued or
     /// received.
     core::time_point last_message_time() const noexcept
@@ -140,7 +142,7 @@
     /// Counts and logs an error and closes the link.
     void fail(error const& problem);
     /// Closes the link and calls m_on_closed.
-    void end();
+    void end(link_end_reason reason);
     /// Increments the counter for the result code.
     void count(result_code code);
 
--- a/src/net/peer_link_test.cpp
+++ b/src/net/peer_link_test.cpp
@@ -43,7 +43,7 @@
              { m_messages.push_back(host); },
              .m_on_link_up = [this](std::string const& host)
              { m_link_events += "+" + host; },
-             .m_on_link_down = [this](std::string const& host)
+             .m_on_link_down = [this](std::string const& host, auto const&)
              { m_link_events += "-" + host; },
              .m_on_datagram = nullptr}));
     }
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -84,14 +84,34 @@
     bool on_verified(peer_link& link);
     void on_open(peer_link& link);
     void on_message(peer_link const& link, peer_message message) const;
-    void on_closed(peer_link& link);
+    void on_closed(peer_link& link, link_end const& end);
     void on_datagram(std::string_view bytes, socket_address const& from);
-    void drop_link(std::string const& host);
+    /// Closes the link of a host.
+    void drop_link(std::string const& host, link_end_reason reason);
+    void drop_link(std::string const& host, link_end const& end);
     void sweep();
     bool is_allowed(socket_address const& address);
     bool has_link(std::string const& host) const;
 };
 
+std::string_view to_string(link_end_reason reason) noexcept
+{
+    switch (reason)
+    {
+    case link_end_reason::closed_by_peer:
+        return "closed_by_peer";
+    case link_end_reason::silent:
+        return "silent";
+    case link_end_reason::frame_refused:
+        return "frame_refused";
+    case link_end_reason::replaced:
+        return "replaced";
+    case link_end_reason::unlisted:
+        break;
+    }
+    return "unlisted";
+}
+
 bool peer_network::state::is_allowed(socket_address const& address)
 {
     if (!m_settings.m_key.empty() || m_settings.m_is_network_trusted ||
@@ -223,7 +243,7 @@
         }
         // The peer lost the existing link or restarted, which this host has not
         // detected.
-        drop_link(host);
+        drop_link(host, link_end_reason::replaced);
         if (!link.is_connected())
         {
             return false;
@@ -285,7 +305,14 @@
     }
 }
 
-void peer_network::state::drop_link(std::string const& host)
+void peer_network::state::drop_link(std::string const& host,
+                                    link_end_reason reason)
+{
+    drop_link(host, m_peers[host].m_link->describe_end(reason));
+}
+
+void peer_network::state::drop_link(std::string const& host,
+                                    link_end const& end)
 {
     auto& remote = m_peers[host];
     retire_link(std::move(remote.m_link));
@@ -293,11 +320,11 @@
     ++m_counters.m_links_lost;
     if (m_handlers.m_on_link_down)
     {
-        m_handlers.m_on_link_down(std::string(host));
+        m_handlers.m_on_link_down(std::string(host), end);
     }
 }
 
-void peer_network::state::on_closed(peer_link& link)
+void peer_network::state::on_closed(peer_link& link, link_end const& end)
 {
     auto const handshake = m_handshakes.find(&link);
     if (handshake != m_handshakes.end())
@@ -320,7 +347,7 @@
         if (remote.m_link.get() == &link)
         {
             auto const name = host;
-            drop_link(name);
+            drop_link(name, end);
             schedule_dial(name);
             return;
         }
@@ -373,7 +400,7 @@
     {
         if (has_link(host))
         {
-            drop_link(host);
+            drop_link(host, link_end_reason::unlisted);
         }
     }
     std::erase_if(m_peers,
@@ -481,9 +508,9 @@
         [&network](peer_link& link) { network.on_open(link); },
         [&network](peer_link& link, peer_message message)
         { network.on_message(link, std::move(message)); },
-        [&network](peer_link& link)
+        [&network](peer_link& link, link_end const& end)
         {
-            network.on_closed(link);
+            network.on_closed(link, end);
         }};
     network.m_datagram_codec.emplace(network.m_settings.m_key);
     network.m_random.seed(std::random_device{}());
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornspur::net
@@ -58,13 +59,40 @@
     std::uint16_t m_port = 0;
 };
 
+/// Why a link is closed.
+enum class link_end_reason : std::uint8_t
+{
+    /// The peer closed the connection or it was reset.
+    closed_by_peer,
+    /// Nothing arrived for longer than the silence timeout.
+    silent,
+    /// The peer sent a frame that is malformed or not authentic.
+    frame_refused,
+    /// The peer opened another link.
+    replaced,
+    /// The peer is not in set_peers() and the link was not used.
+    unlisted,
+};
+
+struct link_end
+{
+    link_end_reason m_reason = link_end_reason::closed_by_peer;
+    /// Time since the last frame of the peer.
+    core::duration m_silence{0};
+    /// Bytes that were not sent.
+    std::size_t m_queued_bytes = 0;
+};
+
+std::string_view to_string(link_end_reason reason) noexcept;
+
 struct peer_handlers
 {
     std::function<void(std::string const& host, peer_message)> m_on_message;
     /// The link is authenticated and open.
     std::function<void(std::string const& host)> m_on_link_up;
     /// The link is closed; every message in flight on it may be lost.
-    std::function<void(std::string const& host)> m_on_link_down;
+    std::function<void(std::string const& host, link_end const&)>
+        m_on_link_down;
     std::function<void(core::membership_message)> m_on_datagram;
 };
 
--- a/src/net/peer_network_test.cpp
+++ b/src/net/peer_network_test.cpp
@@ -39,7 +39,7 @@
              },
              .m_on_link_up = [this](std::string const& host)
              { m_link_events += "+" + host; },
-             .m_on_link_down = [this](std::string const& host)
+             .m_on_link_down = [this](std::string const& host, auto const&)
              { m_link_events += "-" + host; },
              .m_on_datagram = nullptr}));
     }
@@ -391,7 +391,8 @@
          .m_unlisted_link_timeout = std::chrono::milliseconds(1)},
         {.m_on_message = nullptr,
          .m_on_link_up = [&](auto const&) { link_events += "+"; },
-         .m_on_link_down = [&](auto const&) { link_events += "-"; },
+         .m_on_link_down = [&](auto const&, auto const&)
+         { link_events += "-"; },
          .m_on_datagram = nullptr}));
     a->set_peers({b.address()});
     REQUIRE(run_until(*loop, [&] { return link_events == "+"; }));
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -1,6 +1,7 @@
 #include "serve/forwarding.hpp"
 
 #include "base/logging.hpp"
+#include "base/text.hpp"
 #include "core/repeat_decision.hpp"
 #include "core/retry_rules.hpp"
 #include "serve/account.hpp"
@@ -97,6 +98,22 @@
     return call;
 }
 
+std::vector<core::request_id> calls_at(entry_host const& host,
+                                       std::string const& peer)
+{
+    std::vector<core::request_id> calls;
+    for (auto const& [id, request] : host.m_forwarded_calls)
+    {
+        auto const call = host.m_calls.find(request);
+        if (call != host.m_calls.end() && call->second->m_forward &&
+            call->second->m_forward->m_host_name == peer)
+        {
+            calls.push_back(request);
+        }
+    }
+    return calls;
+}
+
 forwarded_call detach_forward(entry_host& host, active_call& call)
 {
     auto forward = *std::exchange(call.m_forward, std::nullopt);
@@ -199,9 +216,23 @@
     readmit_call(host, call);
 }
 
+void log_lost_forward(active_call const& call, forwarded_call const& forward)
+{
+    logging::write(
+        logging::level::warn, "serve.forwarding",
+        "link down under a forwarded request",
+        {{"request_id", call.m_accepted.m_request_id},
+         {"host", forward.m_host_name},
+         {"purpose", std::string(to_string(forward.m_purpose))},
+         {"is_answer_started", call.m_is_answer_started ? "yes" : "no"},
+         {"age_ms", milliseconds_text(now() - call.m_arrival_time)},
+         {"left_ms", milliseconds_text(call.m_classified.m_deadline - now())}});
+}
+
 void handle_lost_forward(entry_host& host, active_call& call,
                          forwarded_call const& forward)
 {
+    log_lost_forward(call, forward);
     if (call.m_is_answer_started)
     {
         fail_call(host, call, result_code::peer_link_lost);
@@ -442,18 +473,14 @@
     fail_call(host, *call, code);
 }
 
+std::size_t count_calls_at(entry_host const& host, std::string const& peer)
+{
+    return calls_at(host, peer).size();
+}
+
 void on_forward_link_down(entry_host& host, std::string const& peer)
 {
-    std::vector<core::request_id> lost_calls;
-    for (auto const& [id, request] : host.m_forwarded_calls)
-    {
-        auto* call = find_call(host, request);
-        if (call != nullptr && call->m_forward &&
-            call->m_forward->m_host_name == peer)
-        {
-            lost_calls.push_back(request);
-        }
-    }
+    auto const lost_calls = calls_at(host, peer);
     for (auto const request : lost_calls)
     {
         auto* call = find_call(host, request);
--- a/src/serve/forwarding.hpp
+++ b/src/serve/forwarding.hpp
@@ -42,6 +42,9 @@
 void on_refusal(entry_host& host, std::string const& from,
                 net::refusal const& refusal);
 
+/// Number of requests that are forwarded to a host and not answered yet.
+std::size_t count_calls_at(entry_host const& host, std::string const& peer);
+
 /// Reroutes or fails the requests that were forwarded to a host whose link is
 /// down.
 void on_forward_link_down(entry_host& host, std::string const& peer);
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -1,6 +1,7 @@
 #include "serve/host.hpp"
 
 #include "base/logging.hpp"
+#include "base/text.hpp"
 #include "core/once_table.hpp"
 #include "serve/administration.hpp"
 #include "serve/caller_server.hpp"
@@ -41,6 +42,9 @@
 constexpr auto rate_usage_interval = std::chrono::seconds(4);
 constexpr auto rate_limits_interval = std::chrono::seconds(1);
 
+/// Half of the time after which peers treat a link as silent.
+constexpr auto reported_loop_delay = std::chrono::milliseconds(300);
+
 /// Longest delay until a new epoch of at-most-once keys is announced.
 constexpr auto announcement_interval = std::chrono::seconds(1);
 
@@ -117,8 +121,25 @@
         });
 }
 
+/// Logs that the process could not run for a time in which its peers and
+/// callers waited.
+void report_loop_delay(entry_host& host)
+{
+    auto const delay = now() - host.m_housekeeping_due;
+    if (host.m_housekeeping_due == core::time_point{} ||
+        delay < reported_loop_delay)
+    {
+        return;
+    }
+    host.m_metrics.count_event("loop_delayed");
+    logging::write(logging::level::warn, "serve.host", "event loop delayed",
+                   {{"late_ms", milliseconds_text(delay)},
+                    {"calls", std::to_string(host.m_calls.size())}});
+}
+
 void run_housekeeping(entry_host& host)
 {
+    report_loop_delay(host);
     expire_forwards(host);
     expire_held_calls(host);
     maintain_crash_suspects(host);
@@ -133,6 +154,7 @@
         begin_stop(host, "another process uses this host name");
     }
     advance_stop(host);
+    host.m_housekeeping_due = now() + next_housekeeping_delay(host);
 }
 
 status start_repeated_actions(entry_host& host)
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -177,6 +177,7 @@
     std::unique_ptr<net::timer> m_routing_timer;
     bool m_is_routing_update_pending = false;
     std::vector<std::unique_ptr<net::timer>> m_interval_timers;
+    core::time_point m_housekeeping_due{};
     std::vector<std::unique_ptr<net::signal_watch>> m_signal_watches;
 };
 
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -1,5 +1,6 @@
 #include "serve/incoming_forwards.hpp"
 
+#include "base/logging.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
@@ -132,6 +133,23 @@
     return sink;
 }
 
+void log_lost_sender(entry_host& host, core::request_id id,
+                     std::string const& peer)
+{
+    auto const* call = find_call(host, id);
+    if (call == nullptr)
+    {
+        return;
+    }
+    logging::write(
+        logging::level::warn, "serve.forwarding",
+        "link down to the sender of a request",
+        {{"request_id", call->m_accepted.m_request_id},
+         {"host", peer},
+         {"attempts", std::to_string(call->m_attempts.size())},
+         {"is_answer_started", call->m_is_answer_started ? "yes" : "no"}});
+}
+
 call_origin to_call_origin(net::forward_purpose purpose)
 {
     switch (purpose)
@@ -241,6 +259,19 @@
     }
 }
 
+std::size_t count_calls_from(entry_host const& host, std::string const& peer)
+{
+    auto const is_from_peer = [&](auto const& entry)
+    {
+        return entry.first.first == peer;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(host.m_incoming_forwards.begin(),
+                      host.m_incoming_forwards.end(), is_from_peer) +
+        std::count_if(host.m_outgoing_answers.begin(),
+                      host.m_outgoing_answers.end(), is_from_peer));
+}
+
 void on_incoming_link_down(entry_host& host, std::string const& peer)
 {
     std::erase_if(host.m_incoming_forwards,
@@ -257,6 +288,7 @@
                   [&](auto const& entry) { return entry.first.first == peer; });
     for (auto const call_id : cancelled_calls)
     {
+        log_lost_sender(host, call_id, peer);
         on_receiver_closed(host, call_id);
     }
 }
--- a/src/serve/incoming_forwards.hpp
+++ b/src/serve/incoming_forwards.hpp
@@ -20,6 +20,9 @@
 void on_window_update(entry_host& host, std::string const& from,
                       net::window_update const& update);
 
+/// Number of requests of a host whose answers are not complete.
+std::size_t count_calls_from(entry_host const& host, std::string const& peer);
+
 /// Cancels the requests of a host whose link is down. Requests that this host
 /// runs as home of their key go on, since copies may need the answer.
 void on_incoming_link_down(entry_host& host, std::string const& peer);
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -117,6 +117,19 @@
     return key;
 }
 
+void log_link_down(entry_host const& host, std::string const& peer,
+                   net::link_end const& end)
+{
+    logging::write(
+        logging::level::warn, "serve.peers", "link down",
+        {{"host", peer},
+         {"reason", std::string(net::to_string(end.m_reason))},
+         {"silent_ms", milliseconds_text(end.m_silence)},
+         {"queued_bytes", std::to_string(end.m_queued_bytes)},
+         {"calls_there", std::to_string(count_calls_at(host, peer))},
+         {"calls_from_there", std::to_string(count_calls_from(host, peer))}});
+}
+
 net::peer_handlers make_handlers(entry_host& host)
 {
     return {.m_on_message =
@@ -139,10 +152,9 @@
                 schedule_routing_update(host);
             },
             .m_on_link_down =
-                [&host](std::string const& peer)
+                [&host](std::string const& peer, net::link_end const& end)
             {
-                logging::write(logging::level::warn, "serve.peers", "link down",
-                               {{"host", peer}});
+                log_link_down(host, peer, end);
                 on_forward_link_down(host, peer);
                 on_incoming_link_down(host, peer);
                 on_peer_link_lost(host, peer);
