Show two ways in which hosts lose each other's requests

In both, a caller gets 502 (3005, peer_link_lost) for a request that runs at its target and must not be sent again.

A stop ends when no call is left, and the process exits 0.2 s later. Requests that other hosts forward in this time are taken and end with the process. A link on which nothing has arrived for 0.6 s is closed with all requests on it. A host that is short of processor time, or whose link is full, is silent for longer and may have their answers.

--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -138,6 +138,24 @@
     CHECK(cluster.send_and_wait(owner, "GET", "/x").m_head.m_status == 200);
 }
 
+// Guards against requests that are given up because a busy host sends nothing
+// for a while. Their answers may still come, and they must not run again.
+TEST_CASE("requests that run once outlast the silence of their owner")
+{
+    test_cluster cluster(3, 2);
+    auto const owner = cluster.find_owner(0);
+    auto const other = (owner + 1) % 3;
+    auto const request =
+        cluster.send(other, "POST", "/x", {{"X-Service-Time-Us", "100000"}});
+    cluster.run_until([&] { return cluster.total_run_count() == 1; });
+    cluster.pause(owner);
+    cluster.run_for(std::chrono::milliseconds(1500));
+    cluster.resume(owner);
+    cluster.run_until([&] { return request->m_is_done; });
+    CHECK_MESSAGE(request->m_head.m_status == 200, get_result_code(*request));
+    CHECK(cluster.total_run_count() == 1);
+}
+
 // Guards against hosts that need the store for more than configuration
 // changes: during an outage they must serve, and a new host must get the
 // configuration from its peers.
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -1,3 +1,5 @@
+#include "core/membership.hpp"
+#include "core/routing.hpp"
 #include "net/socket_address.hpp"
 #include "serve/stop.hpp"
 #include "test_cluster.hpp"
@@ -226,6 +228,49 @@
     CHECK(caller.received_bytes() > answer_bytes);
 }
 
+// Guards against requests that are lost at the end of a stop: in a large fleet,
+// some hosts have not heard of it when the process is about to exit.
+TEST_CASE("a host that is about to exit takes no forwarded request")
+{
+    test_cluster cluster(3, 2);
+    auto const owner = cluster.find_owner(0);
+    auto const name = cluster.hosts()[owner]->m_name;
+    auto const other = (owner + 1) % 3;
+    auto& stopped = cluster.host(owner);
+    serve::begin_stop(stopped, "test");
+    cluster.run_until(
+        [&] { return stopped.m_stop_stage == serve::stop_stage::finished; });
+    // The other host has missed the news.
+    auto& host = cluster.host(other);
+    auto const forget_stop = [&]
+    {
+        auto records = core::hosts(*host.m_membership);
+        records.push_back(core::self(*host.m_membership));
+        for (auto& record : records)
+        {
+            if (record.m_name == name)
+            {
+                record.m_state = core::host_state::live;
+            }
+        }
+        core::reset(host.m_routing, std::move(records));
+    };
+    auto const request =
+        cluster.send(other, "POST", "/x", {{"X-Service-Time-Us", "400000"}});
+    auto const has_reached_target = [&]
+    {
+        forget_stop();
+        return cluster.total_run_count() == 1;
+    };
+    cluster.run_until(has_reached_target);
+    cluster.run_until(
+        [&] { return net::event_loop::now() >= stopped.m_exit_time; });
+    cluster.kill(owner);
+    cluster.run_until([&] { return request->m_is_done; });
+    CHECK_MESSAGE(request->m_head.m_status == 200, get_result_code(*request));
+    CHECK(cluster.total_run_count() == 1);
+}
+
 // Guards against a repeated stop signal that moves the stop deadline.
 TEST_CASE("a second stop keeps the deadline of the first")
 {
