Tell linked hosts of a stop, take no forwards at its end

What callers saw: 502 (3005, peer_link_lost) for a request that ran at its target, sent to a host that forwarded it to a host about to exit.

Cause: a stop was announced by gossip only, which a rolling restart of a large fleet saturates.

Change: a stopping host pings all hosts that are linked with it, which are those that can forward to it, at once and each second. After the end of a stop, forwarded requests are refused as not run, and the process waits until the refusals are sent.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -206,6 +206,16 @@
     }
 }
 
+void announce_to(membership& members, std::span<std::string const> hosts,
+                 time_point now, membership_effects& out)
+{
+    detect_pause(members, now, out);
+    if (!members.m_is_superseded)
+    {
+        ping_hosts(members, hosts, now, out);
+    }
+}
+
 void set_self(membership& members, host_state state, std::uint64_t generation,
               std::uint64_t once_epoch, time_point now, membership_effects& out)
 {
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -189,6 +189,14 @@
 void on_link_lost(membership& members, std::string const& host, time_point now,
                   membership_effects& out);
 
+/// Sends the record of this host directly to each of the named hosts.
+///
+/// Load pattern: in a rolling restart of hundreds of hosts, gossip carries more
+/// changes than fit its messages, and some hosts do not hear of a stop before
+/// it ends.
+void announce_to(membership& members, std::span<std::string const> hosts,
+                 time_point now, membership_effects& out);
+
 /// Changes the record that this host announces.
 void set_self(membership& members, host_state state, std::uint64_t generation,
               std::uint64_t once_epoch, time_point now,
--- a/src/core/membership_probing.cpp
+++ b/src/core/membership_probing.cpp
@@ -290,6 +290,20 @@
     }
 }
 
+void ping_hosts(membership& members, std::span<std::string const> names,
+                time_point now, membership_effects& out)
+{
+    for (auto const& name : names)
+    {
+        auto const known = members.m_peers.find(name);
+        if (known != members.m_peers.end() && !is_dead(known->second))
+        {
+            send_ping(members, known->second.m_record,
+                      members.m_next_sequence++, now, out);
+        }
+    }
+}
+
 void ping_seeds(membership& members, time_point now, membership_effects& out)
 {
     for (auto const& seed : unknown_seeds(members))
--- a/src/core/membership_probing.hpp
+++ b/src/core/membership_probing.hpp
@@ -16,6 +16,10 @@
 void ping_some(membership& members, std::size_t count, time_point now,
                membership_effects& out);
 
+/// Pings those of the named hosts that are known and not dead.
+void ping_hosts(membership& members, std::span<std::string const> names,
+                time_point now, membership_effects& out);
+
 /// Pings the seeds whose addresses belong to no living host of the view.
 void ping_seeds(membership& members, time_point now, membership_effects& out);
 
--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -351,6 +351,38 @@
     CHECK(cluster.m_violations == std::vector<std::string>{});
 }
 
+// Guards against hosts that forward requests to a stopping host until it exits.
+// In a rolling restart of a large fleet, gossip has more changes to spread than
+// its messages hold: 12 % of the hosts of a zone had not heard of a stop after
+// 4 s.
+TEST_CASE("the linked hosts are told of each stop of a rolling restart")
+{
+    auto cluster = make_settled_cluster(large_fleet(116));
+    constexpr std::size_t stops_per_second = 13;
+    constexpr std::size_t step = 5;
+    std::size_t uninformed = 0;
+    for (std::size_t i = 0; i < 4 * stops_per_second; ++i)
+    {
+        auto const stopping = i * step % cluster.m_hosts.size();
+        auto const linked =
+            models::hosts_linked_to(cluster, cluster.m_hosts[stopping].m_name);
+        models::drain_host(cluster, stopping);
+        models::run(cluster, duration(seconds(1)) / stops_per_second);
+        for (std::size_t viewer = 0; viewer < cluster.m_hosts.size(); ++viewer)
+        {
+            auto const& name = cluster.m_hosts[viewer].m_name;
+            bool const is_linked =
+                std::find(linked.begin(), linked.end(), name) != linked.end();
+            uninformed +=
+                is_linked && models::has_state_in_view(
+                                 cluster, viewer, stopping, host_state::live)
+                    ? 1
+                    : 0;
+        }
+    }
+    CHECK(uninformed == 0);
+}
+
 namespace
 {
 
--- a/src/core/models/cluster.cpp
+++ b/src/core/models/cluster.cpp
@@ -510,6 +510,25 @@
     }
 }
 
+std::vector<std::string> hosts_linked_to(simulated_cluster const& cluster,
+                                         std::string const& name)
+{
+    // Only clusters with seeds bound the owners of a zone.
+    int const max_owners = cluster.m_settings.m_seeds > 0 ? 1 : 0;
+    std::vector<std::string> linked;
+    for (auto const& other : cluster.m_hosts)
+    {
+        if (other.m_is_running && other.m_name != name &&
+            choose_links(self(*other.m_membership), hosts(*other.m_membership),
+                         max_owners)
+                .contains(name))
+        {
+            linked.push_back(other.m_name);
+        }
+    }
+    return linked;
+}
+
 void drain_host(simulated_cluster& cluster, std::size_t index)
 {
     auto& host = cluster.m_hosts[index];
@@ -518,6 +537,8 @@
         host.m_is_leaving = true;
         membership_effects out;
         announce_state(cluster, index, out);
+        announce_to(*host.m_membership, hosts_linked_to(cluster, host.m_name),
+                    cluster.m_now, out);
         apply_effects(cluster, index, out);
     }
 }
--- a/src/core/models/cluster.hpp
+++ b/src/core/models/cluster.hpp
@@ -155,6 +155,10 @@
 void pause_host(simulated_cluster& cluster, std::size_t index, duration time);
 void drain_host(simulated_cluster& cluster, std::size_t index);
 
+/// Names of the running hosts that keep a link to the named one.
+std::vector<std::string> hosts_linked_to(simulated_cluster const& cluster,
+                                         std::string const& name);
+
 /// Submits a configuration change based on a generation. Returns whether the
 /// store accepted it, which requires that the generation is the newest one and
 /// that the store is up.
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -596,6 +596,19 @@
     return m_state->has_link(host);
 }
 
+std::vector<std::string> peer_network::linked_hosts() const
+{
+    std::vector<std::string> names;
+    for (auto const& [host, remote] : m_state->m_peers)
+    {
+        if (remote.m_link != nullptr)
+        {
+            names.push_back(host);
+        }
+    }
+    return names;
+}
+
 std::size_t peer_network::queued_bytes(std::string const& host) const
 {
     return is_linked(host) ? m_state->m_peers.at(host).m_link->queued_bytes()
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -158,6 +158,9 @@
 
     bool is_linked(std::string const& host) const;
 
+    /// Names of the hosts with a link to this one.
+    std::vector<std::string> linked_hosts() const;
+
     /// Bytes queued for a host, for back-pressure; 0 without a link.
     std::size_t queued_bytes(std::string const& host) const;
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -102,6 +102,15 @@
     return success();
 }
 
+void announce_periodically(entry_host& host)
+{
+    announce_self(host);
+    if (host.m_stop_stage != stop_stage::running)
+    {
+        announce_to_linked_hosts(host);
+    }
+}
+
 void request_host_list(entry_host& host)
 {
     if (!host.m_platform_calls.m_list_hosts)
@@ -170,7 +179,7 @@
                           share_rate_limits},
           repeated_action{[](entry_host const&) -> core::duration
                           { return announcement_interval; },
-                          announce_self},
+                          announce_periodically},
           repeated_action{[](entry_host const&) -> core::duration
                           { return host_list_interval; },
                           request_host_list}})
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -192,6 +192,12 @@
         host.m_metrics.count_event("duplicate_forward");
         return;
     }
+    if (host.m_stop_stage == stop_stage::finished)
+    {
+        // The process may end before the body has arrived.
+        send_refusal(host, id, result_code::host_leaving);
+        return;
+    }
     if (head.m_body_size > limits::max_request_body_bytes)
     {
         send_refusal(host, id, result_code::body_too_large);
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -320,6 +320,14 @@
     update_routing(host);
 }
 
+void announce_to_linked_hosts(entry_host& host)
+{
+    auto const linked = host.m_peer_network->linked_hosts();
+    core::membership_effects effects;
+    core::announce_to(*host.m_membership, linked, now(), effects);
+    apply_membership_effects(host, effects);
+}
+
 void update_routing(entry_host& host)
 {
     host.m_is_routing_update_pending = false;
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -34,6 +34,10 @@
 /// epoch of this host to its peers.
 void announce_self(entry_host& host);
 
+/// Sends the record of this host to the hosts with a link to it, which may
+/// forward requests to it.
+void announce_to_linked_hosts(entry_host& host);
+
 /// Rebuilds the routing table and the pools after a change of membership or
 /// configuration.
 void update_routing(entry_host& host);
--- a/src/serve/stop.cpp
+++ b/src/serve/stop.cpp
@@ -78,6 +78,10 @@
 
 bool is_accepted(entry_host const& host, active_call const& call) noexcept
 {
+    if (host.m_stop_stage == stop_stage::finished)
+    {
+        return false;
+    }
     return host.m_stop_stage == stop_stage::running ||
            core::is_accepted(host.m_stop_schedule, call.m_arrival_time,
                              call.m_classified.m_deadline);
@@ -97,6 +101,7 @@
     host.m_stop_schedule =
         core::make_stop_schedule(find_stop_limits(host), now());
     announce_self(host);
+    announce_to_linked_hosts(host);
 }
 
 void advance_stop(entry_host& host)
@@ -107,7 +112,9 @@
     }
     if (host.m_stop_stage == stop_stage::finished)
     {
-        if (now() >= host.m_exit_time)
+        bool const is_done = host.m_calls.empty() && !has_unsent_bytes(host);
+        if (now() >= host.m_exit_time &&
+            (is_done || now() >= host.m_stop_schedule.m_cut + linger_time))
         {
             host.m_loop->stop();
         }
