Keep silent links open while requests are in flight

What callers saw: 502 (3005) or no answer for requests that may run only once, while the owner of their pool had or got the answer.

Cause: a link on which nothing arrived for 0.6 s was closed with all requests on it.

Change: a silent link gets no new requests, and those on it that may be repeated are repeated elsewhere. The others, and messages that the peer may not have received, keep it open for up to 5 s. A link with requests in flight is not closed as unlisted either.

--- a/src/net/peer_idle_test.cpp
+++ b/src/net/peer_idle_test.cpp
@@ -26,12 +26,18 @@
                .m_key = "key",
                .m_heartbeat_interval = std::chrono::milliseconds(20),
                .m_silence_timeout = std::chrono::milliseconds(200),
+               .m_in_use_silence_timeout = std::chrono::seconds(1),
                .m_idle_threshold = std::chrono::milliseconds(400),
                .m_idle_heartbeat_interval = std::chrono::minutes(10),
                .m_idle_silence_timeout = std::chrono::hours(1)},
-              {})))
+              {.m_on_message = nullptr,
+               .m_on_link_up = nullptr,
+               .m_on_link_down = nullptr,
+               .m_is_link_in_use = [this](auto const&) { return m_is_in_use; },
+               .m_on_datagram = nullptr})))
     {
     }
+    bool m_is_in_use = false;
     std::unique_ptr<event_loop> m_loop;
     std::unique_ptr<peer_network> m_network;
 };
@@ -88,4 +94,29 @@
     CHECK(a.m_network->counters().m_silent_links == 1);
 }
 
+// Guards against losing the answers of a peer that is busy for a while, against
+// new requests to it, and against waiting for a dead peer without end.
+TEST_CASE("a silent link stays open while it is in use, but not for long")
+{
+    host a("a");
+    host b("b");
+    a.m_is_in_use = true;
+    b.m_is_in_use = true;
+    a.m_network->set_peers({{"b", "127.0.0.1", b.m_network->port()}});
+    REQUIRE(run_until({&a, &b},
+                      [&] {
+                          return a.m_network->is_linked("b") &&
+                                 b.m_network->is_linked("a");
+                      }));
+    REQUIRE(has_value(a.m_network->send("b", window_update{1, 1})));
+    // The peer is paused until it counts as silent.
+    REQUIRE(run_until({&a}, [&] { return !a.m_network->is_reachable("b"); }));
+    CHECK(a.m_network->is_linked("b"));
+    CHECK(run_until({&a, &b}, [&] { return a.m_network->is_reachable("b"); }));
+    CHECK(a.m_network->counters().m_links_opened == 1);
+    // The peer is paused from here on.
+    REQUIRE(has_value(a.m_network->send("b", window_update{1, 1})));
+    CHECK(run_until({&a}, [&] { return !a.m_network->is_linked("b"); }));
+}
+
 } // namespace hawthornspur::net
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -345,6 +345,7 @@
         return;
     }
     m_last_receive_time = event_loop::now();
+    m_is_silent = false;
     on_payload(value(payload));
 }
 
@@ -403,12 +404,13 @@
         return false;
     }
     auto const now = event_loop::now();
-    if (is_idle(now))
+    if (is_idle(now) && !m_is_silent)
     {
         // An idle peer may have sent nothing for the idle heartbeat interval.
         // It returns to fast heartbeats when it receives this message.
         m_last_receive_time = now;
     }
+    m_last_send_time = now;
     record_message(now);
     flush();
     return true;
@@ -504,6 +506,33 @@
     return {reason, event_loop::now() - m_last_receive_time, queued_bytes()};
 }
 
+bool peer_link::has_unconfirmed_messages() const
+{
+    // Frames of the peer cross the last messages on their way.
+    return queued_bytes() > 0 ||
+           m_last_send_time + m_settings.m_heartbeat_interval >
+               m_last_receive_time;
+}
+
+bool peer_link::must_end(core::time_point now)
+{
+    auto const silence = now - m_last_receive_time;
+    auto const limit = is_idle(now) && !m_is_silent
+                           ? m_settings.m_idle_silence_timeout
+                           : m_settings.m_silence_timeout;
+    if (silence <= limit)
+    {
+        return false;
+    }
+    if (!std::exchange(m_is_silent, true))
+    {
+        m_handlers.m_on_silent(*this);
+    }
+    return m_phase == phase::open &&
+           (silence > std::max(limit, m_settings.m_in_use_silence_timeout) ||
+            !(has_unconfirmed_messages() || m_handlers.m_is_in_use(*this)));
+}
+
 void peer_link::on_tick()
 {
     auto const now = event_loop::now();
@@ -525,14 +554,16 @@
             // This process was suspended; frames of the peer may be unread.
             m_last_receive_time = now;
         }
-        auto const limit = is_idle(now) ? m_settings.m_idle_silence_timeout
-                                        : m_settings.m_silence_timeout;
-        if (now - m_last_receive_time > limit)
+        if (must_end(now))
         {
             ++m_counters.m_silent_links;
             end(link_end_reason::silent);
             return;
         }
+        if (m_phase == phase::closed)
+        {
+            return;
+        }
         if (is_heartbeat_due(now))
         {
             static std::string const heartbeat = encode_heartbeat();
@@ -540,7 +571,7 @@
             m_has_sent_since_tick = false;
         }
     }
-    schedule_tick(m_phase == phase::open && is_idle(now)
+    schedule_tick(m_phase == phase::open && is_idle(now) && !m_is_silent
                       ? m_settings.m_idle_heartbeat_interval
                       : m_settings.m_heartbeat_interval);
 }
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -40,6 +40,8 @@
     std::function<void(peer_link&, peer_message)> m_on_message;
     /// Called once when the link closes, except by close().
     std::function<void(peer_link&, link_end const&)> m_on_closed;
+    std::function<void(peer_link&)> m_on_silent;
+    std::function<bool(peer_link const&)> m_is_in_use;
 };
 
 /// An authenticated TCP connection to another entry host.
@@ -90,6 +92,11 @@
     {
         return m_peer;
     }
+    /// Nothing has arrived for longer than the silence timeout.
+    bool is_silent() const noexcept
+    {
+        return m_is_silent;
+    }
     /// Bytes that wait to be sent.
     std::size_t queued_bytes() const;
     /// How the link ends if it is closed now for this reason.
@@ -138,6 +145,10 @@
     void record_message(core::time_point now);
     void schedule_tick(core::duration wait);
     bool is_heartbeat_due(core::time_point now);
+    /// Whether messages were queued after the last sign that the peer receives.
+    bool has_unconfirmed_messages() const;
+    /// Whether the peer has been silent for so long that the link must end.
+    bool must_end(core::time_point now);
     void on_tick();
     /// Counts and logs an error and closes the link.
     void fail(error const& problem);
@@ -170,8 +181,10 @@
     core::duration m_tick_interval{0};
     core::time_point m_last_receive_time{};
     core::time_point m_last_message_time{};
+    core::time_point m_last_send_time{};
     core::time_point m_last_heartbeat_time{};
     bool m_has_sent_since_tick = false;
+    bool m_is_silent = false;
 };
 
 } // namespace hawthornspur::net
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -92,6 +92,7 @@
     void sweep();
     bool is_allowed(socket_address const& address);
     bool has_link(std::string const& host) const;
+    bool is_in_use(std::string const& host) const;
 };
 
 std::string_view to_string(link_end_reason reason) noexcept
@@ -129,6 +130,11 @@
     return found != m_peers.end() && found->second.m_link != nullptr;
 }
 
+bool peer_network::state::is_in_use(std::string const& host) const
+{
+    return m_handlers.m_is_link_in_use && m_handlers.m_is_link_in_use(host);
+}
+
 void peer_network::state::retire_link(link_ptr link)
 {
     link->close();
@@ -233,7 +239,7 @@
         // Both hosts opened a connection at the same time: the peer opened this
         // one before the existing link was established.
         auto const is_simultaneous_open =
-            link.role() != existing.role() &&
+            !existing.is_silent() && link.role() != existing.role() &&
             link.peer().m_incarnation == existing.peer().m_incarnation &&
             link.peer().m_earlier_link_count <=
                 existing.peer().m_earlier_link_count;
@@ -391,7 +397,8 @@
             remote.m_link->role() == link_role::initiator &&
             remote.m_link->queued_bytes() == 0 &&
             now - remote.m_link->last_message_time() >
-                m_settings.m_unlisted_link_timeout)
+                m_settings.m_unlisted_link_timeout &&
+            !is_in_use(host))
         {
             idle.push_back(host);
         }
@@ -509,8 +516,19 @@
         [&network](peer_link& link, peer_message message)
         { network.on_message(link, std::move(message)); },
         [&network](peer_link& link, link_end const& end)
+        { network.on_closed(link, end); },
+        [&network](peer_link const& link)
+        {
+            if (network.m_handlers.m_on_link_silent)
+            {
+                // Copied because the handler may close the link.
+                auto const host = link.peer().m_host;
+                network.m_handlers.m_on_link_silent(host);
+            }
+        },
+        [&network](peer_link const& link)
         {
-            network.on_closed(link, end);
+            return network.is_in_use(link.peer().m_host);
         }};
     network.m_datagram_codec.emplace(network.m_settings.m_key);
     network.m_random.seed(std::random_device{}());
@@ -609,6 +627,11 @@
     return names;
 }
 
+bool peer_network::is_reachable(std::string const& host) const
+{
+    return is_linked(host) && !m_state->m_peers.at(host).m_link->is_silent();
+}
+
 std::size_t peer_network::queued_bytes(std::string const& host) const
 {
     return is_linked(host) ? m_state->m_peers.at(host).m_link->queued_bytes()
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -32,7 +32,12 @@
     /// Only entry hosts have access to the network between them.
     bool m_is_network_trusted = false;
     core::duration m_heartbeat_interval = std::chrono::milliseconds(200);
+    /// A link on which nothing has arrived for this long gets no new requests.
+    /// It is closed unless requests are in flight on it.
     core::duration m_silence_timeout = std::chrono::milliseconds(600);
+    /// A silent link is closed after this time although requests are in flight
+    /// on it. A host that is short of processor time is silent for seconds.
+    core::duration m_in_use_silence_timeout = std::chrono::seconds(5);
     /// A link without messages for this long is idle and has slower heartbeats.
     /// With fast ones, 19 hosts already spend 5.6 KB/s on idle links.
     /// Membership detects dead hosts meanwhile.
@@ -44,7 +49,7 @@
     /// Limit of the bytes queued for one link.
     std::size_t m_max_queued_bytes = std::size_t{64} << 20U;
     /// A link that this host opened to a host that is no longer in set_peers()
-    /// is closed after this time without messages.
+    /// is closed after this time without messages, unless it is in use.
     core::duration m_unlisted_link_timeout = std::chrono::seconds(10);
     /// Delay between connection attempts: doubled after each failure, then
     /// reduced at random by up to half.
@@ -70,7 +75,7 @@
     frame_refused,
     /// The peer opened another link.
     replaced,
-    /// The peer is not in set_peers() and the link was not used.
+    /// The peer is not in set_peers(), and the link is not in use.
     unlisted,
 };
 
@@ -93,6 +98,13 @@
     /// The link is closed; every message in flight on it may be lost.
     std::function<void(std::string const& host, link_end const&)>
         m_on_link_down;
+    /// Nothing has arrived for longer than the silence timeout. The link stays
+    /// open if m_is_link_in_use, which is asked next, says so: the answers to
+    /// requests on it may still arrive.
+    std::function<void(std::string const& host)> m_on_link_silent = nullptr;
+    /// Whether requests are in flight on the link, in either direction. No link
+    /// is in use if this is null.
+    std::function<bool(std::string const& host)> m_is_link_in_use = nullptr;
     std::function<void(core::membership_message)> m_on_datagram;
 };
 
@@ -161,6 +173,9 @@
     /// Names of the hosts with a link to this one.
     std::vector<std::string> linked_hosts() const;
 
+    /// Whether there is a link and it is not silent.
+    bool is_reachable(std::string const& host) const;
+
     /// Bytes queued for a host, for back-pressure; 0 without a link.
     std::size_t queued_bytes(std::string const& host) const;
 
--- a/src/serve/admit.cpp
+++ b/src/serve/admit.cpp
@@ -53,7 +53,7 @@
     auto const is_reachable = [&](std::string const& name)
     {
         return host.m_peer_network != nullptr &&
-               host.m_peer_network->is_linked(name);
+               host.m_peer_network->is_reachable(name);
     };
     return core::choose_owner(
         host.m_routing, *call.m_classified.m_configuration, pool,
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -370,7 +370,7 @@
     auto const source = core::choose_document_source(
         peer, generation, core::hosts(*host.m_membership),
         [&](std::string const& name)
-        { return host.m_peer_network->is_linked(name); },
+        { return host.m_peer_network->is_reachable(name); },
         sync.m_requests);
     if (source.empty() ||
         !has_value(host.m_peer_network->send(
--- a/src/serve/deduplicate.cpp
+++ b/src/serve/deduplicate.cpp
@@ -51,7 +51,7 @@
     {
         fail_call(host, call, result_code::hop_limit_reached);
     }
-    else if (!host.m_peer_network->is_linked(home))
+    else if (!host.m_peer_network->is_reachable(home))
     {
         fail_call(host, call, result_code::home_unreachable);
     }
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -258,6 +258,42 @@
     repeat_call(host, call, forward, outcome);
 }
 
+/// Sends a request to another host if it may be repeated, or lets the host that
+/// decides on it do so. Otherwise it stays with the host that is silent, whose
+/// answer may still come.
+void repeat_silent_forward(entry_host& host, active_call& call)
+{
+    bool const is_idempotent = call.m_classified.m_kind->m_execution ==
+                               core::execution_rule::idempotent;
+    if (call.m_is_answer_started || !is_idempotent ||
+        call.m_forward->m_purpose == net::forward_purpose::to_home)
+    {
+        return;
+    }
+    constexpr auto outcome = core::attempt_outcome::silent;
+    bool const is_decided_here = decides_on_repeats(call);
+    ++call.m_prior_attempts.m_count;
+    if (is_decided_here &&
+        decide_after_forward(host, call, *call.m_forward, outcome) !=
+            core::repeat_decision::allowed)
+    {
+        --call.m_prior_attempts.m_count;
+        return;
+    }
+    auto const forward = detach_forward(host, call);
+    static_cast<void>(host.m_peer_network->send(
+        forward.m_host_name, net::cancel_request{forward.m_id}));
+    if (!is_decided_here)
+    {
+        remove_spilled_call(host, call);
+        fail_call(host, call, result_code::peer_link_lost);
+        return;
+    }
+    host.m_metrics.count_forward("retry_after_silence");
+    call.m_excluded_hosts.push_back(forward.m_host_name);
+    repeat_call(host, call, forward, outcome);
+}
+
 /// Handles a refusal after the other host, or one to which it passed the
 /// request on, made an attempt.
 void handle_failed_attempt(entry_host& host, active_call& call,
@@ -322,7 +358,8 @@
     auto const id = host.m_next_forward_id++;
     auto const head =
         make_head(call, purpose, forward_zone(call, purpose, zone), id);
-    if (!has_value(host.m_peer_network->send(to, head)))
+    if (!host.m_peer_network->is_reachable(to) ||
+        !has_value(host.m_peer_network->send(to, head)))
     {
         if (purpose == net::forward_purpose::to_home)
         {
@@ -478,6 +515,19 @@
     return calls_at(host, peer).size();
 }
 
+void on_forward_link_silent(entry_host& host, std::string const& peer)
+{
+    for (auto const request : calls_at(host, peer))
+    {
+        auto* call = find_call(host, request);
+        if (call != nullptr && call->m_forward &&
+            call->m_forward->m_host_name == peer)
+        {
+            repeat_silent_forward(host, *call);
+        }
+    }
+}
+
 void on_forward_link_down(entry_host& host, std::string const& peer)
 {
     auto const lost_calls = calls_at(host, peer);
--- a/src/serve/forwarding.hpp
+++ b/src/serve/forwarding.hpp
@@ -45,6 +45,11 @@
 /// Number of requests that are forwarded to a host and not answered yet.
 std::size_t count_calls_at(entry_host const& host, std::string const& peer);
 
+/// Sends the requests that were forwarded to a host whose link is silent to
+/// other hosts, as far as they may be repeated. The others wait for their
+/// answers.
+void on_forward_link_silent(entry_host& host, std::string const& peer);
+
 /// Reroutes or fails the requests that were forwarded to a host whose link is
 /// down.
 void on_forward_link_down(entry_host& host, std::string const& peer);
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -132,39 +132,58 @@
 
 net::peer_handlers make_handlers(entry_host& host)
 {
-    return {.m_on_message =
-                [&host](std::string const& from, net::peer_message message)
-            {
-                detect_pause(host);
-                std::visit(message_visitor{host, from}, message);
+    return {
+        .m_on_message =
+            [&host](std::string const& from, net::peer_message message)
+        {
+            detect_pause(host);
+            std::visit(message_visitor{host, from}, message);
+        },
+        .m_on_link_up =
+            [&host](std::string const& peer)
+        {
+            logging::write(logging::level::info, "serve.peers", "link up",
+                           {{"host", peer}});
+            announce_generation(host, peer);
+            send_crash_suspects(host, peer);
+            send_departures(host, peer);
+            update_store_role(host);
+            // Not at once: it replaces the list of peers, and this is
+            // called by one of their links.
+            schedule_routing_update(host);
+        },
+        .m_on_link_down =
+            [&host](std::string const& peer, net::link_end const& end)
+        {
+            log_link_down(host, peer, end);
+            on_forward_link_down(host, peer);
+            on_incoming_link_down(host, peer);
+            on_peer_link_lost(host, peer);
+            update_store_role(host);
+        },
+        .m_on_link_silent =
+            [&host](std::string const& peer)
+        {
+            logging::write(
+                logging::level::warn, "serve.peers", "link silent",
+                {{"host", peer},
+                 {"calls_there", std::to_string(count_calls_at(host, peer))},
+                 {"calls_from_there",
+                  std::to_string(count_calls_from(host, peer))}});
+            on_forward_link_silent(host, peer);
+            on_peer_link_lost(host, peer);
+            update_store_role(host);
+        },
+        .m_is_link_in_use =
+            [&host](std::string const& peer) {
+                return count_calls_at(host, peer) > 0 ||
+                       count_calls_from(host, peer) > 0;
             },
-            .m_on_link_up =
-                [&host](std::string const& peer)
-            {
-                logging::write(logging::level::info, "serve.peers", "link up",
-                               {{"host", peer}});
-                announce_generation(host, peer);
-                send_crash_suspects(host, peer);
-                send_departures(host, peer);
-                update_store_role(host);
-                // Not at once: it replaces the list of peers, and this is
-                // called by one of their links.
-                schedule_routing_update(host);
-            },
-            .m_on_link_down =
-                [&host](std::string const& peer, net::link_end const& end)
-            {
-                log_link_down(host, peer, end);
-                on_forward_link_down(host, peer);
-                on_incoming_link_down(host, peer);
-                on_peer_link_lost(host, peer);
-                update_store_role(host);
-            },
-            .m_on_datagram =
-                [&host](core::membership_message const& message)
-            {
-                on_datagram(host, message);
-            }};
+        .m_on_datagram =
+            [&host](core::membership_message const& message)
+        {
+            on_datagram(host, message);
+        }};
 }
 
 } // namespace
--- a/src/serve/store_role_inputs.cpp
+++ b/src/serve/store_role_inputs.cpp
@@ -27,7 +27,7 @@
                        [&](std::string const& name)
                        {
                            return name == host.m_settings.m_name ||
-                                  host.m_peer_network->is_linked(name);
+                                  host.m_peer_network->is_reachable(name);
                        });
 }
 
@@ -90,7 +90,7 @@
                     {
                         return other.m_zone == host.m_settings.m_zone &&
                                other.m_state == core::host_state::live &&
-                               host.m_peer_network->is_linked(other.m_name);
+                               host.m_peer_network->is_reachable(other.m_name);
                     });
     auto const order = core::zone_order(core::self(*host.m_membership), others);
     bool const is_first =
