--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -191,9 +191,9 @@
 
 /// Sends the record of this host directly to each of the named hosts.
 ///
-/// Load pattern: in a rolling restart of hundreds of hosts, gossip carries more
-/// changes than fit its messages, and some hosts do not hear of a stop before
-/// it ends.
+/// Load pattern: in a rolling restart of hundreds of hosts, there are more
+/// changes than gossip messages can hold, and some hosts learn of a stop only
+/// after its end.
 void announce_to(membership& members, std::span<std::string const> hosts,
                  time_point now, membership_effects& out);
 
--- a/src/core/membership_test.cpp
+++ b/src/core/membership_test.cpp
@@ -351,10 +351,8 @@
     CHECK(cluster.m_violations == std::vector<std::string>{});
 }
 
-// Guards against hosts that forward requests to a stopping host until it exits.
-// In a rolling restart of a large fleet, gossip has more changes to spread than
-// its messages hold: 12 % of the hosts of a zone had not heard of a stop after
-// 4 s.
+// Guards against hosts that forward requests to a stopping host until it exits,
+// because a rolling restart has more changes than gossip messages can hold.
 TEST_CASE("the linked hosts are told of each stop of a rolling restart")
 {
     auto cluster = make_settled_cluster(large_fleet(116));
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -514,7 +514,7 @@
                m_last_receive_time;
 }
 
-bool peer_link::must_end(core::time_point now)
+bool peer_link::check_silence(core::time_point now)
 {
     auto const silence = now - m_last_receive_time;
     auto const limit = is_idle(now) && !m_is_silent
@@ -554,7 +554,7 @@
             // This process was suspended; frames of the peer may be unread.
             m_last_receive_time = now;
         }
-        if (must_end(now))
+        if (check_silence(now))
         {
             ++m_counters.m_silent_links;
             end(link_end_reason::silent);
--- a/src/net/peer_link.hpp
+++ b/src/net/peer_link.hpp
@@ -147,8 +147,8 @@
     bool is_heartbeat_due(core::time_point now);
     /// Whether messages were queued after the last sign that the peer receives.
     bool has_unconfirmed_messages() const;
-    /// Whether the peer has been silent for so long that the link must end.
-    bool must_end(core::time_point now);
+    /// Detects that the peer is silent. Returns whether the link must end.
+    bool check_silence(core::time_point now);
     void on_tick();
     /// Counts and logs an error and closes the link.
     void fail(error const& problem);
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -95,24 +95,6 @@
     bool is_in_use(std::string const& host) const;
 };
 
-std::string_view to_string(link_end_reason reason) noexcept
-{
-    switch (reason)
-    {
-    case link_end_reason::closed_by_peer:
-        return "closed_by_peer";
-    case link_end_reason::silent:
-        return "silent";
-    case link_end_reason::frame_refused:
-        return "frame_refused";
-    case link_end_reason::replaced:
-        return "replaced";
-    case link_end_reason::unlisted:
-        break;
-    }
-    return "unlisted";
-}
-
 bool peer_network::state::is_allowed(socket_address const& address)
 {
     if (!m_settings.m_key.empty() || m_settings.m_is_network_trusted ||
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -4,6 +4,7 @@
 #include "base/result.hpp"
 #include "core/membership.hpp"
 #include "core/time.hpp"
+#include "net/link_end.hpp"
 #include "net/peer_messages.hpp"
 
 #include <cstddef>
@@ -11,7 +12,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace hawthornspur::net
@@ -64,32 +64,6 @@
     std::uint16_t m_port = 0;
 };
 
-/// Why a link is closed.
-enum class link_end_reason : std::uint8_t
-{
-    /// The peer closed the connection or it was reset.
-    closed_by_peer,
-    /// Nothing arrived for longer than the silence timeout.
-    silent,
-    /// The peer sent a frame that is malformed or not authentic.
-    frame_refused,
-    /// The peer opened another link.
-    replaced,
-    /// The peer is not in set_peers(), and the link is not in use.
-    unlisted,
-};
-
-struct link_end
-{
-    link_end_reason m_reason = link_end_reason::closed_by_peer;
-    /// Time since the last frame of the peer.
-    core::duration m_silence{0};
-    /// Bytes that were not sent.
-    std::size_t m_queued_bytes = 0;
-};
-
-std::string_view to_string(link_end_reason reason) noexcept;
-
 struct peer_handlers
 {
     std::function<void(std::string const& host, peer_message)> m_on_message;
--- a/src/serve/incoming_forwards.cpp
+++ b/src/serve/incoming_forwards.cpp
@@ -8,6 +8,7 @@
 #include "serve/relay.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -267,15 +268,18 @@
 
 std::size_t count_calls_from(entry_host const& host, std::string const& peer)
 {
-    auto const is_from_peer = [&](auto const& entry)
+    // Both maps are ordered by the sending host.
+    auto const count = [&](auto const& calls)
     {
-        return entry.first.first == peer;
+        auto const is_from_peer = [&](auto const& entry)
+        {
+            return entry.first.first == peer;
+        };
+        auto const first = calls.lower_bound({peer, net::forward_id{0}});
+        auto const last = std::find_if_not(first, calls.end(), is_from_peer);
+        return static_cast<std::size_t>(std::distance(first, last));
     };
-    return static_cast<std::size_t>(
-        std::count_if(host.m_incoming_forwards.begin(),
-                      host.m_incoming_forwards.end(), is_from_peer) +
-        std::count_if(host.m_outgoing_answers.begin(),
-                      host.m_outgoing_answers.end(), is_from_peer));
+    return count(host.m_incoming_forwards) + count(host.m_outgoing_answers);
 }
 
 void on_incoming_link_down(entry_host& host, std::string const& peer)
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -139,14 +139,25 @@
 }
 
 // Guards against requests that are given up because a busy host sends nothing
-// for a while. Their answers may still come, and they must not run again.
-TEST_CASE("requests that run once outlast the silence of their owner")
+// for a while. Their answers may still come, and they cannot be sent again.
+TEST_CASE("requests outlast the silence of their owner")
 {
+    auto method = "POST";
+    SUBCASE("requests that run once") {}
+    SUBCASE("reads without a budget to repeat them")
+    {
+        method = "GET";
+    }
     test_cluster cluster(3, 2);
+    auto& budget = cluster.document().m_services.front().m_retry_budget;
+    budget.m_ratio = 0;
+    budget.m_burst = 0;
+    cluster.wait_for_agreement(cluster.apply_configuration(cluster.document()),
+                               3);
     auto const owner = cluster.find_owner(0);
     auto const other = (owner + 1) % 3;
     auto const request =
-        cluster.send(other, "POST", "/x", {{"X-Service-Time-Us", "100000"}});
+        cluster.send(other, method, "/x", {{"X-Service-Time-Us", "100000"}});
     cluster.run_until([&] { return cluster.total_run_count() == 1; });
     cluster.pause(owner);
     cluster.run_for(std::chrono::milliseconds(1500));
@@ -156,6 +167,23 @@
     CHECK(cluster.total_run_count() == 1);
 }
 
+// Guards against reads that wait for a silent host although another one could
+// answer them.
+TEST_CASE("a read at a silent owner is answered by another host")
+{
+    test_cluster cluster(3, 2);
+    auto const owner = cluster.find_owner(0);
+    auto const other = (owner + 1) % 3;
+    // Successful requests fill the retry budget.
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK(cluster.send_and_wait(other, "GET", "/x").m_head.m_status == 200);
+    }
+    cluster.pause(owner);
+    auto const read = cluster.send_and_wait(other, "GET", "/x");
+    CHECK_MESSAGE(read.m_head.m_status == 200, get_result_code(read));
+}
+
 // Guards against hosts that need the store for more than configuration
 // changes: during an outage they must serve, and a new host must get the
 // configuration from its peers.
