Report the stack and the activities of a process that a signal ends

Cause: a process that ended by a signal wrote nothing.

Change: handlers for the signals of faults write three JSON lines and leave the status as it is: the fault with the lowest free descriptor, the activities of the thread, and its return addresses as offsets into modules. They run on a stack of their own, so that an exhausted stack is reported too, and use no memory and no locks. The event loop's steps and the effects of pools are recorded as activities, in plain memory.

Conclusion: base_tests shows the lines for a write through a null pointer, an exhausted stack, a failed assertion and a signal that is sent; the status of the process is the same as without the handlers in each.

--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -1,3 +1,4 @@
+#include "base/fatal_signal.hpp"
 #include "base/logging.hpp"
 #include "cli/command.hpp"
 #include "config/settings.hpp"
@@ -79,6 +80,7 @@
 
 exit_code run_host(config::host_settings settings, std::string const& path)
 {
+    diagnostics::report_fatal_signals(HAWTHORNSPUR_VERSION);
     logging::start(parse_log_level(settings.m_log_level));
     // Writing to a connection closed by its peer must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include "base/activity.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client_state.hpp"
 
@@ -95,6 +96,7 @@
 
 void http_client::state::run_deferred()
 {
+    diagnostics::activity_scope const scope("client.deferred");
     for (auto const& owned : std::exchange(m_closing_connections, {}))
     {
         evhttp_connection_free(owned->m_evcon);
@@ -161,6 +163,7 @@
         *client.m_loop,
         [&client, id]
         {
+            diagnostics::activity_scope const scope("client.timeout", id);
             auto const found = client.m_exchanges.find(id);
             if (found == client.m_exchanges.end())
             {
@@ -260,4 +263,10 @@
     return m_state->m_counters;
 }
 
+std::size_t http_client::open_connections() const noexcept
+{
+    return m_state->m_connections.size() +
+           m_state->m_closing_connections.size();
+}
+
 } // namespace hawthornspur::net
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -118,6 +118,8 @@
     void forbid_reuse(exchange_id id);
 
     http_client_counters const& counters() const noexcept;
+    /// Connections that are in use, idle or being closed.
+    std::size_t open_connections() const noexcept;
 
     struct state;
 
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -1,3 +1,4 @@
+#include "base/activity.hpp"
 #include "base/text.hpp"
 #include "net/http_client_state.hpp"
 #include "net/socket_options.hpp"
@@ -74,6 +75,7 @@
     auto* connection = static_cast<client_connection*>(argument);
     if (auto* exchange = find_exchange(connection))
     {
+        diagnostics::activity_scope const scope("client.head", exchange->m_id);
         deliver_head(*exchange, request);
     }
     return 0;
@@ -89,6 +91,7 @@
     {
         return;
     }
+    diagnostics::activity_scope const scope("client.data", exchange->m_id);
     exchange->m_received_bytes += size;
     if (exchange->m_received_bytes > exchange->m_max_answer_bytes)
     {
@@ -144,6 +147,7 @@
     {
         return;
     }
+    diagnostics::activity_scope const scope("client.done", exchange->m_id);
     if (request == nullptr || exchange->m_error ||
         evhttp_request_get_response_code(request) == 0)
     {
@@ -374,6 +378,7 @@
     {
         return false;
     }
+    diagnostics::activity_scope const scope("client.send", exchange.m_id);
     auto* connection = exchange.m_connection;
     auto* outgoing = evhttp_request_new(on_done, connection);
     evhttp_request_set_header_cb(outgoing, on_head);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "net/caller_connection.hpp"
 #include "net/event_loop.hpp"
@@ -105,6 +106,7 @@
 
 void http_server::state::on_closed(caller_connection& connection)
 {
+    diagnostics::record_activity("server.closed");
     --m_counters.m_connections_open;
     m_counters.m_callers_disconnected +=
         connection.has_disconnected_early() ? 1 : 0;
@@ -148,6 +150,7 @@
 
 void http_server::state::on_request(evhttp_request* request)
 {
+    diagnostics::activity_scope const scope("server.request");
     // Present, since the first byte of a request attaches its connection.
     auto* connection =
         m_connections_by_evcon.at(evhttp_request_get_connection(request));
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "net/peer_network.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "net/datagram_codec.hpp"
 #include "net/datagram_socket.hpp"
@@ -287,6 +288,8 @@
 {
     if (m_handlers.m_on_message)
     {
+        diagnostics::activity_scope const scope("peer.message",
+                                                message.index());
         // Copied because the handler may close the link.
         auto const host = link.peer().m_host;
         m_handlers.m_on_message(host, std::move(message));
@@ -302,6 +305,7 @@
 void peer_network::state::drop_link(std::string const& host,
                                     link_end const& end)
 {
+    diagnostics::activity_scope const scope("peer.link_down");
     auto& remote = m_peers[host];
     retire_link(std::move(remote.m_link));
     remote.m_link = nullptr;
--- a/src/serve/account.cpp
+++ b/src/serve/account.cpp
@@ -1,5 +1,6 @@
 #include "serve/account.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "serve/host.hpp"
 
@@ -119,6 +120,7 @@
         host.m_metrics.record_added_time(total - call.m_target_time);
     }
     log_call(call, code, total);
+    diagnostics::record_activity("call.end", call.m_id.m_value);
     host.m_calls.erase(call.m_id);
 }
 
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -1,5 +1,6 @@
 #include "serve/pools.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "core/ownership.hpp"
@@ -78,6 +79,7 @@
 
 void on_pool_timer(entry_host& host, core::pool_id const& id)
 {
+    diagnostics::activity_scope const scope("pool.timer");
     detect_pause(host);
     auto* pool = find_pool(host, id);
     if (pool == nullptr)
@@ -194,6 +196,8 @@
 
     void operator()(core::dispatch_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.dispatch",
+                                                effect.m_request.m_value);
         if (auto* call = find_call(m_host, effect.m_request))
         {
             call->m_is_queued = false;
@@ -203,6 +207,8 @@
 
     void operator()(core::refuse_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.refuse",
+                                                effect.m_request.m_value);
         if (auto* call = find_call(m_host, effect.m_request))
         {
             call->m_is_queued = false;
@@ -224,6 +230,8 @@
 
     void operator()(core::relay_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.relay",
+                                                effect.m_request.m_value);
         if (auto* call = find_call(m_host, effect.m_request))
         {
             start_relay(m_host, *call, effect.m_attempt);
@@ -232,6 +240,8 @@
 
     void operator()(core::cancel_attempt_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.cancel",
+                                                effect.m_request.m_value);
         if (auto* call = find_call(m_host, effect.m_request))
         {
             cancel_attempt(m_host, *call, effect.m_attempt);
@@ -249,11 +259,15 @@
 
     void operator()(core::spill_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.spill",
+                                                effect.m_request.m_value);
         spill_call(m_host, m_local_pool, effect);
     }
 
     void operator()(core::probe_effect const& effect) const
     {
+        diagnostics::activity_scope const scope("effect.probe",
+                                                effect.m_target.m_value);
         send_probe(m_host, m_local_pool.m_id, effect.m_target);
     }
 };
@@ -574,6 +588,7 @@
 
 void update_pools(entry_host& host)
 {
+    diagnostics::activity_scope const scope("pools.update");
     if (host.m_configuration.m_in_force == nullptr)
     {
         return;
