Show two faults of a host that runs out of descriptors

Both tests fail on the code before. Without a descriptor, and at an address that the kernel rejects, http_client calls the end handler within send(), which its interface excludes: dispatch_attempt() then writes to an attempt that the handler has erased, and the next request is sent from within the handler. A connect_checker without a descriptor never reports a result.

--- a/src/net/connect_checker_test.cpp
+++ b/src/net/connect_checker_test.cpp
@@ -52,6 +52,20 @@
     CHECK(result == connect_result::unknown);
 }
 
+// Guards against a check that never ends on a host without descriptors.
+TEST_CASE("a check without a descriptor has no result")
+{
+    auto loop = take(event_loop::create());
+    connect_checker checker(*loop);
+    std::optional<connect_result> result;
+    descriptor_limit const limit(0);
+    checker.check({"127.0.0.1", 9}, std::chrono::seconds(1),
+                  [&](connect_result found) { result = found; });
+    CHECK(!result);
+    REQUIRE(run_until(*loop, [&] { return result.has_value(); }));
+    CHECK(*result == connect_result::unknown);
+}
+
 // Guards against a callback into an object that has ended.
 TEST_CASE("a checker can be destroyed while it checks")
 {
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -399,6 +399,55 @@
     CHECK(*unknown_method.m_outcome == exchange_outcome::connect_failed);
 }
 
+// Guards against an end that is reported to a sender in the middle of send(),
+// which ended processes that had no descriptor left.
+TEST_CASE("a connection that fails at once ends its exchange later")
+{
+    for (bool const has_descriptors : {false, true})
+    {
+        CAPTURE(has_descriptors);
+        auto loop = take(event_loop::create());
+        auto client = take(http_client::create(*loop));
+        exchange_record record;
+        exchange_record cancelled;
+        {
+            std::optional<descriptor_limit> limit;
+            if (!has_descriptors)
+            {
+                limit.emplace(0);
+            }
+            // The kernel rejects the second address at once.
+            endpoint const server{
+                has_descriptors ? "255.255.255.255" : "127.0.0.1", 9};
+            client->send(server, post(), {}, record.handlers());
+            CHECK(!record.m_outcome);
+            client->cancel(
+                client->send(server, post(), {}, cancelled.handlers()));
+            CHECK(
+                run_until(*loop, [&] { return record.m_outcome.has_value(); }));
+        }
+        CHECK(record.m_outcome == exchange_outcome::connect_failed);
+        CHECK(!record.m_head);
+        CHECK(!cancelled.m_outcome);
+        CHECK(
+            run_until(*loop, [&] { return client->open_connections() == 0; }));
+        // The client is as good as new.
+        raw_listener server(*loop);
+        server.m_on_connection = [](raw_connection& connection)
+        {
+            connection.m_on_data = [&connection]
+            {
+                connection.send(whole_answer);
+            };
+        };
+        exchange_record later;
+        client->send({"127.0.0.1", server.m_port}, post(), {},
+                     later.handlers());
+        CHECK(run_until(*loop, [&] { return later.m_outcome.has_value(); }));
+        CHECK(later.m_outcome == exchange_outcome::complete);
+    }
+}
+
 // Guards against a request that runs after it was reported as not sent: its
 // connection opens between the report and the end of the loop iteration, as on
 // a host that is short of processor time.
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -9,8 +9,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <fcntl.h>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -45,6 +47,40 @@
     return true;
 }
 
+/// Leaves the process `free` descriptors until the end of the scope.
+class descriptor_limit
+{
+public:
+    explicit descriptor_limit(int free)
+    {
+        REQUIRE(::getrlimit(RLIMIT_NOFILE, &m_previous) == 0);
+        while (m_fillers.size() < static_cast<std::size_t>(free))
+        {
+            m_fillers.push_back(::fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0));
+        }
+        // Descriptors are given out from the lowest free one.
+        auto const next = ::fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);
+        REQUIRE(next >= 0);
+        ::close(next);
+        for (auto const filler : m_fillers)
+        {
+            ::close(filler);
+        }
+        rlimit const lowered{static_cast<rlim_t>(next), m_previous.rlim_max};
+        REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    }
+    ~descriptor_limit()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &m_previous);
+    }
+    descriptor_limit(descriptor_limit const&) = delete;
+    descriptor_limit& operator=(descriptor_limit const&) = delete;
+
+private:
+    rlimit m_previous{};
+    std::vector<int> m_fillers;
+};
+
 /// A TCP connection that sends arbitrary bytes and stores what it receives.
 class raw_connection
 {
