Call no handler of an exchange within the function that sends it

Cause: evhttp reports a connection that fails at once, above all one without a descriptor, before evhttp_make_request() returns. The end handler then ran within http_client::send(), whose interface excludes it: the pool sent the next request from within the handler, nested as deeply as it had free slots, and dispatch_attempt() wrote to the attempt that the handler had erased. send_request() also kept the request that evhttp had freed. A check of an address without a descriptor never ended.

Evidence: the owner had 7,845 connections 0.65 s before its end, and its machine 7,992 descriptors for them.

Change: an exchange that ends while its request is being sent ends from the event loop. A check that cannot begin ends with "unknown".

With it a failure of any kind reaches the sender after send() has returned, so that nothing it holds can end meanwhile.

--- a/src/net/connect_checker.cpp
+++ b/src/net/connect_checker.cpp
@@ -55,6 +55,18 @@
     done(result);
 }
 
+void connect_checker::finish_later(pending& entry)
+{
+    m_loop.post(
+        [this, pointer = &entry, lifetime = std::weak_ptr(m_lifetime)]
+        {
+            if (!lifetime.expired())
+            {
+                finish(*pointer, connect_result::unknown);
+            }
+        });
+}
+
 void connect_checker::on_event(bufferevent* transport, short events, void* self)
 {
     auto const error = EVUTIL_SOCKET_ERROR();
@@ -96,14 +108,7 @@
                 : nullptr;
     if (entry.m_transport == nullptr)
     {
-        m_loop.post(
-            [this, pointer = &entry, lifetime = std::weak_ptr(m_lifetime)]
-            {
-                if (!lifetime.expired())
-                {
-                    finish(*pointer, connect_result::unknown);
-                }
-            });
+        finish_later(entry);
         return;
     }
     bufferevent_setcb(entry.m_transport, nullptr, nullptr, on_event, &entry);
@@ -112,9 +117,13 @@
     constexpr std::int64_t per_second = 1'000'000;
     timeval const limit{microseconds / per_second, microseconds % per_second};
     bufferevent_set_timeouts(entry.m_transport, nullptr, &limit);
-    // A failure is also reported to on_event.
-    bufferevent_socket_connect(entry.m_transport, address->get(),
-                               static_cast<int>(address->m_length));
+    if (bufferevent_socket_connect(entry.m_transport, address->get(),
+                                   static_cast<int>(address->m_length)) != 0)
+    {
+        bufferevent_setcb(entry.m_transport, nullptr, nullptr, nullptr,
+                          nullptr);
+        finish_later(entry);
+    }
 }
 
 } // namespace hawthornspur::net
--- a/src/net/connect_checker.hpp
+++ b/src/net/connect_checker.hpp
@@ -47,6 +47,8 @@
     struct pending;
     static void on_event(bufferevent* transport, short events, void* self);
     void finish(pending& entry, connect_result result);
+    /// Ends a check that could not begin.
+    void finish_later(pending& entry);
 
     event_loop& m_loop;
     std::unordered_map<pending*, std::unique_ptr<pending>> m_pending;
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -315,6 +315,14 @@
     {
         return;
     }
+    if (found->second->m_connection->m_is_sending)
+    {
+        // The sender still uses what the handler may destroy.
+        client.m_deferred_ends.emplace_back([&client, id, outcome]
+                                            { finish(client, id, outcome); });
+        client.m_deferred_timer->start(core::duration(0));
+        return;
+    }
     // Freed later from the event loop, since its timer callback may be running.
     auto* const ended = found->second.get();
     client.m_ended_exchanges.push_back(std::move(found->second));
@@ -409,16 +417,25 @@
     }
     evbuffer_add(evhttp_request_get_output_buffer(outgoing),
                  request.m_body.data(), request.m_body.size());
-    if (evhttp_make_request(connection->m_evcon, outgoing, *command,
-                            request.m_uri.c_str()) != 0)
-    {
+    // Before the call, which frees the request if the connection fails at once.
+    connection->m_request = outgoing;
+    connection->m_is_sending = true;
+    auto const is_taken =
+        evhttp_make_request(connection->m_evcon, outgoing, *command,
+                            request.m_uri.c_str()) == 0;
+    connection->m_is_sending = false;
+    if (!is_taken)
+    {
+        connection->m_request = nullptr;
         return false;
     }
-    connection->m_request = outgoing;
     auto const fd = bufferevent_getfd(
         evhttp_connection_get_bufferevent(connection->m_evcon));
-    set_no_delay(fd);
-    set_keep_alive(fd);
+    if (fd >= 0)
+    {
+        set_no_delay(fd);
+        set_keep_alive(fd);
+    }
     return true;
 }
 
--- a/src/net/http_client_state.hpp
+++ b/src/net/http_client_state.hpp
@@ -42,6 +42,8 @@
     bool m_is_modifying_input = false;
     /// The connection is not reusable for another request.
     bool m_must_close = false;
+    /// evhttp is taking over a request and may report its failure at once.
+    bool m_is_sending = false;
 };
 
 /// A request and its answer.
@@ -66,8 +68,8 @@
 /// connection opened before its deferred destruction.
 void cancel_unsent_request(client_connection* connection);
 
-/// Ends an exchange and calls its end handler. Does nothing if the exchange has
-/// already ended.
+/// Ends an exchange and calls its end handler, from the event loop if the
+/// request is just being sent. Does nothing if the exchange has already ended.
 void finish(http_client::state& client, exchange_id id,
             exchange_outcome outcome);
 
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -448,6 +450,37 @@
     }
 }
 
+// Guards against a stack that is exhausted while a host without descriptors
+// tries one request after the other.
+TEST_CASE("requests that cannot be sent are not nested in each other")
+{
+    auto loop = take(event_loop::create());
+    auto client = take(http_client::create(*loop));
+    descriptor_limit const limit(0);
+    int depth = 0;
+    int deepest = 0;
+    int sent = 0;
+    std::function<void(exchange_outcome)> const send_next =
+        [&](exchange_outcome)
+    {
+        deepest = std::max(deepest, ++depth);
+        if (++sent < 300)
+        {
+            client->send({"127.0.0.1", 9}, post(), {},
+                         {.m_on_head = {},
+                          .m_on_data = {},
+                          .m_on_end = [&](exchange_outcome outcome)
+                          {
+                              send_next(outcome);
+                          }});
+        }
+        --depth;
+    };
+    send_next(exchange_outcome::connect_failed);
+    CHECK(run_until(*loop, [&] { return sent == 300; }));
+    CHECK(deepest == 1);
+}
+
 // Guards against a request that runs after it was reported as not sent: its
 // connection opens between the report and the end of the loop iteration, as on
 // a host that is short of processor time.
