Destroy calls, pools and timer actions after the callback that ends them

Cause: effects are applied at once, inside the callback that caused them, and may end the call, the pool or the timer with which a function up the stack goes on. None of them was seen to fail.

Change: calls that end and pools that go are destroyed from the event loop, as connections and links already are; ending a call twice has no effect. A timer's action lives until it returns. on_attempt_head() records the answer before it passes on the signals and finds the call again.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -119,7 +119,7 @@
 }
 
 timer::timer(std::function<void()> action)
-    : m_action(std::move(action))
+    : m_action(std::make_shared<std::function<void()> const>(std::move(action)))
 {
 }
 
@@ -146,7 +146,8 @@
 
 void timer::on_event(int /*fd*/, short /*what*/, void* self)
 {
-    static_cast<timer*>(self)->m_action();
+    auto const action = static_cast<timer*>(self)->m_action;
+    (*action)();
 }
 
 void timer::start(core::duration delay)
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -54,7 +54,7 @@
     event* m_posted_event = nullptr;
 };
 
-/// A one-shot timer. Destroying it cancels it.
+/// A one-shot timer. Destroying it cancels it; its action may do so.
 class timer
 {
 public:
@@ -72,7 +72,8 @@
 private:
     explicit timer(std::function<void()> action);
     static void on_event(int fd, short what, void* self);
-    std::function<void()> m_action;
+    /// Shared with the call that is running.
+    std::shared_ptr<std::function<void()> const> m_action;
     event* m_event = nullptr;
 };
 
--- a/src/serve/account.cpp
+++ b/src/serve/account.cpp
@@ -107,6 +107,11 @@
 
 void end_call(entry_host& host, active_call& call, result_code code)
 {
+    auto const found = host.m_calls.find(call.m_id);
+    if (found == host.m_calls.end())
+    {
+        return;
+    }
     auto const total = now() - call.m_arrival_time;
     // Unconfigured names are not used as labels: callers could create any
     // number of counters.
@@ -121,7 +126,9 @@
     }
     log_call(call, code, total);
     diagnostics::record_activity("call.end", call.m_id.m_value);
-    host.m_calls.erase(call.m_id);
+    host.m_ended_calls.push_back(std::move(found->second));
+    host.m_calls.erase(found);
+    host.m_retirement_timer->start(core::duration(0));
 }
 
 } // namespace hawthornspur::serve
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -15,6 +15,7 @@
 #include "serve/relay.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace hawthornspur::serve
@@ -102,6 +103,27 @@
         {call.m_id, number, core::attempt_outcome::malformed, {}, false});
 }
 
+/// Passes on what the head of an answer says about its target. Pools act on it
+/// at once, so that the call and the attempt may have ended afterwards.
+void report_target_signals(entry_host& host, active_call const& call,
+                           call_attempt const& attempt,
+                           answer_signals const& signals)
+{
+    bool const is_failure = attempt.m_is_shed || attempt.m_is_server_error;
+    auto const pool = call.m_pool;
+    core::rate_report const report{attempt.m_target, signals.m_rate_limit,
+                                   is_failure ? core::rate_source::failure
+                                              : core::rate_source::answer,
+                                   attempt.m_start_time};
+    if (attempt.m_is_draining)
+    {
+        announce_leaving_target(host, {call.m_classified.m_service->m_name,
+                                       attempt.m_target_name,
+                                       attempt.m_target_incarnation});
+    }
+    report_rate_limit(host, pool, report);
+}
+
 void on_attempt_head(entry_host& host, core::request_id id,
                      core::attempt_number number, net::http_response_head head,
                      std::optional<std::uint64_t> length)
@@ -124,34 +146,28 @@
     attempt.m_is_server_error = head.m_status >= first_server_error;
     attempt.m_is_draining = signals.m_is_draining;
     attempt.m_load = signals.m_load;
-    if (attempt.m_is_draining && !attempt.m_is_other_target)
+    bool const has_answer = !attempt.m_is_shed && !attempt.m_is_other_target;
+    if (has_answer)
     {
-        announce_leaving_target(host, {call->m_classified.m_service->m_name,
-                                       attempt.m_target_name,
-                                       attempt.m_target_incarnation});
+        attempt.m_head = std::move(head);
+        attempt.m_length = length;
+    }
+    else if (!signals.m_is_identified)
+    {
+        // A second copy could not be told from a refusal of the next request
+        // on the connection.
+        host.m_http_client->forbid_reuse(attempt.m_exchange_id);
     }
     if (!attempt.m_is_other_target)
     {
-        bool const is_failure = attempt.m_is_shed || attempt.m_is_server_error;
-        report_rate_limit(host, call->m_pool,
-                          {attempt.m_target, signals.m_rate_limit,
-                           is_failure ? core::rate_source::failure
-                                      : core::rate_source::answer,
-                           attempt.m_start_time});
+        report_target_signals(host, *call, attempt, signals);
     }
-    if (attempt.m_is_shed || attempt.m_is_other_target)
+    // The signals may have changed which calls run.
+    call = find_call(host, id);
+    if (has_answer && call != nullptr && call->m_attempts.contains(number))
     {
-        if (!signals.m_is_identified)
-        {
-            // A second copy could not be told from a refusal of the next
-            // request on the connection.
-            host.m_http_client->forbid_reuse(attempt.m_exchange_id);
-        }
-        return;
+        report_answer_start(host, *call, number);
     }
-    attempt.m_head = std::move(head);
-    attempt.m_length = length;
-    report_answer_start(host, *call, number);
 }
 
 /// Log message for an attempt without a usable answer.
@@ -289,6 +305,7 @@
                       core::dispatch_effect const& effect)
 {
     auto const target = host.m_targets.find(effect.m_target);
+    assert(target != host.m_targets.end());
     auto const number = effect.m_attempt;
     auto const time_left = std::max<core::duration>(
         std::chrono::milliseconds(1), call.m_classified.m_deadline - now());
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -223,6 +223,19 @@
         return failure(client);
     }
     host->m_http_client = take(std::move(client));
+    auto retirement =
+        net::timer::create(loop,
+                           [&retired = *host]
+                           {
+                               // Destructors may end others.
+                               std::exchange(retired.m_ended_calls, {});
+                               std::exchange(retired.m_retired_pools, {});
+                           });
+    if (!has_value(retirement))
+    {
+        return failure(retirement);
+    }
+    host->m_retirement_timer = take(std::move(retirement));
     host->m_connect_checker = std::make_unique<net::connect_checker>(loop);
     host->m_platform_calls = host->m_adapter.m_make_calls(
         *host->m_http_client, {host->m_settings.m_platform.m_address,
@@ -249,6 +262,18 @@
     return host;
 }
 
+void retire_pool(entry_host& host, core::pool_id const& id)
+{
+    auto const found = host.m_pools.find(id);
+    if (found != host.m_pools.end())
+    {
+        found->second->m_timer->stop();
+        host.m_retired_pools.push_back(std::move(found->second));
+        host.m_pools.erase(found);
+        host.m_retirement_timer->start(core::duration(0));
+    }
+}
+
 status watch_stop_signals(entry_host& host)
 {
     for (auto const& [number, name] :
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -134,6 +134,11 @@
     bool m_is_ready = false;
 
     std::unordered_map<core::request_id, std::unique_ptr<active_call>> m_calls;
+    /// Calls and pools that have ended, destroyed from the event loop:
+    /// functions up the stack may still refer to them.
+    std::vector<std::unique_ptr<active_call>> m_ended_calls;
+    std::vector<std::unique_ptr<local_pool>> m_retired_pools;
+    std::unique_ptr<net::timer> m_retirement_timer;
     core::request_id m_next_request_id{1};
     std::map<core::pool_id, std::unique_ptr<local_pool>> m_pools;
     std::map<std::string, core::service_budgets> m_service_budgets;
@@ -197,6 +202,10 @@
 /// cannot; the log entry says if a restart is needed for them.
 void reload_settings(entry_host& host, config::host_settings const& changed);
 
+/// Destroys a pool that this host no longer has, when the current callback of
+/// the event loop has returned.
+void retire_pool(entry_host& host, core::pool_id const& id);
+
 /// The call with this id, or null when it has ended.
 active_call* find_call(entry_host& host, core::request_id id) noexcept;
 
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -609,7 +609,12 @@
     }
     for (auto const& id : ids)
     {
-        auto& pool = *host.m_pools.at(id);
+        auto* const found = find_pool(host, id);
+        if (found == nullptr)
+        {
+            continue;
+        }
+        auto& pool = *found;
         auto const* service =
             core::find_service(*host.m_configuration.m_in_force, id.m_service);
         if (service != nullptr)
@@ -636,7 +641,7 @@
                              pool.m_spilled.empty();
         if (!is_owned && is_idle)
         {
-            host.m_pools.erase(id);
+            retire_pool(host, id);
         }
     }
 }
--- /dev/null
+++ b/tests/ended_objects_test.cpp
@@ -0,0 +1,33 @@
+#include "serve/account.hpp"
+#include "serve/pipeline.hpp"
+#include "test_cluster.hpp"
+
+#include <doctest/doctest.h>
+
+namespace hawthornspur::test
+{
+
+// Guards against functions that end a call and destroy it under a caller of
+// theirs that goes on with it.
+TEST_CASE("a call that has ended stays valid until the event loop goes on")
+{
+    test_cluster cluster(1, 1);
+    auto& host = cluster.host(0);
+    auto const request =
+        cluster.send(0, "GET", "/x", {{"X-Service-Time-Us", "100000"}});
+    cluster.run_until([&] { return cluster.total_run_count() == 1; });
+    REQUIRE(host.m_calls.size() == 1);
+    auto& call = *host.m_calls.begin()->second;
+    auto const id = call.m_id;
+    serve::fail_call(host, call, result_code::peer_link_lost);
+    CHECK(serve::find_call(host, id) == nullptr);
+    CHECK(call.m_id == id);
+    serve::end_call(host, call, result_code::ok);
+    CHECK(host.m_ended_calls.size() == 1);
+    cluster.run_until([&] { return request->m_is_done; });
+    CHECK(request->m_head.m_status == 502);
+    CHECK(host.m_ended_calls.empty());
+    CHECK(cluster.send_and_wait(0, "GET", "/x").m_head.m_status == 200);
+}
+
+} // namespace hawthornspur::test
