Close idle connections of callers to keep descriptors for targets

Change: a caller's connection is closed when it has been idle for the time of the document (caller_idle_timeout in the default interface). Above a budget that leaves descriptors for targets, other hosts and the store (core/connection_budget), the connections that have been idle longest are closed first; those that are receiving a request are kept. The limit of descriptors comes from the operating system and the platform (setting max_descriptors). A listener that cannot accept pauses for 50 ms. Counters for both.

--- a/src/config/common_section.cpp
+++ b/src/config/common_section.cpp
@@ -100,6 +100,8 @@
                   hours(1), out.m_key_lifetime);
     read_integer(reader, "max_depth", presence::optional, 1, max_depth,
                  out.m_max_depth);
+    read_duration(reader, "caller_idle_timeout", presence::optional, seconds(1),
+                  hours(1), out.m_caller_idle_timeout);
     read_integer(reader, "max_owners_per_zone", presence::optional, 0,
                  max_hosts, out.m_max_owners_per_zone);
     read_objects(reader, "routes", presence::optional, 0, max_routes,
@@ -119,6 +121,12 @@
     out["address_lifetime"] = print_duration(document.m_address_lifetime);
     out["key_lifetime"] = print_duration(document.m_key_lifetime);
     out["max_depth"] = document.m_max_depth;
+    if (document.m_caller_idle_timeout !=
+        core::configuration{}.m_caller_idle_timeout)
+    {
+        out["caller_idle_timeout"] =
+            print_duration(document.m_caller_idle_timeout);
+    }
     if (document.m_max_owners_per_zone != 0)
     {
         out["max_owners_per_zone"] = document.m_max_owners_per_zone;
--- a/src/config/document_property_test.cpp
+++ b/src/config/document_property_test.cpp
@@ -124,6 +124,7 @@
         document.m_services.push_back(any_service(i, zones));
     }
     document.m_max_owners_per_zone = any_number_up_to(3);
+    document.m_caller_idle_timeout = any_duration(seconds(1), seconds(3600));
     if (!document.m_services.empty() && *rc::gen::arbitrary<bool>())
     {
         // Every service has this kind.
@@ -209,12 +210,12 @@
 bool are_equal(core::configuration const& a, core::configuration const& b)
 {
     auto const& [generation, change, zones, hosts, addresses, keys, depth,
-                 owners, services, routes] = a;
-    return std::tie(generation, change, hosts, addresses, keys, depth,
-                    owners) ==
+                 owners, idle, services, routes] = a;
+    return std::tie(generation, change, hosts, addresses, keys, depth, owners,
+                    idle) ==
                std::tie(b.m_generation, b.m_change_id, b.m_max_entry_hosts,
                         b.m_address_lifetime, b.m_key_lifetime, b.m_max_depth,
-                        b.m_max_owners_per_zone) &&
+                        b.m_max_owners_per_zone, b.m_caller_idle_timeout) &&
            are_equal(zones, b.m_zones) &&
            std::equal(routes.begin(), routes.end(), b.m_routes.begin(),
                       b.m_routes.end(),
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -171,6 +171,10 @@
               out.m_max_headers_bytes);
     read_integer(reader, "max_connections", presence::optional, 1,
                  max_connections, out.m_max_connections);
+    constexpr std::uint64_t min_descriptors = 64;
+    constexpr std::uint64_t max_descriptors = 100'000'000;
+    read_integer(reader, "max_descriptors", presence::optional, min_descriptors,
+                 max_descriptors, out.m_max_descriptors);
     read_duration(reader, "stop_bound", presence::optional, seconds(1),
                   hours(1), out.m_stop_bound);
     read_number(reader, "platform_calls_per_second", presence::optional,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -52,6 +52,9 @@
     std::string m_log_level = "info";
     std::size_t m_max_headers_bytes = std::size_t{32} << 10U;
     std::size_t m_max_connections = 10'000;
+    /// Descriptors that the platform allows the process; 0 if it states none.
+    /// The limit of the operating system applies as well.
+    std::size_t m_max_descriptors = 0;
     /// Upper bound on the duration of a planned stop.
     core::duration m_stop_bound = std::chrono::seconds(60);
     /// Upper bound on the rate of calls to the platform; a watch is one call,
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -148,6 +148,8 @@
     int m_max_depth = 17;
     /// Number of hosts that own the pools of a zone; 0 means all its hosts.
     int m_max_owners_per_zone = 0;
+    /// How long callers may keep a connection without a request.
+    duration m_caller_idle_timeout = std::chrono::seconds(60);
     std::vector<service_config> m_services;
     /// Empty if requests name their service.
     std::vector<route_config> m_routes;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -187,10 +187,28 @@
                         std::move(released->m_body)};
 }
 
+bool caller_connection::is_idle() const
+{
+    if (m_evcon == nullptr || m_is_refused || has_unfinished_answer() ||
+        m_framer.has_partial_request() || m_framer.pending_bytes() > 0)
+    {
+        return false;
+    }
+    char byte = 0;
+    return ::recv(bufferevent_getfd(m_transport), &byte, 1,
+                  MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
+void caller_connection::close()
+{
+    evhttp_connection_free(m_evcon);
+}
+
 void caller_connection::on_answered(evhttp_request* /*request*/, void* self)
 {
     auto* connection = static_cast<caller_connection*>(self);
     connection->m_framer.on_answered();
+    connection->m_handlers.m_on_idle(*connection);
     if (connection->m_is_paused)
     {
         // evhttp would parse the bytes in the buffer without validation.
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -30,6 +30,8 @@
     std::function<void(caller_connection&)> m_on_attached;
     /// A request or connection is refused without passing it to evhttp.
     std::function<void(error const&)> m_on_refused;
+    /// The answer is sent.
+    std::function<void(caller_connection&)> m_on_idle;
     /// The answer is sent and received bytes are pending. The server must call
     /// resume() from the event loop.
     std::function<void(caller_connection&)> m_on_resumable;
@@ -85,6 +87,12 @@
         return !m_is_refused && m_framer.has_partial_request();
     }
 
+    /// No request is in flight and no byte of the next one has been received.
+    bool is_idle() const;
+
+    /// Closes the connection, which destroys this object.
+    void close();
+
     /// Processes the bytes that were received before the last answer was sent.
     void resume();
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,8 +10,13 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <limits>
+#include <list>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -26,6 +31,34 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+/// Pause after a failed accept, so that the event loop does not spin on a
+/// listener that stays readable.
+constexpr core::duration accept_pause = std::chrono::milliseconds(50);
+
+/// Shortest time between two searches for idle connections.
+constexpr core::duration min_idle_check = std::chrono::milliseconds(50);
+
+/// A connection and, while no request is in flight on it, its place in the list
+/// of idle connections.
+struct connection_entry
+{
+    std::unique_ptr<caller_connection> m_connection;
+    std::list<caller_connection*>::iterator m_idle_position;
+    bool m_is_idle = false;
+    core::time_point m_idle_since{};
+};
+
+/// Finds the server of a listener, whose error callback gets no other argument
+/// than evhttp's.
+std::unordered_map<evconnlistener const*, http_server::state*>&
+servers_by_listener()
+{
+    static thread_local std::unordered_map<evconnlistener const*,
+                                           http_server::state*>
+        servers;
+    return servers;
+}
+
 } // namespace
 
 struct http_server::state
@@ -38,8 +71,11 @@
     evhttp_bound_socket* m_socket = nullptr;
     std::uint16_t m_port = 0;
     caller_connection_handlers m_connection_handlers;
-    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
-        m_connections;
+    std::unordered_map<caller_connection*, connection_entry> m_connections;
+    /// Connections without a request in flight, the one that has been so for
+    /// longest first.
+    std::list<caller_connection*> m_idle_connections;
+    std::size_t m_max_idle_total = std::numeric_limits<std::size_t>::max();
     std::unordered_map<evhttp_connection*, caller_connection*>
         m_connections_by_evcon;
     /// Accepted in this iteration of the event loop.
@@ -48,9 +84,12 @@
     std::vector<caller_connection*> m_excess_connections;
     std::vector<caller_connection*> m_resumable_connections;
     std::unique_ptr<timer> m_deferred_timer;
+    std::unique_ptr<timer> m_idle_timer;
+    std::unique_ptr<timer> m_accept_timer;
 
     ~state()
     {
+        forget_listener();
         for (auto* connection : m_new_connections)
         {
             // Registers the close callback, which evhttp_free() triggers.
@@ -66,6 +105,12 @@
     state& operator=(state const&) = delete;
 
     bufferevent* on_accept();
+    void on_accept_failed();
+    void forget_listener();
+    void set_idle(caller_connection& connection);
+    void set_busy(caller_connection& connection);
+    /// Closes the connections that are idle for too long or too many.
+    void close_idle_connections();
     void on_refused(error const& problem);
     void on_closed(caller_connection& connection);
     void run_deferred();
@@ -86,7 +131,7 @@
                                                      m_connection_handlers);
     m_new_connections.push_back(owned.get());
     auto* const raw = owned.get();
-    m_connections.emplace(raw, std::move(owned));
+    m_connections[raw].m_connection = std::move(owned);
     if (m_connections.size() > m_settings.m_max_connections)
     {
         m_excess_connections.push_back(raw);
@@ -95,6 +140,77 @@
     return transport;
 }
 
+void http_server::state::on_accept_failed()
+{
+    ++m_counters.m_accepts_failed;
+    logging::write(logging::level::warn, "net.http", "connection not accepted",
+                   {{"reason", std::strerror(errno)},
+                    {"open", std::to_string(m_counters.m_connections_open)}});
+    evconnlistener_disable(evhttp_bound_socket_get_listener(m_socket));
+    m_accept_timer->start(accept_pause);
+}
+
+void http_server::state::forget_listener()
+{
+    if (m_socket != nullptr)
+    {
+        servers_by_listener().erase(evhttp_bound_socket_get_listener(m_socket));
+    }
+}
+
+void http_server::state::set_idle(caller_connection& connection)
+{
+    auto& entry = m_connections.at(&connection);
+    set_busy(connection);
+    entry.m_is_idle = true;
+    entry.m_idle_since = event_loop::now();
+    entry.m_idle_position =
+        m_idle_connections.insert(m_idle_connections.end(), &connection);
+    if (m_idle_connections.size() == 1)
+    {
+        m_idle_timer->start(m_settings.m_idle_timeout);
+    }
+}
+
+void http_server::state::set_busy(caller_connection& connection)
+{
+    auto& entry = m_connections.at(&connection);
+    if (std::exchange(entry.m_is_idle, false))
+    {
+        m_idle_connections.erase(entry.m_idle_position);
+    }
+}
+
+void http_server::state::close_idle_connections()
+{
+    auto const expired = event_loop::now() - m_settings.m_idle_timeout;
+    auto next = m_idle_connections.begin();
+    while (next != m_idle_connections.end())
+    {
+        auto* const connection = *next++;
+        bool const is_expired =
+            m_connections.at(connection).m_idle_since <= expired;
+        if (!is_expired && m_connections.size() <= m_max_idle_total)
+        {
+            break;
+        }
+        // One that is reading a request comes to its turn when it is answered.
+        if (connection->is_idle())
+        {
+            ++m_counters.m_idle_closed;
+            connection->close();
+        }
+    }
+    if (!m_idle_connections.empty())
+    {
+        auto const oldest = m_idle_connections.front();
+        auto const at =
+            m_connections.at(oldest).m_idle_since + m_settings.m_idle_timeout;
+        // The oldest one may be due and in the middle of receiving a request.
+        m_idle_timer->start(std::max(min_idle_check, at - event_loop::now()));
+    }
+}
+
 void http_server::state::on_refused(error const& problem)
 {
     ++m_counters.m_refused[problem.m_code];
@@ -114,6 +230,7 @@
     {
         ++m_counters.m_requests_incomplete;
     }
+    set_busy(connection);
     std::erase(m_new_connections, &connection);
     std::erase(m_excess_connections, &connection);
     std::erase(m_resumable_connections, &connection);
@@ -123,6 +240,12 @@
 
 void http_server::state::run_deferred()
 {
+    if (m_connections.size() > m_max_idle_total)
+    {
+        close_idle_connections();
+    }
+    // In the order of their age, which is that of the idle connections.
+    std::reverse(m_new_connections.begin(), m_new_connections.end());
     // Each call may close other connections, which removes them from the lists.
     while (!m_new_connections.empty())
     {
@@ -155,6 +278,7 @@
     auto* connection =
         m_connections_by_evcon.at(evhttp_request_get_connection(request));
     ++m_counters.m_requests;
+    set_busy(*connection);
     auto received = connection->take_request(request);
     auto exchange = std::make_shared<http_exchange>(request, *connection);
     if (!received)
@@ -188,6 +312,12 @@
         [&server](caller_connection& connection)
     {
         server.m_connections_by_evcon.emplace(connection.evcon(), &connection);
+        server.set_idle(connection);
+    };
+    server.m_connection_handlers.m_on_idle =
+        [&server](caller_connection& connection)
+    {
+        server.set_idle(connection);
     };
     server.m_connection_handlers.m_on_refused = [&server](error const& problem)
     {
@@ -205,13 +335,28 @@
         server.on_closed(connection);
     };
     auto deferred = timer::create(loop, [&server] { server.run_deferred(); });
+    auto idle_check =
+        timer::create(loop, [&server] { server.close_idle_connections(); });
+    auto accepting = timer::create(
+        loop,
+        [&server]
+        {
+            if (server.m_socket != nullptr)
+            {
+                evconnlistener_enable(
+                    evhttp_bound_socket_get_listener(server.m_socket));
+            }
+        });
     server.m_http = evhttp_new(loop.base());
-    if (server.m_http == nullptr || !has_value(deferred))
+    if (server.m_http == nullptr || !has_value(deferred) ||
+        !has_value(idle_check) || !has_value(accepting))
     {
         return make_error(result_code::system_failure,
                           "cannot create an HTTP server");
     }
     server.m_deferred_timer = take(std::move(deferred));
+    server.m_idle_timer = take(std::move(idle_check));
+    server.m_accept_timer = take(std::move(accepting));
     evhttp_set_allowed_methods(server.m_http,
                                static_cast<ev_uint16_t>(allowed_methods));
     // request_framer enforces the limits and hands evhttp no bodies.
@@ -242,6 +387,11 @@
                           "cannot listen on " + settings.m_address + ":" +
                               std::to_string(settings.m_port));
     }
+    auto* listener = evhttp_bound_socket_get_listener(server.m_socket);
+    servers_by_listener()[listener] = &server;
+    evconnlistener_set_error_cb(
+        listener, [](evconnlistener* failed, void* /*evhttp*/)
+        { servers_by_listener().at(failed)->on_accept_failed(); });
     if (auto const bound =
             local_address(evhttp_bound_socket_get_fd(server.m_socket)))
     {
@@ -270,10 +420,26 @@
                       { return entry.first->has_unfinished_answer(); }));
 }
 
+void http_server::set_idle_timeout(core::duration timeout)
+{
+    m_state->m_settings.m_idle_timeout = timeout;
+    m_state->m_idle_timer->start(core::duration(0));
+}
+
+void http_server::set_max_idle_total(std::size_t connections)
+{
+    m_state->m_max_idle_total = connections;
+    if (m_state->m_connections.size() > connections)
+    {
+        m_state->m_idle_timer->start(core::duration(0));
+    }
+}
+
 void http_server::close_listener()
 {
     if (m_state->m_socket != nullptr)
     {
+        m_state->forget_listener();
         evhttp_del_accept_socket(m_state->m_http, m_state->m_socket);
         m_state->m_socket = nullptr;
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -41,6 +41,10 @@
     std::uint64_t m_requests = 0;
     /// Callers that disconnected before their answer was complete.
     std::uint64_t m_callers_disconnected = 0;
+    /// Idle connections that were closed for their age or number.
+    std::uint64_t m_idle_closed = 0;
+    /// Connections that could not be accepted, mostly for lack of descriptors.
+    std::uint64_t m_accepts_failed = 0;
     /// Connections that closed in the middle of a request.
     std::uint64_t m_requests_incomplete = 0;
     /// Requests and connections refused before the handler is called.
@@ -75,6 +79,14 @@
     /// completely.
     std::size_t unfinished_answers() const;
 
+    /// Closes connections on which no request has been in flight for this time.
+    /// Replaces http_server_settings::m_idle_timeout if it is shorter.
+    void set_idle_timeout(core::duration timeout);
+
+    /// Above this number of connections, the ones that have been idle longest
+    /// are closed. Unlimited by default.
+    void set_max_idle_total(std::size_t connections);
+
     /// Stops accepting connections; open ones stay usable.
     void close_listener();
 
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -565,6 +565,113 @@
     }
 }
 
+// Guards against callers that leave a host no descriptor by keeping connections
+// that they do not use.
+TEST_CASE("above the idle total the longest idle connections are closed")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop);
+    auto& server = *fixture.m_server;
+    std::deque<raw_connection> callers;
+    auto const open_connection = [&]
+    {
+        auto const accepted = server.counters().m_connections_accepted + 1;
+        callers.emplace_back(*loop, server.port());
+        REQUIRE(run_until(
+            *loop, [&]
+            { return server.counters().m_connections_accepted == accepted; }));
+    };
+    for (int i = 0; i < 4; ++i)
+    {
+        open_connection();
+    }
+    // The first one waits for its answer, the second one has begun a request
+    // and the third one was used last.
+    callers[0].send(get("/busy"));
+    REQUIRE(run_until(*loop, [&] { return fixture.m_exchanges.size() == 1; }));
+    callers[1].send("GET /beg");
+    callers[2].send(get("/used"));
+    REQUIRE(run_until(*loop, [&] { return fixture.m_exchanges.size() == 2; }));
+    echo(fixture.m_requests[1], fixture.m_exchanges[1]);
+    REQUIRE(run_until(*loop, [&]
+                      { return contains(callers[2].m_received, "</used>"); }));
+    server.set_max_idle_total(4);
+    for (std::size_t const closed : {3, 2})
+    {
+        open_connection();
+        CHECK(run_until(*loop, [&] { return callers[closed].m_closed; }));
+        CHECK(server.counters().m_connections_open == 4);
+    }
+    CHECK(!callers[0].m_closed);
+    CHECK(!callers[1].m_closed);
+    CHECK(!callers[4].m_closed);
+    CHECK(server.counters().m_idle_closed == 2);
+    fixture.m_on_request = echo;
+    callers[1].send("in HTTP/1.1\r\nHost: a\r\n\r\n");
+    echo(fixture.m_requests[0], fixture.m_exchanges[0]);
+    CHECK(run_until(*loop,
+                    [&]
+                    {
+                        return contains(callers[0].m_received, "</busy>") &&
+                               contains(callers[1].m_received, "</begin>");
+                    }));
+    // A lower total closes what is idle, and nothing else.
+    server.set_max_idle_total(1);
+    CHECK(run_until(*loop,
+                    [&] { return server.counters().m_connections_open <= 1; }));
+}
+
+// Guards against connections that stay open for a minute although callers do
+// not use them again.
+TEST_CASE("a shorter idle timeout applies to connections that are open")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop);
+    fixture.m_on_request = echo;
+    raw_connection used(*loop, fixture.m_server->port());
+    raw_connection unused(*loop, fixture.m_server->port());
+    used.send(get("/used"));
+    REQUIRE(
+        run_until(*loop, [&] { return contains(used.m_received, "</used>"); }));
+    auto const start = event_loop::now();
+    fixture.m_server->set_idle_timeout(std::chrono::milliseconds(100));
+    CHECK(run_until(*loop, [&] { return used.m_closed && unused.m_closed; }));
+    CHECK(event_loop::now() - start >= std::chrono::milliseconds(40));
+    CHECK(fixture.m_server->counters().m_idle_closed == 2);
+}
+
+// Guards against an event loop that spins on a listener without a descriptor,
+// and against one that never accepts again.
+TEST_CASE("a server without descriptors serves what it has and accepts later")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop);
+    fixture.m_on_request = echo;
+    raw_connection first(*loop, fixture.m_server->port());
+    REQUIRE(run_until(
+        *loop,
+        [&] { return fixture.m_server->counters().m_connections_open == 1; }));
+    // Takes its descriptor before the limit.
+    raw_connection second(*loop, fixture.m_server->port());
+    {
+        descriptor_limit const limit(0);
+        first.send(get("/first"));
+        CHECK(run_until(*loop, [&]
+                        { return contains(first.m_received, "</first>"); }));
+        auto const start = event_loop::now();
+        run_until(*loop,
+                  [&] {
+                      return event_loop::now() - start >
+                             std::chrono::milliseconds(400);
+                  });
+        CHECK(fixture.m_server->counters().m_accepts_failed >= 1);
+        CHECK(fixture.m_server->counters().m_accepts_failed <= 20);
+    }
+    second.send(get("/second"));
+    CHECK(run_until(*loop,
+                    [&] { return contains(second.m_received, "</second>"); }));
+}
+
 // Guards against a missing "100 Continue", which some callers await before they
 // send the body, on a new and on a reused connection.
 TEST_CASE("Expect: 100-continue is answered with 100 Continue")
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -29,6 +29,9 @@
 /// Limit of accepted connections in the handshake.
 constexpr std::size_t max_handshakes = 256;
 constexpr core::duration sweep_interval = std::chrono::seconds(1);
+/// Pause after a failed accept, so that the event loop does not spin on a
+/// listener that stays readable.
+constexpr core::duration accept_pause = std::chrono::milliseconds(50);
 /// Attempts to find a port that is free for both TCP and UDP, if the kernel
 /// chooses it.
 constexpr int port_attempts = 16;
@@ -76,6 +79,7 @@
     std::vector<link_ptr> m_retired_links;
     std::unique_ptr<timer> m_cleanup_timer;
     std::unique_ptr<timer> m_sweep_timer;
+    std::unique_ptr<timer> m_accept_timer;
     std::mt19937_64 m_random;
 
     void retire_link(link_ptr link);
@@ -428,6 +432,14 @@
     static_cast<peer_network::state*>(self)->accept(fd, address);
 }
 
+void on_accept_failed(evconnlistener* listener, void* self)
+{
+    auto& network = *static_cast<peer_network::state*>(self);
+    ++network.m_counters.m_accepts_failed;
+    evconnlistener_disable(listener);
+    network.m_accept_timer->start(accept_pause);
+}
+
 error listen_error(peer_network_settings const& settings)
 {
     return make_error(result_code::address_unavailable,
@@ -451,6 +463,7 @@
         {
             return listen_error(network.m_settings);
         }
+        evconnlistener_set_error_cb(network.m_listener.get(), on_accept_failed);
         auto const bound =
             local_address(evconnlistener_get_fd(network.m_listener.get()));
         if (!bound)
@@ -521,12 +534,16 @@
     auto cleanup_timer =
         timer::create(loop, [&network] { network.m_retired_links.clear(); });
     auto sweep_timer = timer::create(loop, [&network] { network.sweep(); });
-    if (!has_value(cleanup_timer) || !has_value(sweep_timer))
+    auto accept_timer = timer::create(
+        loop, [&network] { evconnlistener_enable(network.m_listener.get()); });
+    if (!has_value(cleanup_timer) || !has_value(sweep_timer) ||
+        !has_value(accept_timer))
     {
         return make_error(result_code::system_failure, "cannot create a timer");
     }
     network.m_cleanup_timer = take(std::move(cleanup_timer));
     network.m_sweep_timer = take(std::move(sweep_timer));
+    network.m_accept_timer = take(std::move(accept_timer));
     network.m_sweep_timer->start(sweep_interval);
     auto const bound = bind(network, *address);
     if (!has_value(bound))
@@ -613,6 +630,14 @@
     return names;
 }
 
+std::size_t peer_network::link_count() const noexcept
+{
+    auto const& peers = m_state->m_peers;
+    return static_cast<std::size_t>(std::count_if(
+        peers.begin(), peers.end(),
+        [](auto const& entry) { return entry.second.m_link != nullptr; }));
+}
+
 bool peer_network::is_reachable(std::string const& host) const
 {
     return is_linked(host) && !m_state->m_peers.at(host).m_link->is_silent();
--- a/src/net/peer_network.hpp
+++ b/src/net/peer_network.hpp
@@ -84,6 +84,8 @@
 
 struct peer_counters
 {
+    /// Connections that could not be accepted, mostly for lack of descriptors.
+    std::uint64_t m_accepts_failed = 0;
     std::uint64_t m_frames_sent = 0;
     std::uint64_t m_frames_received = 0;
     std::uint64_t m_bytes_sent = 0;
@@ -146,6 +148,7 @@
 
     /// Names of the hosts with a link to this one.
     std::vector<std::string> linked_hosts() const;
+    std::size_t link_count() const noexcept;
 
     /// Whether there is a link and it is not silent.
     bool is_reachable(std::string const& host) const;
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -123,6 +123,13 @@
          static_cast<double>(host.m_http_client->open_connections()),
          false,
          {}},
+        make_counter("hawthornspur_idle_connections_closed_total",
+                     "Connections of callers closed for their age or number.",
+                     host.m_caller_server->counters().m_idle_closed),
+        make_counter("hawthornspur_accepts_failed_total",
+                     "Connections of callers or hosts that were not accepted.",
+                     host.m_caller_server->counters().m_accepts_failed +
+                         peers.m_accepts_failed),
         make_counter("hawthornspur_rejected_documents_total",
                      "Stored documents that failed the check.",
                      configuration.m_rejected_documents),
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -1,5 +1,7 @@
 #include "serve/caller_server.hpp"
 
+#include "core/connection_budget.hpp"
+#include "net/descriptor_limit.hpp"
 #include "net/http_refusal.hpp"
 #include "serve/address_answer.hpp"
 #include "serve/host.hpp"
@@ -7,6 +9,7 @@
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -101,14 +104,25 @@
 
 } // namespace
 
+void update_descriptor_limit(entry_host& host)
+{
+    auto const of_process = net::descriptor_limit_of_process();
+    auto const of_platform = host.m_settings.m_max_descriptors;
+    host.m_descriptor_limit =
+        of_platform == 0 ? of_process : std::min(of_process, of_platform);
+}
+
 status open_caller_server(entry_host& host)
 {
+    update_descriptor_limit(host);
     net::http_server_settings settings;
     settings.m_address = host.m_settings.m_callers.m_address;
     settings.m_port = host.m_settings.m_callers.m_port;
     settings.m_max_headers_bytes = host.m_settings.m_max_headers_bytes;
     settings.m_max_body_bytes = limits::max_request_body_bytes;
-    settings.m_max_connections = host.m_settings.m_max_connections;
+    settings.m_max_connections =
+        std::min(host.m_settings.m_max_connections,
+                 core::max_caller_connections({host.m_descriptor_limit, 0, 0}));
     auto server = net::http_server::create(
         *host.m_loop, settings,
         [&host](net::http_request request, exchange_ptr const& exchange)
@@ -121,4 +135,11 @@
     return success();
 }
 
+void limit_caller_connections(entry_host& host)
+{
+    host.m_caller_server->set_max_idle_total(core::max_caller_connections(
+        {host.m_descriptor_limit, host.m_http_client->open_connections(),
+         host.m_peer_network->link_count()}));
+}
+
 } // namespace hawthornspur::serve
--- a/src/serve/caller_server.hpp
+++ b/src/serve/caller_server.hpp
@@ -12,6 +12,14 @@
 /// requests to the pipeline.
 status open_caller_server(entry_host& host);
 
+/// Takes the lower one of the limits of the settings and of the operating
+/// system.
+void update_descriptor_limit(entry_host& host);
+
+/// Adapts the number of caller connections to the descriptors that targets and
+/// other hosts leave.
+void limit_caller_connections(entry_host& host);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -190,6 +190,8 @@
     {
         create_once_table(host);
     }
+    host.m_caller_server->set_idle_timeout(
+        host.m_configuration.m_in_force->m_caller_idle_timeout);
     core::set_key_lifetime(*host.m_once_table,
                            host.m_configuration.m_in_force->m_key_lifetime,
                            now());
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -152,6 +152,7 @@
     expire_forwards(host);
     expire_held_calls(host);
     maintain_crash_suspects(host);
+    limit_caller_connections(host);
     read_missed_configuration(host);
     if (host.m_once_table != nullptr)
     {
@@ -312,6 +313,8 @@
                                changed.m_peers != current.m_peers ||
                                changed.m_platform != current.m_platform;
     current.m_stop_bound = changed.m_stop_bound;
+    current.m_max_descriptors = changed.m_max_descriptors;
+    update_descriptor_limit(host);
     current.m_log_level = changed.m_log_level;
     current.m_zones = changed.m_zones;
     current.m_zone_delay = changed.m_zone_delay;
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -171,6 +171,8 @@
     std::unique_ptr<net::connect_checker> m_connect_checker;
     std::unique_ptr<net::peer_network> m_peer_network;
     std::unique_ptr<net::http_server> m_caller_server;
+    /// Descriptors that this process may use.
+    std::size_t m_descriptor_limit = 0;
     std::unique_ptr<net::http_server> m_administration_server;
     std::unique_ptr<net::http_server> m_directory_server;
     std::unique_ptr<net::http_server> m_readiness_server;
