Send no request that is cancelled while it waits for its link

Callers saw: nothing; the targets worked for callers that had left (GONE).

Cause: a request that waits in the queue of a link is cancelled 50 ms after its deadline, but only its body was removed. Its head was sent before the cancellation, and the other host began to run it with the time that it had when it was queued.

Change: if nothing of the request was sent, both are dropped.

Result: "a request that is cancelled before it is sent is never sent" fails before and passes. "a cancellation removes the queued rest of the request body" expected the head of such a request; it now sends the head first, and expects the same three messages.

--- a/src/net/send_queue.cpp
+++ b/src/net/send_queue.cpp
@@ -77,6 +77,8 @@
     }
     else
     {
+        new_item.m_begins_request =
+            std::holds_alternative<forward_request>(message);
         new_item.m_bytes = encode(message);
         if (new_item.m_bytes.size() > chunk_bytes)
         {
@@ -102,10 +104,35 @@
                   });
 }
 
+bool send_queue::drop_unsent_request(stream_key const& key)
+{
+    auto const found = m_streams.find(key);
+    if (found == m_streams.end())
+    {
+        return false;
+    }
+    auto& items = found->second->m_items;
+    if (!items.front().m_begins_request || items.front().m_sent_bytes > 0)
+    {
+        return false;
+    }
+    for (auto const& queued : items)
+    {
+        m_bytes -= queued.m_bytes.size();
+    }
+    m_ready_streams.erase(found->second);
+    m_streams.erase(found);
+    return true;
+}
+
 bool send_queue::push(peer_message message)
 {
     auto const key = make_stream_key(message);
     auto const is_cancel = std::holds_alternative<cancel_request>(message);
+    if (is_cancel && drop_unsent_request(key))
+    {
+        return true;
+    }
     auto const is_exempt = is_exempt_from_limit(message);
     auto new_item = make_item(std::move(message));
     if (!is_exempt && m_bytes + new_item.m_bytes.size() > m_max_bytes)
--- a/src/net/send_queue.hpp
+++ b/src/net/send_queue.hpp
@@ -24,7 +24,7 @@
 
     /// Queues a message. Returns false, without queueing it, if it exceeds the
     /// limit. Messages that release resources at the peer are exempt from the
-    /// limit.
+    /// limit. A cancellation removes its request if that was not sent yet.
     bool push(peer_message message);
 
     /// Returns the next encoded message, of at most one chunk and its header.
@@ -55,6 +55,8 @@
         std::uint64_t m_id = 0;
         std::string m_bytes;
         std::size_t m_sent_bytes = 0;
+        /// The head of a forwarded request.
+        bool m_begins_request = false;
     };
     /// Both hosts number the requests they forward, so the direction is part of
     /// the key.
@@ -78,6 +80,8 @@
     static stream_key make_stream_key(peer_message const& message);
     item make_item(peer_message message);
     void drop_request_bodies(stream& queued_stream);
+    /// Removes a request of which nothing was sent. False if there is none.
+    bool drop_unsent_request(stream_key const& key);
     static std::string encode_next_piece(item& front_item);
 
     std::size_t m_max_bytes;
