Free the slot of an attempt that outlasts its call

Callers saw: fewer slots than their targets have, the longer a host runs.

Cause: a request that may run only once and ends at its deadline leaves its attempt at the target. When the attempt ended, its call was gone and the end was not reported to the pool: the slot of the target and the share of the kind stayed taken for good, and neither the target nor the pool could be removed.

Change: the handlers of an attempt know its pool and report the end without the call.

Result: "an attempt that outlasts its call frees its slot" fails before (one attempt in flight 0.5 s after its end) and passes.

--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -267,13 +267,18 @@
     }
 }
 
-void on_attempt_end(entry_host& host, core::request_id id,
-                    core::attempt_number number, net::exchange_outcome outcome)
+void on_attempt_end(entry_host& host, core::pool_id const& pool_id,
+                    core::request_id id, core::attempt_number number,
+                    net::exchange_outcome outcome)
 {
     auto* call = find_call(host, id);
     if (call == nullptr || !call->m_attempts.contains(number))
     {
         host.m_metrics.count_event("late_answer");
+        // The attempt holds a slot of its target until now.
+        report_attempt_end(
+            host, pool_id,
+            {id, number, to_attempt_outcome(outcome, {}), {}, false});
         return;
     }
     auto const attempt = std::move(call->m_attempts.at(number));
@@ -289,7 +294,6 @@
     core::attempt_end const end{id, number,
                                 to_attempt_outcome(outcome, attempt),
                                 attempt.m_load, attempt.m_is_draining};
-    auto const pool_id = call->m_pool;
     report_evidence(host, *call, attempt, outcome);
     call = find_call(host, id);
     if (call != nullptr && call->m_relayed_attempt == number)
@@ -342,9 +346,10 @@
          .m_on_data = [&host, id, number](std::string_view data)
          { relay_data(host, id, number, data); },
          .m_on_end =
-             [&host, id, number](net::exchange_outcome outcome)
+             [&host, pool_id = call.m_pool, id,
+              number](net::exchange_outcome outcome)
          {
-             on_attempt_end(host, id, number, outcome);
+             on_attempt_end(host, pool_id, id, number, outcome);
          }});
 }
 
--- a/tests/ended_objects_test.cpp
+++ b/tests/ended_objects_test.cpp
@@ -30,4 +30,23 @@
     CHECK(cluster.send_and_wait(0, "GET", "/x").m_head.m_status == 200);
 }
 
+// Guards against a target that loses a slot for good each time that a request
+// which may run only once ends at its deadline while the target works on it.
+TEST_CASE("an attempt that outlasts its call frees its slot")
+{
+    test_cluster cluster(1, 1);
+    auto& host = cluster.host(0);
+    auto const late =
+        cluster.send(0, "POST", "/x", {{"X-Service-Time-Us", "100000"}});
+    cluster.run_until([&] { return cluster.total_run_count() == 1; });
+    REQUIRE(host.m_calls.size() == 1);
+    serve::fail_call(host, *host.m_calls.begin()->second,
+                     result_code::deadline_passed_after_dispatch);
+    cluster.run_until([&] { return late->m_is_done; });
+    auto& pool = *host.m_pools.begin()->second->m_core_pool;
+    CHECK(core::in_flight(pool) == 1);
+    cluster.run_for(std::chrono::milliseconds(500));
+    CHECK(core::in_flight(pool) == 0);
+}
+
 } // namespace hawthornspur::test
