Keep callers' recently used connections, end reports of signals in time

A reader that does not read delays the end by 100 ms at most. A lost link ends only requests that are still at its host.

--- a/src/base/fatal_signal.cpp
+++ b/src/base/fatal_signal.cpp
@@ -4,6 +4,7 @@
 
 #include <execinfo.h>
 #include <link.h>
+#include <poll.h>
 #include <ucontext.h>
 #include <unistd.h>
 
@@ -83,7 +84,7 @@
         text("0x");
         number(value, 16);
     }
-    /// Ends the line and writes it. Returns false if nobody reads it.
+    /// Ends the line and writes it, unless nobody reads it.
     void write() noexcept
     {
         static constexpr std::string_view end = "\"}}\n";
@@ -92,6 +93,14 @@
         m_size += end.size();
         for (std::size_t sent = 0; sent < m_size;)
         {
+            // A reader that does not read must not keep the process from
+            // ending.
+            constexpr int patience_ms = 100;
+            pollfd output{STDOUT_FILENO, POLLOUT, 0};
+            if (::poll(&output, 1, patience_ms) <= 0)
+            {
+                return;
+            }
             auto const count =
                 ::write(STDOUT_FILENO, m_bytes.data() + sent, m_size - sent);
             if (count <= 0 && errno != EINTR)
@@ -100,6 +109,9 @@
             }
             sent += count > 0 ? static_cast<std::size_t>(count) : 0;
         }
+        // The users' platform loses what a process writes in its last instant.
+        constexpr int delivery_ms = 1;
+        ::poll(nullptr, 0, delivery_ms);
     }
 
 private:
@@ -245,7 +257,7 @@
     auto const lowest_free = ::dup(STDOUT_FILENO);
     if (lowest_free < 0)
     {
-        line.text("none");
+        line.text(errno == EMFILE ? "none" : "unknown");
     }
     else
     {
--- a/src/config/common_section.cpp
+++ b/src/config/common_section.cpp
@@ -101,7 +101,8 @@
     read_integer(reader, "max_depth", presence::optional, 1, max_depth,
                  out.m_max_depth);
     read_duration(reader, "caller_idle_timeout", presence::optional, seconds(1),
-                  hours(1), out.m_caller_idle_timeout);
+                  core::configuration{}.m_caller_idle_timeout,
+                  out.m_caller_idle_timeout);
     read_integer(reader, "max_owners_per_zone", presence::optional, 0,
                  max_hosts, out.m_max_owners_per_zone);
     read_objects(reader, "routes", presence::optional, 0, max_routes,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -38,6 +38,10 @@
 /// Shortest time between two searches for idle connections.
 constexpr core::duration min_idle_check = std::chrono::milliseconds(50);
 
+/// Connections that have been idle for less are not closed for their number:
+/// their callers are about to use them again.
+constexpr core::duration min_idle_age = std::chrono::milliseconds(200);
+
 /// A connection and, while no request is in flight on it, its place in the list
 /// of idle connections.
 struct connection_entry
@@ -183,14 +187,15 @@
 
 void http_server::state::close_idle_connections()
 {
-    auto const expired = event_loop::now() - m_settings.m_idle_timeout;
+    auto const now = event_loop::now();
     auto next = m_idle_connections.begin();
     while (next != m_idle_connections.end())
     {
         auto* const connection = *next++;
-        bool const is_expired =
-            m_connections.at(connection).m_idle_since <= expired;
-        if (!is_expired && m_connections.size() <= m_max_idle_total)
+        auto const age = now - m_connections.at(connection).m_idle_since;
+        bool const is_surplus =
+            m_connections.size() > m_max_idle_total && age >= min_idle_age;
+        if (age < m_settings.m_idle_timeout && !is_surplus)
         {
             break;
         }
@@ -207,7 +212,9 @@
         auto const at =
             m_connections.at(oldest).m_idle_since + m_settings.m_idle_timeout;
         // The oldest one may be due and in the middle of receiving a request.
-        m_idle_timer->start(std::max(min_idle_check, at - event_loop::now()));
+        m_idle_timer->start(m_connections.size() > m_max_idle_total
+                                ? min_idle_check
+                                : std::max(min_idle_check, at - now));
     }
 }
 
@@ -389,9 +396,16 @@
     }
     auto* listener = evhttp_bound_socket_get_listener(server.m_socket);
     servers_by_listener()[listener] = &server;
-    evconnlistener_set_error_cb(
-        listener, [](evconnlistener* failed, void* /*evhttp*/)
-        { servers_by_listener().at(failed)->on_accept_failed(); });
+    evconnlistener_set_error_cb(listener,
+                                [](evconnlistener* failed, void* /*evhttp*/)
+                                {
+                                    auto const found =
+                                        servers_by_listener().find(failed);
+                                    if (found != servers_by_listener().end())
+                                    {
+                                        found->second->on_accept_failed();
+                                    }
+                                });
     if (auto const bound =
             local_address(evhttp_bound_socket_get_fd(server.m_socket)))
     {
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -534,7 +534,8 @@
     for (auto const request : lost_calls)
     {
         auto* call = find_call(host, request);
-        if (call != nullptr && call->m_forward)
+        if (call != nullptr && call->m_forward &&
+            call->m_forward->m_host_name == peer)
         {
             auto const forward = detach_forward(host, *call);
             handle_lost_forward(host, *call, forward);
