--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -110,7 +110,7 @@
 
     bufferevent* on_accept();
     void on_accept_failed();
-    void forget_listener();
+    void forget_listener() const;
     void set_idle(caller_connection& connection);
     void set_busy(caller_connection& connection);
     /// Closes the connections that are idle for too long or too many.
@@ -154,7 +154,7 @@
     m_accept_timer->start(accept_pause);
 }
 
-void http_server::state::forget_listener()
+void http_server::state::forget_listener() const
 {
     if (m_socket != nullptr)
     {
