--- a/src/base/fatal_signal.cpp
+++ b/src/base/fatal_signal.cpp
@@ -95,9 +95,9 @@
         {
             // A reader that does not read must not keep the process from
             // ending.
-            constexpr int patience_ms = 100;
+            constexpr int write_timeout_ms = 100;
             pollfd output{STDOUT_FILENO, POLLOUT, 0};
-            if (::poll(&output, 1, patience_ms) <= 0)
+            if (::poll(&output, 1, write_timeout_ms) <= 0)
             {
                 return;
             }
@@ -109,7 +109,7 @@
             }
             sent += count > 0 ? static_cast<std::size_t>(count) : 0;
         }
-        // The users' platform loses what a process writes in its last instant.
+        // The users' platform loses what a process writes just before its end.
         constexpr int delivery_ms = 1;
         ::poll(nullptr, 0, delivery_ms);
     }
--- a/src/core/connection_budget.hpp
+++ b/src/core/connection_budget.hpp
@@ -17,7 +17,7 @@
 /// Number of caller connections above which those that have been idle longest
 /// are closed. The rest of the descriptors stays for connections to targets,
 /// links to other hosts and the store: without them a host can neither pass on
-/// what it has accepted nor hear of changes.
+/// what it has accepted nor receive changes.
 ///
 /// Load pattern: callers open connections for retries and at peaks, use each
 /// once and leave it open; their number grows until the idle timeout.
--- a/src/core/document_source_test.cpp
+++ b/src/core/document_source_test.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-// Guards against a host that hears of a generation only from hosts without a
+// Guards against a host that learns of a generation only from hosts without a
 // link and waits until a linked host has announced it too.
 TEST_CASE("a document is requested over any link")
 {
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -433,7 +433,7 @@
         CHECK(!cancelled.m_outcome);
         CHECK(
             run_until(*loop, [&] { return client->open_connections() == 0; }));
-        // The client is as good as new.
+        // The failures leave nothing behind that later exchanges meet.
         raw_listener server(*loop);
         server.m_on_connection = [](raw_connection& connection)
         {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include "net/caller_connection.hpp"
 #include "net/event_loop.hpp"
 #include "net/socket_address.hpp"
+#include "net/socket_options.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -31,10 +32,6 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-/// Pause after a failed accept, so that the event loop does not spin on a
-/// listener that stays readable.
-constexpr core::duration accept_pause = std::chrono::milliseconds(50);
-
 /// Shortest time between two searches for idle connections.
 constexpr core::duration min_idle_check = std::chrono::milliseconds(50);
 
@@ -76,10 +73,10 @@
     std::uint16_t m_port = 0;
     caller_connection_handlers m_connection_handlers;
     std::unordered_map<caller_connection*, connection_entry> m_connections;
-    /// Connections without a request in flight, the one that has been so for
-    /// longest first.
+    /// Connections without a request in flight, the longest idle first.
     std::list<caller_connection*> m_idle_connections;
-    std::size_t m_max_idle_total = std::numeric_limits<std::size_t>::max();
+    std::size_t m_idle_closing_threshold =
+        std::numeric_limits<std::size_t>::max();
     std::unordered_map<evhttp_connection*, caller_connection*>
         m_connections_by_evcon;
     /// Accepted in this iteration of the event loop.
@@ -194,12 +191,13 @@
         auto* const connection = *next++;
         auto const age = now - m_connections.at(connection).m_idle_since;
         bool const is_surplus =
-            m_connections.size() > m_max_idle_total && age >= min_idle_age;
+            m_connections.size() > m_idle_closing_threshold &&
+            age >= min_idle_age;
         if (age < m_settings.m_idle_timeout && !is_surplus)
         {
             break;
         }
-        // One that is reading a request comes to its turn when it is answered.
+        // One that is receiving a request is idle again once it is answered.
         if (connection->is_idle())
         {
             ++m_counters.m_idle_closed;
@@ -212,7 +210,7 @@
         auto const at =
             m_connections.at(oldest).m_idle_since + m_settings.m_idle_timeout;
         // The oldest one may be due and in the middle of receiving a request.
-        m_idle_timer->start(m_connections.size() > m_max_idle_total
+        m_idle_timer->start(m_connections.size() > m_idle_closing_threshold
                                 ? min_idle_check
                                 : std::max(min_idle_check, at - now));
     }
@@ -247,7 +245,7 @@
 
 void http_server::state::run_deferred()
 {
-    if (m_connections.size() > m_max_idle_total)
+    if (m_connections.size() > m_idle_closing_threshold)
     {
         close_idle_connections();
     }
@@ -440,9 +438,9 @@
     m_state->m_idle_timer->start(core::duration(0));
 }
 
-void http_server::set_max_idle_total(std::size_t connections)
+void http_server::close_idle_above(std::size_t connections)
 {
-    m_state->m_max_idle_total = connections;
+    m_state->m_idle_closing_threshold = connections;
     if (m_state->m_connections.size() > connections)
     {
         m_state->m_idle_timer->start(core::duration(0));
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -83,9 +83,9 @@
     /// Replaces http_server_settings::m_idle_timeout if it is shorter.
     void set_idle_timeout(core::duration timeout);
 
-    /// Above this number of connections, the ones that have been idle longest
-    /// are closed. Unlimited by default.
-    void set_max_idle_total(std::size_t connections);
+    /// While more than this number of connections is open, those that have been
+    /// idle longest are closed. Unlimited by default.
+    void close_idle_above(std::size_t connections);
 
     /// Stops accepting connections; open ones stay usable.
     void close_listener();
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -595,7 +595,7 @@
     echo(fixture.m_requests[1], fixture.m_exchanges[1]);
     REQUIRE(run_until(*loop, [&]
                       { return contains(callers[2].m_received, "</used>"); }));
-    server.set_max_idle_total(4);
+    server.close_idle_above(4);
     for (std::size_t const closed : {3, 2})
     {
         open_connection();
@@ -616,7 +616,7 @@
                                contains(callers[1].m_received, "</begin>");
                     }));
     // A lower total closes what is idle, and nothing else.
-    server.set_max_idle_total(1);
+    server.close_idle_above(1);
     CHECK(run_until(*loop,
                     [&] { return server.counters().m_connections_open <= 1; }));
 }
--- a/src/net/peer_network.cpp
+++ b/src/net/peer_network.cpp
@@ -7,6 +7,7 @@
 #include "net/event_loop.hpp"
 #include "net/peer_link.hpp"
 #include "net/socket_address.hpp"
+#include "net/socket_options.hpp"
 
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -29,9 +30,6 @@
 /// Limit of accepted connections in the handshake.
 constexpr std::size_t max_handshakes = 256;
 constexpr core::duration sweep_interval = std::chrono::seconds(1);
-/// Pause after a failed accept, so that the event loop does not spin on a
-/// listener that stays readable.
-constexpr core::duration accept_pause = std::chrono::milliseconds(50);
 /// Attempts to find a port that is free for both TCP and UDP, if the kernel
 /// chooses it.
 constexpr int port_attempts = 16;
--- a/src/net/socket_options.hpp
+++ b/src/net/socket_options.hpp
@@ -17,6 +17,10 @@
 /// Equals the time in which keep-alive probes detect an unreachable peer.
 inline constexpr std::chrono::milliseconds unacknowledged_timeout{3000};
 
+/// Pause after a failed accept, so that the event loop does not spin on a
+/// listener that stays readable.
+inline constexpr std::chrono::milliseconds accept_pause{50};
+
 /// Sets TCP_NODELAY. Without it the last segment of a message may wait up to
 /// 40 ms for the delayed acknowledgement of the one before.
 void set_no_delay(int fd) noexcept;
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -137,7 +137,7 @@
 
 void limit_caller_connections(entry_host& host)
 {
-    host.m_caller_server->set_max_idle_total(core::max_caller_connections(
+    host.m_caller_server->close_idle_above(core::max_caller_connections(
         {host.m_descriptor_limit, host.m_http_client->open_connections(),
          host.m_peer_network->link_count()}));
 }
