Tell whether a refused connection has a request in flight

Nothing showed whether a refusal that promises "not run" was written before or after the request had been passed on, so the hypotheses of the incident could not be told apart. No logic has changed.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -45,6 +45,7 @@
     , m_handlers(handlers)
     , m_framer({.m_max_body_bytes = settings.m_max_body_bytes},
                settings.m_max_headers_bytes)
+    , m_accept_time(event_loop::now())
 {
     evbuffer_add_cb(bufferevent_get_input(transport), on_input, this);
 }
@@ -160,6 +161,7 @@
     {
         return false;
     }
+    ++m_requests;
     auto const bytes = make_evhttp_head(request->m_head);
     m_released_request = std::move(request);
     auto* input = bufferevent_get_input(m_transport);
@@ -245,7 +247,9 @@
     {
         return;
     }
-    m_handlers.m_on_refused(problem);
+    m_handlers.m_on_refused({problem, m_requests,
+                             m_framer.is_request_in_flight(),
+                             event_loop::now() - m_accept_time});
     // evhttp waits for a request that never completes. Replacing its callbacks
     // detaches it from the connection until evhttp_connection_free().
     bufferevent_setcb(m_transport, nullptr, on_refusal_written,
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -6,6 +6,7 @@
 #include "net/request_framer.hpp"
 #include <hawthornspur/result_code.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,13 +24,25 @@
 class http_exchange;
 struct http_server_settings;
 
+/// A refusal that a connection writes itself, and what it had done before.
+struct connection_refusal
+{
+    error m_problem;
+    /// Requests of the connection that were passed on.
+    std::uint64_t m_requests = 0;
+    /// One of them has not been answered, so it may run.
+    bool m_is_request_in_flight = false;
+    /// Since the connection was accepted.
+    core::duration m_age{0};
+};
+
 /// Callbacks from a connection to its server.
 struct caller_connection_handlers
 {
     /// evcon() is set from here on.
     std::function<void(caller_connection&)> m_on_attached;
     /// A request or connection is refused without passing it to evhttp.
-    std::function<void(error const&)> m_on_refused;
+    std::function<void(connection_refusal const&)> m_on_refused;
     /// The answer is sent.
     std::function<void(caller_connection&)> m_on_idle;
     /// The answer is sent and received bytes are pending. The server must call
@@ -122,6 +135,8 @@
     evhttp_connection* m_evcon = nullptr;
     http_exchange* m_exchange = nullptr;
     core::time_point m_request_start{};
+    core::time_point m_accept_time;
+    std::uint64_t m_requests = 0;
     bool m_is_modifying_input = false;
     bool m_is_paused = false;
     bool m_is_refused = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/activity.hpp"
 #include "base/logging.hpp"
+#include "base/text.hpp"
 #include "net/caller_connection.hpp"
 #include "net/event_loop.hpp"
 #include "net/socket_address.hpp"
@@ -112,7 +113,7 @@
     void set_busy(caller_connection& connection);
     /// Closes the connections that are idle for too long or too many.
     void close_idle_connections();
-    void on_refused(error const& problem);
+    void on_refused(connection_refusal const& refusal);
     void on_closed(caller_connection& connection);
     void run_deferred();
     void on_request(evhttp_request* request);
@@ -216,13 +217,19 @@
     }
 }
 
-void http_server::state::on_refused(error const& problem)
+void http_server::state::on_refused(connection_refusal const& refusal)
 {
+    auto const& problem = refusal.m_problem;
     ++m_counters.m_refused[problem.m_code];
+    m_counters.m_refused_in_flight += refusal.m_is_request_in_flight ? 1 : 0;
     logging::write(
         logging::level::warn, "net.http", "request refused",
         {{"code", std::to_string(static_cast<unsigned>(problem.m_code))},
-         {"reason", problem.m_message}});
+         {"reason", problem.m_message},
+         {"requests", std::to_string(refusal.m_requests)},
+         {"in_flight", refusal.m_is_request_in_flight ? "yes" : "no"},
+         {"age_ms", milliseconds_text(refusal.m_age)},
+         {"open", std::to_string(m_counters.m_connections_open)}});
 }
 
 void http_server::state::on_closed(caller_connection& connection)
@@ -324,9 +331,10 @@
     {
         server.set_idle(connection);
     };
-    server.m_connection_handlers.m_on_refused = [&server](error const& problem)
+    server.m_connection_handlers.m_on_refused =
+        [&server](connection_refusal const& refusal)
     {
-        server.on_refused(problem);
+        server.on_refused(refusal);
     };
     server.m_connection_handlers.m_on_resumable =
         [&server](caller_connection& connection)
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -126,6 +126,10 @@
         make_counter("hawthornspur_idle_connections_closed_total",
                      "Connections of callers closed for their age or number.",
                      host.m_caller_server->counters().m_idle_closed),
+        make_counter("hawthornspur_refused_in_flight_total",
+                     "Connections of callers that were refused with a request "
+                     "in flight.",
+                     host.m_caller_server->counters().m_refused_in_flight),
         make_counter("hawthornspur_accepts_failed_total",
                      "Connections of callers or hosts that were not accepted.",
                      host.m_caller_server->counters().m_accepts_failed +
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -1,5 +1,6 @@
 #include "serve/pipeline.hpp"
 
+#include "base/logging.hpp"
 #include "serve/accept.hpp"
 #include "serve/account.hpp"
 #include "serve/admit.hpp"
@@ -212,6 +213,19 @@
     {
         code = result_code::peer_link_lost;
     }
+    if (info(code).m_execution == execution::not_run &&
+        (!call.m_attempts.empty() || call.m_forward))
+    {
+        host.m_metrics.count_event("refused_after_dispatch");
+        logging::write(
+            logging::level::warn, "serve.pipeline",
+            "refused while an attempt is in flight",
+            {{"request_id", call.m_accepted.m_request_id},
+             {"name", std::string(info(code).m_name)},
+             {"attempts", std::to_string(call.m_attempts.size())},
+             {"forwarded_to",
+              call.m_forward ? call.m_forward->m_host_name : std::string()}});
+    }
     complete_key(host, call, code);
     if (call.m_sink.m_fail)
     {
