Show requests that are refused as not run and passed on

A request that arrives with a connection above the limit reaches the handler and its caller gets 503 "not run" (hypothesis 1).

Beside it: connections that close before the server has attached itself to them stay counted for ever and so use up the limit, and callers are refused while others keep connections that they do not use.

--- a/src/net/event_loop_test.cpp
+++ b/src/net/event_loop_test.cpp
@@ -32,4 +32,32 @@
     CHECK(seen == name);
 }
 
+// Guards against work that is put off for as long as a host is busy: libevent
+// takes a due timer off its list of active events when it is started again.
+TEST_CASE("a due timer runs although each iteration starts it again")
+{
+    auto loop = take(event_loop::create());
+    auto runs = 0;
+    auto due = take(timer::create(*loop, [&] { ++runs; }));
+    busy_loop const busy(*loop, [&] { due->start(core::duration(0)); });
+    busy.run_iterations(100);
+    CHECK(runs >= 90);
+}
+
+// Guards against a timer that ignores a later time.
+TEST_CASE("a timer that is started again with a delay runs once, after it")
+{
+    auto loop = take(event_loop::create());
+    std::vector<core::time_point> runs;
+    auto delayed =
+        take(timer::create(*loop, [&] { runs.push_back(event_loop::now()); }));
+    delayed->start(core::duration(0));
+    auto const start = event_loop::now();
+    delayed->start(std::chrono::milliseconds(30));
+    REQUIRE(run_until(*loop, [&] { return !runs.empty(); }));
+    CHECK(runs.front() - start >= std::chrono::milliseconds(29));
+    loop->run_pending();
+    CHECK(runs.size() == 1);
+}
+
 } // namespace hawthornspur::net
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -541,6 +541,106 @@
         [&] { return fixture.m_server->counters().m_connections_open == 2; }));
 }
 
+// Guards against a request that a target runs although its caller was told that
+// it has not run.
+TEST_CASE("a request that arrives with an excess connection is not passed on")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop, {.m_address = "", .m_max_connections = 2});
+    raw_connection first(*loop, fixture.m_server->port());
+    raw_connection second(*loop, fixture.m_server->port());
+    REQUIRE(run_until(
+        *loop,
+        [&] { return fixture.m_server->counters().m_connections_open == 2; }));
+    raw_connection third(*loop, fixture.m_server->port());
+    third.send_at_once(get("/excess"));
+    CHECK(run_until(*loop, [&] { return third.m_closed; }));
+    CHECK(contains(third.m_received, "Hawthornspur-Code: 2018\r\n"));
+    CHECK(count(third.m_received, "HTTP/1.1 ") == 1);
+    CHECK(fixture.m_requests.empty());
+    CHECK(fixture.m_server->counters().m_refused_in_flight == 0);
+}
+
+// Guards against connections above the limit that are served and refused later:
+// the decision was put off while connections arrived.
+TEST_CASE("excess connections are refused while further ones arrive")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop, {.m_address = "", .m_max_connections = 1});
+    std::deque<raw_connection> callers;
+    // Posted, so that the listener has a connection in the next iteration.
+    busy_loop const busy(*loop,
+                         [&]
+                         {
+                             loop->post(
+                                 [&]
+                                 {
+                                     callers.emplace_back(
+                                         *loop, fixture.m_server->port());
+                                     callers.back().send_at_once(get("/busy"));
+                                 });
+                         });
+    busy.run_iterations(60);
+    CHECK(fixture.refused(result_code::too_many_connections) >= 50);
+    CHECK(fixture.m_requests.size() == 1);
+}
+
+// Guards against connections that stay counted for ever, and so use up the
+// limit, because their callers closed them at once.
+TEST_CASE("a connection that closes as soon as it is open is not counted")
+{
+    for (bool const is_reset : {false, true})
+    {
+        CAPTURE(is_reset);
+        auto loop = take(event_loop::create());
+        server_fixture fixture(*loop);
+        for (int i = 0; i < 20; ++i)
+        {
+            raw_connection caller(*loop, fixture.m_server->port());
+            if (is_reset)
+            {
+                caller.close_with_reset();
+            }
+        }
+        auto const& counters = fixture.m_server->counters();
+        REQUIRE(run_until(*loop,
+                          [&] { return counters.m_connections_accepted > 0; }));
+        raw_connection next(*loop, fixture.m_server->port());
+        next.send(get("/next"));
+        REQUIRE(
+            run_until(*loop, [&] { return fixture.m_requests.size() == 1; }));
+        CHECK(counters.m_connections_open == 1);
+    }
+}
+
+// Guards against callers that are refused although others keep connections that
+// they do not use.
+TEST_CASE("at the limit idle connections are closed before callers are refused")
+{
+    auto loop = take(event_loop::create());
+    server_fixture fixture(*loop, {.m_address = "", .m_max_connections = 3});
+    auto const& counters = fixture.m_server->counters();
+    std::deque<raw_connection> idle;
+    for (std::uint64_t i = 1; i <= 3; ++i)
+    {
+        idle.emplace_back(*loop, fixture.m_server->port());
+        REQUIRE(
+            run_until(*loop, [&] { return counters.m_connections_open == i; }));
+    }
+    auto const start = event_loop::now();
+    run_until(
+        *loop, [&]
+        { return event_loop::now() - start > std::chrono::milliseconds(250); });
+    fixture.m_on_request = echo;
+    raw_connection next(*loop, fixture.m_server->port());
+    next.send(get("/next"));
+    CHECK(
+        run_until(*loop, [&] { return contains(next.m_received, "</next>"); }));
+    CHECK(idle.front().m_closed);
+    CHECK(!idle.back().m_closed);
+    CHECK(fixture.refused(result_code::too_many_connections) == 0);
+}
+
 // Guards against idle connections that are never closed.
 TEST_CASE("an idle connection is closed between and within requests")
 {
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -81,6 +81,49 @@
     std::vector<int> m_fillers;
 };
 
+/// Has an event ready in each iteration of the loop, as a busy host has.
+class busy_loop
+{
+public:
+    /// `action` is called in each iteration, before timers that are due.
+    busy_loop(event_loop& loop, std::function<void()> action)
+        : m_action(std::move(action))
+    {
+        REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, m_sockets) == 0);
+        m_event = event_new(loop.base(), m_sockets[0], EV_WRITE | EV_PERSIST,
+                            on_ready, this);
+        m_base = loop.base();
+        event_add(m_event, nullptr);
+    }
+    ~busy_loop()
+    {
+        event_free(m_event);
+        ::close(m_sockets[0]);
+        ::close(m_sockets[1]);
+    }
+    busy_loop(busy_loop const&) = delete;
+    busy_loop& operator=(busy_loop const&) = delete;
+
+    void run_iterations(int count) const
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            event_base_loop(m_base, EVLOOP_ONCE);
+        }
+    }
+
+private:
+    static void on_ready(int /*fd*/, short /*what*/, void* self)
+    {
+        static_cast<busy_loop*>(self)->m_action();
+    }
+
+    std::function<void()> m_action;
+    int m_sockets[2] = {-1, -1};
+    event* m_event = nullptr;
+    event_base* m_base = nullptr;
+};
+
 /// A TCP connection that sends arbitrary bytes and stores what it receives.
 class raw_connection
 {
