Decide on a connection before any of its requests is passed on

Callers got 503 "not run" for requests that targets ran (REFUSED), and answers with the refusal written into them (MIXED).

Cause: a connection above the limit was accepted and refused from a timer of length zero. Its request was read and passed on before, in the same iteration or in any later one while connections kept arriving. The connection wrote its refusal without asking whether another place was to answer.

Now new connections are attached, and admitted or refused, before their sockets are read. Who may write an answer is asked in one place, caller_connection::writer(): a refusal is written only if no request has been passed on, and an exchange answers only while its request is the connection's current one.

The same change ends two faults beside it. Connections that closed before they were attached were freed by evhttp unnoticed and stayed counted for ever, so that they used up the limit. At the limit, idle connections are closed before a caller is refused. Refused connections do not count against the limit any more; at most a sixteenth of it stays open to be read.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -101,8 +101,7 @@
         connection->m_is_modifying_input = false;
         return;
     }
-    connection->attach();
-    auto const is_busy = connection->m_framer.is_request_in_flight();
+    auto const is_busy = connection->writer() == answer_writer::exchange;
     if (is_busy && connection->m_framer.pending_bytes() >
                        connection->m_settings.m_max_headers_bytes)
     {
@@ -189,6 +188,16 @@
                         std::move(released->m_body)};
 }
 
+answer_writer caller_connection::writer() const noexcept
+{
+    if (m_is_refused)
+    {
+        return answer_writer::nobody;
+    }
+    return m_framer.is_request_in_flight() ? answer_writer::exchange
+                                           : answer_writer::connection;
+}
+
 bool caller_connection::is_idle() const
 {
     if (m_evcon == nullptr || m_is_refused || has_unfinished_answer() ||
@@ -243,20 +252,32 @@
 
 void caller_connection::refuse(error const& problem)
 {
-    if (std::exchange(m_is_refused, true))
+    auto const current = writer();
+    if (current == answer_writer::nobody)
     {
         return;
     }
     m_handlers.m_on_refused({problem, m_requests,
-                             m_framer.is_request_in_flight(),
+                             current == answer_writer::exchange,
                              event_loop::now() - m_accept_time});
+    if (current == answer_writer::exchange)
+    {
+        return;
+    }
+    m_is_refused = true;
     // evhttp waits for a request that never completes. Replacing its callbacks
     // detaches it from the connection until evhttp_connection_free().
     bufferevent_setcb(m_transport, nullptr, on_refusal_written,
                       on_refusal_event, this);
     bufferevent_set_timeouts(m_transport, &linger_timeout, &linger_timeout);
     bufferevent_enable(m_transport, EV_READ | EV_WRITE);
-    auto const answer = to_bytes(make_refusal(problem.m_code));
+    auto refusal = make_refusal(problem.m_code);
+    if (m_settings.m_add_refusal_headers)
+    {
+        m_settings.m_add_refusal_headers(problem.m_code,
+                                         refusal.m_head.m_headers);
+    }
+    auto const answer = to_bytes(refusal);
     bufferevent_write(m_transport, answer.data(), answer.size());
 }
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -24,6 +24,19 @@
 class http_exchange;
 struct http_server_settings;
 
+/// Who may write the answer to the request that a connection is at. Two writers
+/// would mix their answers, and one would promise "not run" for a request that
+/// the other one has passed on.
+enum class answer_writer : std::uint8_t
+{
+    /// No request has been passed on, so the connection may refuse it.
+    connection,
+    /// The exchange of the request that was passed on.
+    exchange,
+    /// The connection has refused a request and closes.
+    nobody,
+};
+
 /// A refusal that a connection writes itself, and what it had done before.
 struct connection_refusal
 {
@@ -70,7 +83,8 @@
     caller_connection& operator=(caller_connection const&) = delete;
 
     /// Finds the evhttp connection, which does not exist yet in the accept
-    /// callback.
+    /// callback. Must be called before the socket is read: evhttp frees a
+    /// connection that closes, and reports it only to those attached.
     void attach();
     evhttp_connection* evcon() const noexcept
     {
@@ -90,6 +104,8 @@
     {
         return m_has_disconnected_early;
     }
+    answer_writer writer() const noexcept;
+
     /// A request was released, and its answer is not in the socket yet.
     bool has_unfinished_answer() const noexcept
     {
@@ -109,7 +125,8 @@
     /// Processes the bytes that were received before the last answer was sent.
     void resume();
 
-    /// Answers with a result code and closes the connection.
+    /// Answers with a result code and closes the connection. Does nothing
+    /// unless the answer is the connection's to write.
     void refuse(error const& problem);
 
 private:
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -160,14 +160,28 @@
     }
 }
 
-void http_exchange::reply(http_response_head const& head, std::string_view body)
+bool http_exchange::begin_answer()
 {
     if (m_request == nullptr)
     {
-        return;
+        return false;
     }
     assert(!m_is_started);
     m_is_started = true;
+    if (m_connection->writer() != answer_writer::exchange)
+    {
+        abort();
+        return false;
+    }
+    return true;
+}
+
+void http_exchange::reply(http_response_head const& head, std::string_view body)
+{
+    if (!begin_answer())
+    {
+        return;
+    }
     m_has_body = has_body(head.m_status);
     add_headers(head);
     auto* output = evhttp_request_get_output_headers(m_request);
@@ -196,12 +210,10 @@
 void http_exchange::start(http_response_head const& head,
                           std::optional<std::uint64_t> length)
 {
-    if (m_request == nullptr)
+    if (!begin_answer())
     {
         return;
     }
-    assert(!m_is_started);
-    m_is_started = true;
     m_has_body = has_body(head.m_status);
     add_headers(head);
     if (length && (m_has_body ||
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -74,6 +74,9 @@
     void on_disconnected();
     /// Detaches from the connection and returns the request to evhttp.
     evhttp_request* release_request();
+    /// Whether the answer is this exchange's to write; closes the connection
+    /// otherwise.
+    bool begin_answer();
     void add_headers(http_response_head const& head);
     bool has_body(int status) const;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -40,6 +40,10 @@
 /// their callers are about to use them again.
 constexpr core::duration min_idle_age = std::chrono::milliseconds(200);
 
+/// Refused connections stay open until their callers have read the answer. They
+/// may use this part of the limit in addition to it.
+constexpr std::size_t refused_divisor = 16;
+
 /// A connection and, while no request is in flight on it, its place in the list
 /// of idle connections.
 struct connection_entry
@@ -80,10 +84,10 @@
         std::numeric_limits<std::size_t>::max();
     std::unordered_map<evhttp_connection*, caller_connection*>
         m_connections_by_evcon;
-    /// Accepted in this iteration of the event loop.
+    /// Accepted in this iteration of the event loop and not read yet.
     std::vector<caller_connection*> m_new_connections;
-    /// New connections above the limit.
-    std::vector<caller_connection*> m_excess_connections;
+    /// Refused and not closed yet, the first refused first.
+    std::list<caller_connection*> m_refused_connections;
     std::vector<caller_connection*> m_resumable_connections;
     std::unique_ptr<timer> m_deferred_timer;
     std::unique_ptr<timer> m_idle_timer;
@@ -111,8 +115,16 @@
     void forget_listener() const;
     void set_idle(caller_connection& connection);
     void set_busy(caller_connection& connection);
+    /// Connections that were not refused.
+    std::size_t admitted_connections() const;
+    /// Number of admitted connections above which idle ones are closed.
+    std::size_t idle_threshold() const;
     /// Closes the connections that are idle for too long or too many.
     void close_idle_connections();
+    /// Decides which of the new connections are served. None of them has been
+    /// read, so no request of those that are refused has been passed on.
+    void admit_connections();
+    void refuse_excess(caller_connection& connection);
     void on_refused(connection_refusal const& refusal);
     void on_closed(caller_connection& connection);
     void run_deferred();
@@ -134,11 +146,7 @@
     m_new_connections.push_back(owned.get());
     auto* const raw = owned.get();
     m_connections[raw].m_connection = std::move(owned);
-    if (m_connections.size() > m_settings.m_max_connections)
-    {
-        m_excess_connections.push_back(raw);
-    }
-    m_deferred_timer->start(core::duration(0));
+    m_deferred_timer->run_next();
     return transport;
 }
 
@@ -183,6 +191,16 @@
     }
 }
 
+std::size_t http_server::state::admitted_connections() const
+{
+    return m_connections.size() - m_refused_connections.size();
+}
+
+std::size_t http_server::state::idle_threshold() const
+{
+    return std::min(m_idle_closing_threshold, m_settings.m_max_connections);
+}
+
 void http_server::state::close_idle_connections()
 {
     auto const now = event_loop::now();
@@ -192,8 +210,7 @@
         auto* const connection = *next++;
         auto const age = now - m_connections.at(connection).m_idle_since;
         bool const is_surplus =
-            m_connections.size() > m_idle_closing_threshold &&
-            age >= min_idle_age;
+            admitted_connections() > idle_threshold() && age >= min_idle_age;
         if (age < m_settings.m_idle_timeout && !is_surplus)
         {
             break;
@@ -211,7 +228,7 @@
         auto const at =
             m_connections.at(oldest).m_idle_since + m_settings.m_idle_timeout;
         // The oldest one may be due and in the middle of receiving a request.
-        m_idle_timer->start(m_connections.size() > m_idle_closing_threshold
+        m_idle_timer->start(admitted_connections() > idle_threshold()
                                 ? min_idle_check
                                 : std::max(min_idle_check, at - now));
     }
@@ -244,34 +261,53 @@
     }
     set_busy(connection);
     std::erase(m_new_connections, &connection);
-    std::erase(m_excess_connections, &connection);
+    m_refused_connections.remove(&connection);
     std::erase(m_resumable_connections, &connection);
     m_connections_by_evcon.erase(connection.evcon());
     m_connections.erase(&connection);
 }
 
-void http_server::state::run_deferred()
+void http_server::state::admit_connections()
 {
-    if (m_connections.size() > m_idle_closing_threshold)
+    auto const accepted = std::exchange(m_new_connections, {});
+    for (auto* connection : accepted)
+    {
+        connection->attach();
+    }
+    if (admitted_connections() > idle_threshold())
     {
         close_idle_connections();
     }
-    // In the order of their age, which is that of the idle connections.
-    std::reverse(m_new_connections.begin(), m_new_connections.end());
-    // Each call may close other connections, which removes them from the lists.
-    while (!m_new_connections.empty())
+    for (auto next = accepted.rbegin();
+         next != accepted.rend() &&
+         admitted_connections() > m_settings.m_max_connections;
+         ++next)
     {
-        auto* connection = m_new_connections.back();
-        m_new_connections.pop_back();
-        connection->attach();
+        // A process that was suspended here may have closed them as idle.
+        if (m_connections.contains(*next))
+        {
+            refuse_excess(**next);
+        }
     }
-    while (!m_excess_connections.empty())
+}
+
+void http_server::state::refuse_excess(caller_connection& connection)
+{
+    set_busy(connection);
+    m_refused_connections.push_back(&connection);
+    connection.refuse(
+        {result_code::too_many_connections, "too many connections"});
+    auto const most = std::max<std::size_t>(1, m_settings.m_max_connections /
+                                                   refused_divisor);
+    if (m_refused_connections.size() > most)
     {
-        auto* connection = m_excess_connections.back();
-        m_excess_connections.pop_back();
-        connection->refuse(
-            {result_code::too_many_connections, "too many connections"});
+        m_refused_connections.front()->close();
     }
+}
+
+void http_server::state::run_deferred()
+{
+    admit_connections();
     auto const waiting = std::move(m_resumable_connections);
     m_resumable_connections.clear();
     for (auto* connection : waiting)
@@ -286,7 +322,7 @@
 void http_server::state::on_request(evhttp_request* request)
 {
     diagnostics::activity_scope const scope("server.request");
-    // Present, since the first byte of a request attaches its connection.
+    // Present, since connections are attached before they are read.
     auto* connection =
         m_connections_by_evcon.at(evhttp_request_get_connection(request));
     ++m_counters.m_requests;
@@ -340,7 +376,7 @@
         [&server](caller_connection& connection)
     {
         server.m_resumable_connections.push_back(&connection);
-        server.m_deferred_timer->start(core::duration(0));
+        server.m_deferred_timer->run_next();
     };
     server.m_connection_handlers.m_on_closed =
         [&server](caller_connection& connection)
@@ -449,7 +485,7 @@
 void http_server::close_idle_above(std::size_t connections)
 {
     m_state->m_idle_closing_threshold = connections;
-    if (m_state->m_connections.size() > connections)
+    if (m_state->admitted_connections() > m_state->idle_threshold())
     {
         m_state->m_idle_timer->start(core::duration(0));
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -25,8 +25,13 @@
     std::uint16_t m_port = 0;
     std::size_t m_max_headers_bytes = std::size_t{32} << 10U;
     std::size_t m_max_body_bytes = std::size_t{16} << 20U;
-    /// Further connections are refused with too_many_connections.
+    /// Above this number idle connections are closed, and new ones are refused
+    /// with too_many_connections before they are read.
     std::size_t m_max_connections = 10'000;
+    /// Adds headers to a refusal that is sent without the handler, such as the
+    /// delay after which the caller may retry. Optional.
+    std::function<void(result_code, http_headers&)> m_add_refusal_headers =
+        nullptr;
     /// A connection is closed after this time without a byte in either
     /// direction, unless a request is in flight.
     core::duration m_idle_timeout = std::chrono::seconds(60);
