Tell callers above the limit of connections when to come back

A caller that was refused for the number of connections got no Retry-After and came back at once, often to the same host. The refusals that a connection writes itself now carry the delay for callers that another host can serve.

The test "a host at its limit tells a caller when to come back" fails without the change: no Retry-After.

--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -123,6 +123,15 @@
     settings.m_max_connections =
         std::min(host.m_settings.m_max_connections,
                  core::max_caller_connections({host.m_descriptor_limit, 0, 0}));
+    settings.m_add_refusal_headers =
+        [&host](result_code code, net::http_headers& refusal_headers)
+    {
+        if (info(code).m_http_status == status_unavailable)
+        {
+            host.m_adapter.m_caller_interface.m_add_retry_after(
+                refusal_headers, other_host_retry_delay);
+        }
+    };
     auto server = net::http_server::create(
         *host.m_loop, settings,
         [&host](net::http_request request, exchange_ptr const& exchange)
--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -91,4 +91,23 @@
     }
 }
 
+// Guards against callers that come back at once, to the same host first,
+// because their refusal names no delay.
+TEST_CASE("a host at its limit tells a caller when to come back")
+{
+    test_cluster cluster(1, 1);
+    auto& host = cluster.host(0);
+    host.m_settings.m_max_connections = 2;
+    REQUIRE(has_value(serve::open_caller_server(host)));
+    idle_callers const callers(host.m_caller_server->port(), 2);
+    cluster.run_until(
+        [&]
+        { return host.m_caller_server->counters().m_connections_open == 2; });
+    auto const refused = cluster.send_and_wait(0, "POST", "/x");
+    CHECK(refused.m_head.m_status == 503);
+    CHECK(get_outcome(refused) == "not-run");
+    CHECK(net::find_header(refused.m_head.m_headers, "Retry-After"));
+    CHECK(cluster.total_run_count() == 0);
+}
+
 } // namespace hawthornspur::test
