Check in one place that a refusal of a call may promise "not run"

Class of the fault behind REFUSED: the place that promises "not run" does not know whether another one has passed the request on. In src/serve, each place decided by itself. fail_call(), through which all refusals of calls go, knew of lost hosts only.

It now asks what the call itself knows: attempts and forwards in flight, and attempts that have ended without showing that they did not run, were cancelled or received another request's answer. Such a call ends with a code that does not promise anything, a line and the event refused_after_dispatch. No path that takes the new branch was found by reading or seen in a run.

The test "a request in flight is not refused as not run" fails without the change: 503 "not run" at the owner and at a host that has forwarded the request.

--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -10,6 +10,7 @@
 #include "net/http_client.hpp"
 #include "net/http_message.hpp"
 #include "net/peer_messages.hpp"
+#include <hawthornspur/result_code.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -184,9 +185,10 @@
     core::duration m_target_time{0};
 
     std::optional<forwarded_call> m_forward;
-    /// A host that was lost may have run the request, so only an idempotent
-    /// kind allows to send it again.
-    bool m_may_have_run = false;
+    /// Set once an attempt that has ended, or a host that was lost, may have
+    /// run the request: the code to fail with. Only an idempotent kind allows
+    /// to send the request again.
+    std::optional<result_code> m_may_have_run;
     std::vector<std::string> m_excluded_hosts;
 };
 
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "core/pool_effects.hpp"
+#include "core/retry_rules.hpp"
 #include "serve/account.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/deduplicate.hpp"
@@ -98,6 +99,7 @@
     log_attempt(call, number, attempt, "answer belongs to another request");
     host.m_http_client->cancel(attempt.m_exchange_id);
     call.m_attempts.erase(number);
+    call.m_may_have_run = result_code::target_answer_malformed;
     report_attempt_end(
         host, call.m_pool,
         {call.m_id, number, core::attempt_outcome::malformed, {}, false});
@@ -286,14 +288,19 @@
     call->m_target_time += now() - attempt.m_start_time;
     call->m_unsent_attempts +=
         outcome == net::exchange_outcome::connect_failed ? 1 : 0;
+    auto const result = to_attempt_outcome(outcome, attempt);
+    if (outcome != net::exchange_outcome::complete &&
+        !core::is_certainly_not_run(result))
+    {
+        call->m_may_have_run = core::result_code_for(result);
+    }
     if (outcome != net::exchange_outcome::complete || attempt.m_is_shed ||
         attempt.m_is_other_target)
     {
         log_attempt(*call, number, attempt, describe_failure(outcome, attempt));
     }
-    core::attempt_end const end{id, number,
-                                to_attempt_outcome(outcome, attempt),
-                                attempt.m_load, attempt.m_is_draining};
+    core::attempt_end const end{id, number, result, attempt.m_load,
+                                attempt.m_is_draining};
     report_evidence(host, *call, attempt, outcome);
     call = find_call(host, id);
     if (call != nullptr && call->m_relayed_attempt == number)
@@ -361,6 +368,7 @@
     {
         host.m_http_client->cancel(found->second.m_exchange_id);
         call.m_attempts.erase(found);
+        call.m_may_have_run = result_code::target_silent;
     }
 }
 
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -206,7 +206,7 @@
 {
     if (!core::is_certainly_not_run(outcome))
     {
-        call.m_may_have_run = true;
+        call.m_may_have_run = result_code::peer_link_lost;
     }
     if (forward.m_purpose == net::forward_purpose::spill)
     {
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -68,15 +68,14 @@
         bool const is_version_difference = !call.m_accepted.m_kind.empty();
         auto const code = is_version_difference ? result_code::not_pool_owner
                                                 : failure(classified).m_code;
-        fail_call(host, call,
-                  call.m_may_have_run ? result_code::peer_link_lost : code);
+        fail_call(host, call, call.m_may_have_run.value_or(code));
         return;
     }
     call.m_classified = take(std::move(classified));
     if (call.m_may_have_run && call.m_classified.m_kind->m_execution !=
                                    core::execution_rule::idempotent)
     {
-        fail_call(host, call, result_code::peer_link_lost);
+        fail_call(host, call, *call.m_may_have_run);
         return;
     }
     // A held or rerouted call that runs under a key passes the filters a second
@@ -203,18 +202,21 @@
                 : other_host_retry_delay;
 }
 
-} // namespace
-
-void fail_call(entry_host& host, active_call& call, result_code code)
+/// The code to end a call with. "Not run" must be true: it releases the key and
+/// allows the caller to send the request again. All refusals of calls pass
+/// here, whichever place decided on them.
+result_code check_promise(entry_host& host, active_call const& call,
+                          result_code code)
 {
-    // "Not run" must be true. It would also release the key and allow the
-    // caller to send the request again.
-    if (call.m_may_have_run && info(code).m_execution == execution::not_run)
+    if (info(code).m_execution != execution::not_run)
     {
-        code = result_code::peer_link_lost;
+        return code;
     }
-    if (info(code).m_execution == execution::not_run &&
-        (!call.m_attempts.empty() || call.m_forward))
+    if (call.m_may_have_run)
+    {
+        return *call.m_may_have_run;
+    }
+    if (!call.m_attempts.empty() || call.m_forward)
     {
         host.m_metrics.count_event("refused_after_dispatch");
         logging::write(
@@ -225,7 +227,17 @@
              {"attempts", std::to_string(call.m_attempts.size())},
              {"forwarded_to",
               call.m_forward ? call.m_forward->m_host_name : std::string()}});
+        return call.m_forward ? result_code::peer_link_lost
+                              : result_code::target_silent;
     }
+    return code;
+}
+
+} // namespace
+
+void fail_call(entry_host& host, active_call& call, result_code code)
+{
+    code = check_promise(host, call, code);
     complete_key(host, call, code);
     if (call.m_sink.m_fail)
     {
--- a/tests/ended_objects_test.cpp
+++ b/tests/ended_objects_test.cpp
@@ -49,4 +49,27 @@
     CHECK(core::in_flight(pool) == 0);
 }
 
+// Guards against "not run" for a request that a target is running, whichever
+// place decides to refuse it.
+TEST_CASE("a request in flight is not refused as not run")
+{
+    test_cluster cluster(2, 1);
+    auto const owner = cluster.find_owner(0);
+    for (std::size_t const taker : {owner, 1 - owner})
+    {
+        CAPTURE(taker == owner);
+        auto& host = cluster.host(taker);
+        auto const runs = cluster.total_run_count();
+        auto const running = cluster.send(taker, "POST", "/x",
+                                          {{"X-Service-Time-Us", "100000"}});
+        cluster.run_until([&] { return cluster.total_run_count() > runs; });
+        REQUIRE(host.m_calls.size() == 1);
+        serve::fail_call(host, *host.m_calls.begin()->second,
+                         result_code::host_leaving);
+        cluster.run_until([&] { return running->m_is_done; });
+        CHECK(get_outcome(*running) == "unknown");
+        CHECK(running->m_head.m_status != 503);
+    }
+}
+
 } // namespace hawthornspur::test
