Pass on no request whose caller has left before it is read

Targets got requests half a second and more after their callers had closed the connection (GONE). A host whose event loop is late reads a request together with the close that follows it; the close was noticed one iteration later, when the request had been passed on.

The connection now asks the socket before a request is passed on, and counts those that it drops (hawthornspur_requests_abandoned_total).

The test fails without the change: the handler gets the request of a caller that has left, on a new and on a kept connection.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -12,6 +12,7 @@
 #include <event2/http.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace hawthornspur::net
@@ -210,6 +211,15 @@
                   MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
+bool caller_connection::has_caller_left() const
+{
+    char byte = 0;
+    auto const received = ::recv(bufferevent_getfd(m_transport), &byte, 1,
+                                 MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 ||
+           (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void caller_connection::close()
 {
     evhttp_connection_free(m_evcon);
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -119,6 +119,10 @@
     /// No request is in flight and no byte of the next one has been received.
     bool is_idle() const;
 
+    /// The caller has closed the connection, also if the event loop has not
+    /// reported it yet.
+    bool has_caller_left() const;
+
     /// Closes the connection, which destroys this object.
     void close();
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -337,6 +337,12 @@
                        "connection closed, unvalidated bytes were parsed");
         return;
     }
+    if (connection->has_caller_left())
+    {
+        // A late host would pass on requests whose callers have given up.
+        ++m_counters.m_requests_abandoned;
+        return;
+    }
     m_handler(std::move(*received), std::move(exchange));
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -46,6 +46,9 @@
     std::uint64_t m_requests = 0;
     /// Callers that disconnected before their answer was complete.
     std::uint64_t m_callers_disconnected = 0;
+    /// Requests that were not passed on, because their callers had disconnected
+    /// before they were read.
+    std::uint64_t m_requests_abandoned = 0;
     /// Idle connections that were closed for their age or number.
     std::uint64_t m_idle_closed = 0;
     /// Connections that could not be accepted, mostly for lack of descriptors.
--- a/src/net/http_server_test.cpp
+++ b/src/net/http_server_test.cpp
@@ -324,6 +324,40 @@
     }
 }
 
+// Guards against a busy host that passes requests on long after their callers
+// have given up: it reads the request and the close at the same time.
+TEST_CASE("a request whose caller has left before it is read is not passed on")
+{
+    for (bool const is_kept : {false, true})
+    {
+        CAPTURE(is_kept);
+        auto loop = take(event_loop::create());
+        server_fixture fixture(*loop);
+        fixture.m_on_request = echo;
+        auto caller =
+            std::make_unique<raw_connection>(*loop, fixture.m_server->port());
+        if (is_kept)
+        {
+            caller->send(get("/first"));
+            REQUIRE(run_until(
+                *loop,
+                [&] { return contains(caller->m_received, "</first>"); }));
+        }
+        auto const requests = fixture.m_requests.size();
+        caller->send_at_once(get("/left"));
+        caller.reset();
+        auto const& counters = fixture.m_server->counters();
+        CHECK(run_until(*loop,
+                        [&]
+                        {
+                            return counters.m_connections_accepted == 1 &&
+                                   counters.m_connections_open == 0;
+                        }));
+        CHECK(fixture.m_requests.size() == requests);
+        CHECK(counters.m_requests_abandoned == 1);
+    }
+}
+
 // Guards against an incomplete answer that looks complete to the caller.
 TEST_CASE("an incomplete answer closes the connection")
 {
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -130,6 +130,10 @@
                      "Connections of callers that were refused with a request "
                      "in flight.",
                      host.m_caller_server->counters().m_refused_in_flight),
+        make_counter("hawthornspur_requests_abandoned_total",
+                     "Requests whose callers had disconnected before they "
+                     "were read.",
+                     host.m_caller_server->counters().m_requests_abandoned),
         make_counter("hawthornspur_accepts_failed_total",
                      "Connections of callers or hosts that were not accepted.",
                      host.m_caller_server->counters().m_accepts_failed +
