Keep refused connections open within the headroom of descriptors

Refused connections were closed before their callers had read the answer when more than a sixteenth of the limit of connections was refused at the same time: with 37 connections, two.

--- a/src/core/connection_budget.cpp
+++ b/src/core/connection_budget.cpp
@@ -14,7 +14,7 @@
 // that is new needs connections to its targets at once.
 constexpr std::size_t reserve_divisor = 4;
 // Part of the limit that stays free for what is opened before idle connections
-// are closed.
+// are closed, and for refused ones.
 constexpr std::size_t headroom_divisor = 16;
 // Callers keep this part whatever else is open.
 constexpr std::size_t min_callers_divisor = 8;
@@ -32,4 +32,9 @@
     return std::max(least, use.m_limit - std::min(use.m_limit, others));
 }
 
+std::size_t max_refused_connections(std::size_t descriptor_limit) noexcept
+{
+    return std::max<std::size_t>(1, descriptor_limit / headroom_divisor);
+}
+
 } // namespace hawthornspur::core
--- a/src/core/connection_budget.hpp
+++ b/src/core/connection_budget.hpp
@@ -23,6 +23,10 @@
 /// once and leave it open; their number grows until the idle timeout.
 std::size_t max_caller_connections(descriptor_use const& use) noexcept;
 
+/// Number of refused caller connections that may stay open until their callers
+/// have read the answer, for a process with this limit of descriptors.
+std::size_t max_refused_connections(std::size_t descriptor_limit) noexcept;
+
 } // namespace hawthornspur::core
 
 #endif
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -40,10 +40,6 @@
 /// their callers are about to use them again.
 constexpr core::duration min_idle_age = std::chrono::milliseconds(200);
 
-/// Refused connections stay open until their callers have read the answer. They
-/// may use this part of the limit in addition to it.
-constexpr std::size_t refused_divisor = 16;
-
 /// A connection and, while no request is in flight on it, its place in the list
 /// of idle connections.
 struct connection_entry
@@ -297,9 +293,7 @@
     m_refused_connections.push_back(&connection);
     connection.refuse(
         {result_code::too_many_connections, "too many connections"});
-    auto const most = std::max<std::size_t>(1, m_settings.m_max_connections /
-                                                   refused_divisor);
-    if (m_refused_connections.size() > most)
+    if (m_refused_connections.size() > m_settings.m_max_refused_connections)
     {
         m_refused_connections.front()->close();
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -28,6 +28,9 @@
     /// Above this number idle connections are closed, and new ones are refused
     /// with too_many_connections before they are read.
     std::size_t m_max_connections = 10'000;
+    /// Refused connections that may stay open, in addition, until their callers
+    /// have read the answer. Above it the first refused ones are closed.
+    std::size_t m_max_refused_connections = 512;
     /// Adds headers to a refusal that is sent without the handler, such as the
     /// delay after which the caller may retry. Optional.
     std::function<void(result_code, http_headers&)> m_add_refusal_headers =
--- a/src/serve/caller_server.cpp
+++ b/src/serve/caller_server.cpp
@@ -123,6 +123,8 @@
     settings.m_max_connections =
         std::min(host.m_settings.m_max_connections,
                  core::max_caller_connections({host.m_descriptor_limit, 0, 0}));
+    settings.m_max_refused_connections =
+        core::max_refused_connections(host.m_descriptor_limit);
     settings.m_add_refusal_headers =
         [&host](result_code code, net::http_headers& refusal_headers)
     {
