Judge refusals in the platform soak, crowd hosts with connections

No test of real processes brought a host to its limit of connections or asked whether a refused request ran. platform_rules.py now judges REFUSED in each scenario, and the scenario crowd starts the hosts with 300 descriptors while callers open up to eight connections at once, each with a request right behind it.

--- a/tests/soak/platform_rules.py
+++ b/tests/soak/platform_rules.py
@@ -1,5 +1,5 @@
 """Judges what callers and targets saw on their sockets by the rules of the
-users' platform (RULES.md): BUDGET, DRAIN and LIMIT."""
+users' platform (RULES.md): BUDGET, DRAIN, LIMIT and REFUSED."""
 
 import bisect
 import collections
@@ -19,6 +19,8 @@
 LIMIT_WINDOW_SECONDS = 4
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# Answers that promise that the request has not run and never will.
+PROMISES = (408, 421, 429, 503)
 # Time after which a host that passed on a limit keeps it.
 LIMIT_DELAY_SECONDS = 0.5
 
@@ -52,6 +54,7 @@
     def __init__(self):
         self.requests = {}  # id: Request
         self.arrivals = []
+        self.promised = set()  # ids of requests that were refused as not run
         # (target, time, "store" or host that passed the answer on)
         self.leaving = []
         self.limits = []  # (target, time, requests a second, host)
@@ -196,8 +199,17 @@
                    f"{LIMIT_WINDOW_SECONDS} s, {allowed:.0f} are allowed")
 
 
+def check_promises(records):
+    ran = {arrival.request for arrival in records.arrivals if arrival.ran}
+    broken = sorted(records.promised & ran)
+    if broken:
+        yield (f"REFUSED: {len(broken)} of {len(records.promised)} requests "
+               f"that were refused as not run have run: "
+               f"{', '.join(broken[:8])}")
+
+
 def find_problems(records):
     """Yields the broken rules, each with the figures that show it."""
     for check in (check_budget_window, check_attempts, check_time_left,
-                  check_drain, check_limit):
+                  check_drain, check_limit, check_promises):
         yield from check(records)
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import sys
 import tempfile
@@ -37,6 +38,11 @@
 STALLED_CALLERS = 400
 ENDLESS_PIECE = 16384
 HOST_MEMORY_MB = 260
+CROWD_DESCRIPTORS = 300  # of a host; about 40 of them are for callers
+CROWD_BURST = 8
+CROWD_PAUSE_SECONDS = 0.01
+CROWD_WORK_SECONDS = 0.6
+CROWD_IDLE_SECONDS = 0.5
 
 
 class Door(standins.Door):
@@ -229,7 +235,12 @@
             standins.route("r-pay", "/pay/", "pay", "non_idempotent", 2000,
                            MAX_ATTEMPTS)], list(TARGETS_PER_ZONE)))
         self.beat()
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if self.scenario == "crowd":
+            resource.setrlimit(resource.RLIMIT_NOFILE,
+                               (CROWD_DESCRIPTORS, limits[1]))
         self.fleet.start()
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
         if not await asyncio.to_thread(self.fleet.wait_until_ready):
             raise RuntimeError("the hosts did not become ready")
 
@@ -297,8 +308,7 @@
                 self.send((address, self.fleet.ports[0]), request), deadline)
         except (OSError, EOFError, asyncio.TimeoutError, ValueError):
             pass
-        key = (service, status)
-        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        self.note_outcome(service, status, name)
         if status == 200 and name in self.words:
             target, sender = self.words.pop(name)
             for passing in {host, sender}:
@@ -309,6 +319,12 @@
                     self.records.limits.append((target.name, time.monotonic(),
                                                 target.limit, passing))
 
+    def note_outcome(self, service, status, name):
+        key = (service, status)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        if service == "pay" and status in rules.PROMISES:
+            self.records.promised.add(name)
+
     async def send(self, address, request):
         """Uses an open connection until its host closes it."""
         idle = self.idle.setdefault(address, [])
@@ -483,6 +499,41 @@
             await asyncio.sleep(self.rng.uniform(1, 3))
             writer.transport.abort()
 
+    async def crowd(self):
+        """Callers open several connections at once, each with a request right
+        behind it, at hosts that have few descriptors."""
+        for target in self.targets.values():
+            target.slots = 60
+            target.work = CROWD_WORK_SECONDS
+        for number in range(10**6):
+            host = self.rng.choice(self.fleet.hosts)
+            for index in range(self.rng.randint(1, CROWD_BURST)):
+                asyncio.ensure_future(
+                    self.call_once(host, f"c{number}-{index}"))
+            await asyncio.sleep(CROWD_PAUSE_SECONDS)
+
+    async def call_once(self, host, name):
+        """Sends one request on a connection of its own."""
+        now = time.monotonic()
+        deadline = DEADLINE_SECONDS["pay"]
+        self.records.requests[name] = rules.Request(
+            "pay", now, now + deadline, host.name, MAX_ATTEMPTS)
+        request = standins.make_request("PUT", "/pay/1", name,
+                                        int(deadline * 1000), b"amount=100")
+        status = "no answer"
+        try:
+            reader, writer = await asyncio.open_connection(*host.front())
+            try:
+                status, headers, _ = await asyncio.wait_for(
+                    exchange_on(reader, writer, request), deadline)
+                if headers.get("connection") != "close":
+                    await asyncio.sleep(CROWD_IDLE_SECONDS)
+            finally:
+                writer.transport.abort()
+        except (OSError, EOFError, asyncio.TimeoutError, ValueError):
+            pass
+        self.note_outcome("pay", status, name)
+
     def check_memory(self, host):
         """Yields a problem if the host has used more memory than it may."""
         with open(f"/proc/{host.process.pid}/status",
@@ -521,7 +572,8 @@
 SCENARIOS = {"full_zone": Run.full_zone, "resets": Run.resets,
              "moved_targets": Run.moved_targets, "drains": Run.drains,
              "leave_under_faults": Run.leave_under_faults,
-             "limits": Run.limits, "endless_answers": Run.endless_answers}
+             "limits": Run.limits, "endless_answers": Run.endless_answers,
+             "crowd": Run.crowd}
 
 
 async def exchange_on(reader, writer, request):
