Tell requests that this host cannot send from failed connections

Cause: http_client reported connect_failed for a socket that could not be created, and the pool counts that outcome as a failure of the target. A probe that could not be sent counted as a missed answer. At once after lost requests, such an outcome also confirmed that the target had ended.

Change: the outcome not_sent, for exchanges and attempts. An exchange ends with it at the limit of connections, if evhttp does not take the request, and if socket() or connect() fails at once with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL; evhttp keeps that error for its error callback. Other errors that the kernel reports at once, such as an unreachable network, may depend on the address and stay connect_failed. After not_sent the request goes to another target without budget, as after connect_failed, and the slot is held for the usual service time, which paces a host that fails at once; it counts neither for ejection nor as an end of the target. After a probe that could not be sent the pool waits for the timeout of the probe as before and records nothing. The caller's library no longer marks an entry host as unreachable for its own lack.

--- a/src/caller/caller.cpp
+++ b/src/caller/caller.cpp
@@ -245,6 +245,9 @@
     case net::exchange_outcome::connect_failed:
         calling::mark_unreachable(service.m_book, host, now);
         break;
+    case net::exchange_outcome::not_sent:
+        // Says nothing about the host, in either direction.
+        break;
     case net::exchange_outcome::silent:
         calling::record_silent_attempt(service.m_book, host, now);
         break;
--- a/src/caller/request_codec.cpp
+++ b/src/caller/request_codec.cpp
@@ -96,6 +96,7 @@
     switch (outcome)
     {
     case exchange_outcome::connect_failed:
+    case exchange_outcome::not_sent:
         return {result_code::address_unavailable, execution::not_run};
     case exchange_outcome::silent:
         return {result_code::target_silent, execution::unknown};
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -503,6 +503,11 @@
     {
         return;
     }
+    if (answer.m_is_unsent)
+    {
+        target->m_is_probe_unsent = true;
+        return;
+    }
     target->m_probe_pending = false;
     record_load(*target, answer.m_load, now);
     if (answer.m_draining)
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -109,6 +109,9 @@
     shed,
     /// No byte of the request reached a target.
     connect_failed,
+    /// This host could not send the request, which says nothing about the
+    /// target.
+    not_sent,
     /// Another target has the address and declared that it did not run the
     /// request.
     misdirected,
@@ -145,7 +148,9 @@
     target_id m_target;
     bool m_healthy = false;
     bool m_draining = false;
-    std::optional<reported_load> m_load;
+    std::optional<reported_load> m_load = std::nullopt;
+    /// Set if this host could not send the probe; only the target is then used.
+    bool m_is_unsent = false;
 };
 
 /// State of a pool that its owner sends to owners of the same service's pools
--- a/src/core/pool_accounting.cpp
+++ b/src/core/pool_accounting.cpp
@@ -1,5 +1,7 @@
 #include "core/pool_accounting.hpp"
 
+#include "core/retry_rules.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -234,7 +236,7 @@
         target.m_last_answer = now;
         lower_after_shed(target.m_limit, now);
     }
-    else if (record_failure(target.m_outlier))
+    else if (is_failure(end.m_outcome) && record_failure(target.m_outlier))
     {
         eject_if_allowed(pool, target, now);
     }
--- a/src/core/pool_fault_test.cpp
+++ b/src/core/pool_fault_test.cpp
@@ -1,4 +1,5 @@
 #include "core/pool.hpp"
+#include "core/slot_usage.hpp"
 
 #include <doctest/doctest.h>
 
@@ -148,6 +149,8 @@
          result_code::ok},
         {attempt_outcome::connect_failed, claim,
          attempt_reason::retry_after_connect_failure, result_code::ok},
+        {attempt_outcome::not_sent, claim,
+         attempt_reason::retry_after_connect_failure, result_code::ok},
         {attempt_outcome::silent, claim, std::nullopt,
          result_code::target_silent},
         {attempt_outcome::closed, claim, std::nullopt,
@@ -501,6 +504,35 @@
           result_code::target_shed);
 }
 
+// Guards against a host that ejects its targets because it has no descriptor
+// left for requests and probes.
+TEST_CASE("only what was sent to a target counts as its failure")
+{
+    for (int const probe_budget : {0, 9})
+    {
+        CAPTURE(probe_budget);
+        auto fixture = make_fixture(2, 1);
+        fixture.m_budgets.m_probe =
+            make_token_bucket(probe_budget, probe_budget, fixture.m_now);
+        for (std::uint32_t i = 0; i < 40; ++i)
+        {
+            if (probe_budget == 0)
+            {
+                auto const id = arrive(fixture, look_up);
+                end_attempt(fixture, id, attempt_outcome::not_sent);
+                end_attempt(fixture, id, attempt_outcome::not_sent);
+            }
+            fixture.m_now += milliseconds(250);
+            on_timer(*fixture.m_pool, fixture.m_now, fixture.m_budgets,
+                     fixture.m_out);
+            on_probe_answer(*fixture.m_pool,
+                            {.m_target = {i % 2}, .m_is_unsent = true},
+                            fixture.m_now, fixture.m_budgets, fixture.m_out);
+        }
+        CHECK(count_slot_usage(*fixture.m_pool, fixture.m_now).m_ejected == 0);
+    }
+}
+
 // Guards against a budget that is spent on targets which are down: a failed
 // connection is no arrival.
 TEST_CASE("an attempt that reached no target is repeated without budget")
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -40,6 +40,7 @@
         return false;
     }
     target.m_probe_pending = true;
+    target.m_is_probe_unsent = false;
     target.m_last_probe = now;
     ++target.m_rate.m_probes;
     out.emplace_back(probe_effect{target.m_spec.m_id});
@@ -132,6 +133,22 @@
     return stalest;
 }
 
+void record_unanswered_probe(pool& pool, target_entry& target, time_point now)
+{
+    if (target.m_is_probe_unsent)
+    {
+        return;
+    }
+    if (target.m_outlier.m_ejected)
+    {
+        eject(target.m_outlier, now);
+    }
+    else if (record_failure(target.m_outlier))
+    {
+        eject_if_allowed(pool, target, now);
+    }
+}
+
 } // namespace
 
 void check_targets(pool& pool, time_point now, service_budgets& budgets,
@@ -145,14 +162,7 @@
             now - target.m_last_probe >= probe_timeout)
         {
             target.m_probe_pending = false;
-            if (target.m_outlier.m_ejected)
-            {
-                eject(target.m_outlier, now);
-            }
-            else if (record_failure(target.m_outlier))
-            {
-                eject_if_allowed(pool, target, now);
-            }
+            record_unanswered_probe(pool, target, now);
         }
         if (!is_leaving(target) && target.m_outlier.m_ejected &&
             target.m_outlier.m_ejected_until <= now)
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -39,6 +39,8 @@
     /// targets shows that the target is back.
     bool m_draining = false;
     bool m_probe_pending = false;
+    /// The pending probe could not be sent; the next one waits for its timeout.
+    bool m_is_probe_unsent = false;
     int m_in_flight = 0;
     /// Of these, attempts of requests that have lost a target before.
     int m_accused_in_flight = 0;
--- a/src/core/retry_rules.cpp
+++ b/src/core/retry_rules.cpp
@@ -7,19 +7,22 @@
 {
     return outcome == attempt_outcome::shed ||
            outcome == attempt_outcome::connect_failed ||
+           outcome == attempt_outcome::not_sent ||
            outcome == attempt_outcome::misdirected;
 }
 
 bool has_reached_target(attempt_outcome outcome)
 {
-    return outcome != attempt_outcome::connect_failed;
+    return outcome != attempt_outcome::connect_failed &&
+           outcome != attempt_outcome::not_sent;
 }
 
 bool is_failure(attempt_outcome outcome)
 {
     return outcome != attempt_outcome::ok &&
            outcome != attempt_outcome::cancelled &&
-           outcome != attempt_outcome::shed;
+           outcome != attempt_outcome::shed &&
+           outcome != attempt_outcome::not_sent;
 }
 
 bool may_retry(attempt_outcome outcome, bool is_idempotent)
@@ -28,6 +31,7 @@
     {
     case attempt_outcome::shed:
     case attempt_outcome::connect_failed:
+    case attempt_outcome::not_sent:
     case attempt_outcome::misdirected:
         return true;
     case attempt_outcome::silent:
@@ -49,6 +53,7 @@
     case attempt_outcome::shed:
         return result_code::target_shed;
     case attempt_outcome::connect_failed:
+    case attempt_outcome::not_sent:
     case attempt_outcome::misdirected:
         return result_code::connect_failed;
     case attempt_outcome::silent:
@@ -72,6 +77,7 @@
     case attempt_outcome::shed:
         return attempt_reason::retry_after_shed;
     case attempt_outcome::connect_failed:
+    case attempt_outcome::not_sent:
     case attempt_outcome::misdirected:
         return attempt_reason::retry_after_connect_failure;
     case attempt_outcome::silent:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -190,7 +190,7 @@
             {
                 if (end)
                 {
-                    end(exchange_outcome::connect_failed);
+                    end(exchange_outcome::not_sent);
                 }
             });
         client.m_deferred_timer->start(core::duration(0));
@@ -208,7 +208,7 @@
     {
         client.m_deferred_ends.emplace_back(
             [&client, id]
-            { detail::finish(client, id, exchange_outcome::connect_failed); });
+            { detail::finish(client, id, exchange_outcome::not_sent); });
         client.m_deferred_timer->start(core::duration(0));
     }
     return id;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,8 +30,11 @@
 {
     /// The whole answer was received.
     complete,
-    /// No byte of the request was sent.
+    /// No byte of the request was sent, and the cause is not known to be local.
     connect_failed,
+    /// The request could not be sent for a reason on this side, such as no free
+    /// descriptor or the limit of connections. Says nothing about the server.
+    not_sent,
     /// No answer within the timeout.
     silent,
     /// The connection closed before the head of the answer.
@@ -66,7 +69,7 @@
     /// Limit of the body of the answer.
     std::size_t m_max_answer_bytes = std::size_t{64} << 20U;
     /// Limit of the connections to this server, including idle ones. Without a
-    /// connection the exchange ends with connect_failed.
+    /// connection the exchange ends with not_sent.
     std::size_t m_max_connections = 256;
 };
 
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <event2/keyvalq_struct.h>
 
+#include <cerrno>
 #include <map>
 #include <string>
 #include <utility>
@@ -107,11 +108,20 @@
     }
 }
 
+/// Whether socket() or connect() failed because this side lacks a descriptor, a
+/// port or memory. Other errors may depend on the address.
+bool is_local_failure(int error)
+{
+    return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+           error == ENOMEM || error == EADDRNOTAVAIL;
+}
+
 exchange_outcome failure_outcome(client_exchange const& exchange)
 {
     if (exchange.m_connection->m_bytes_sent == 0)
     {
-        return exchange_outcome::connect_failed;
+        return exchange.m_is_local_failure ? exchange_outcome::not_sent
+                                           : exchange_outcome::connect_failed;
     }
     if (exchange.m_error == EVREQ_HTTP_INVALID_HEADER)
     {
@@ -130,11 +140,16 @@
 
 void on_error(evhttp_request_error what, void* argument)
 {
-    static_cast<client_connection*>(argument)->m_request = nullptr;
-    if (auto* exchange =
-            find_exchange(static_cast<client_connection*>(argument)))
+    // evhttp restores the error of the socket before this call.
+    auto const error = errno;
+    auto* connection = static_cast<client_connection*>(argument);
+    connection->m_request = nullptr;
+    if (auto* exchange = find_exchange(connection))
     {
         exchange->m_error = what;
+        // A later error comes from the network.
+        exchange->m_is_local_failure =
+            connection->m_is_sending && is_local_failure(error);
     }
 }
 
@@ -420,6 +435,7 @@
     // Before the call, which frees the request if the connection fails at once.
     connection->m_request = outgoing;
     connection->m_is_sending = true;
+    errno = 0;
     auto const is_taken =
         evhttp_make_request(connection->m_evcon, outgoing, *command,
                             request.m_uri.c_str()) == 0;
--- a/src/net/http_client_state.hpp
+++ b/src/net/http_client_state.hpp
@@ -56,6 +56,8 @@
     std::size_t m_received_bytes = 0;
     bool m_has_delivered_head = false;
     std::optional<evhttp_request_error> m_error;
+    /// The connection failed for a reason on this side.
+    bool m_is_local_failure = false;
     std::unique_ptr<timer> m_timeout;
     core::time_point m_deadline{};
 };
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -77,6 +77,8 @@
                                          : core::attempt_outcome::ok;
     case net::exchange_outcome::connect_failed:
         return core::attempt_outcome::connect_failed;
+    case net::exchange_outcome::not_sent:
+        return core::attempt_outcome::not_sent;
     case net::exchange_outcome::silent:
         return core::attempt_outcome::silent;
     case net::exchange_outcome::malformed:
@@ -186,6 +188,8 @@
         return "attempt refused by the target without running";
     case net::exchange_outcome::connect_failed:
         return "attempt could not connect";
+    case net::exchange_outcome::not_sent:
+        return "attempt could not be sent by this host";
     case net::exchange_outcome::silent:
         return "attempt timed out";
     case net::exchange_outcome::malformed:
@@ -252,16 +256,16 @@
         return;
     case net::exchange_outcome::connect_failed:
     {
-        // At the limit of connections there is no exchange, and a cut link lets
-        // the time pass; neither shows that the target has ended.
-        bool const is_refused = attempt.m_exchange_id != 0 &&
-                                now() - attempt.m_start_time < connect_timeout;
+        // A cut link lets the time pass, which does not show that the target
+        // has ended.
+        bool const is_refused = now() - attempt.m_start_time < connect_timeout;
         if (is_refused)
         {
             on_target_ended(host, attempt.m_target);
         }
         return;
     }
+    case net::exchange_outcome::not_sent:
     case net::exchange_outcome::silent:
     case net::exchange_outcome::malformed:
     case net::exchange_outcome::too_large:
@@ -286,9 +290,8 @@
     auto const attempt = std::move(call->m_attempts.at(number));
     call->m_attempts.erase(number);
     call->m_target_time += now() - attempt.m_start_time;
-    call->m_unsent_attempts +=
-        outcome == net::exchange_outcome::connect_failed ? 1 : 0;
     auto const result = to_attempt_outcome(outcome, attempt);
+    call->m_unsent_attempts += core::has_reached_target(result) ? 0 : 1;
     if (outcome != net::exchange_outcome::complete &&
         !core::is_certainly_not_run(result))
     {
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -95,6 +95,7 @@
                                         found->second.m_incarnation}](
             net::exchange_outcome outcome)
     {
+        answer->m_is_unsent = outcome == net::exchange_outcome::not_sent;
         answer->m_healthy =
             answer->m_healthy && outcome == net::exchange_outcome::complete;
         on_probe_end(host, pool_id, process, *answer);
