--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -61,7 +61,8 @@
     std::uint64_t m_requests_incomplete = 0;
     /// Requests and connections refused before the handler is called.
     std::map<result_code, std::uint64_t> m_refused;
-    /// Refused connections with a request in flight, which may have run.
+    /// Refusals that were not written, because a request was in flight whose
+    /// answer is its exchange's to write.
     std::uint64_t m_refused_in_flight = 0;
 };
 
