Add the types that the parts for hard load share

Customers with access keys, quotas, revocation, evacuated zones and cold targets need the same fields in the document, calls and messages.

A request on a kind that is not public needs an access key once the document has customers: 401 without one, and the target gets the customer's name instead of the key. Proofs and quotas are stubs that always agree. Documents without customers are served as before.

--- a/include/hawthornspur/result_code.hpp
+++ b/include/hawthornspur/result_code.hpp
@@ -31,6 +31,7 @@
     method_not_allowed = 1014,
     once_key_reused = 1015,
     request_timeout = 1016,
+    access_key_unknown = 1017,
 
     // 2xxx: the request was refused and did not run.
     queue_full = 2001,
@@ -52,6 +53,8 @@
     not_pool_owner = 2017,
     too_many_connections = 2018,
     request_suspected = 2019,
+    access_keys_unconfirmed = 2020,
+    quota_exceeded = 2021,
 
     // 3xxx: the request may have run.
     target_silent = 3001,
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -116,7 +116,8 @@
 }
 
 /// Reads the limits stated by the platform. All names are accepted, since the
-/// platform defines them; values that are not numbers are ignored.
+/// platform defines them; values that are neither numbers nor
+/// booleans are ignored.
 void read_bounds(object_reader& reader, std::map<std::string, double>& out)
 {
     read_object(reader, "platform_bounds", presence::optional,
@@ -129,6 +130,10 @@
                         {
                             out[name] = bound.get<double>();
                         }
+                        else if (bound.is_boolean())
+                        {
+                            out[name] = bound.get<bool>() ? 1 : 0;
+                        }
                     }
                 });
 }
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNSPUR_CORE_CONFIGURATION_HPP
 #define HAWTHORNSPUR_CORE_CONFIGURATION_HPP
 
+#include "core/customers.hpp"
 #include "core/time.hpp"
 
 #include <cstddef>
@@ -44,6 +45,8 @@
     duration m_target_latency{0};
     /// Upper bound on the targets that one request is sent to.
     int m_max_attempts = 4;
+    /// Requests need no access key.
+    bool m_is_public = false;
 };
 
 /// A service that receives a share of a route's requests.
@@ -118,6 +121,11 @@
     std::size_t m_max_queue = 1000;
     /// Connections that a registered target accepts, summed over all hosts.
     int m_max_connections = 100;
+    /// Requests per second that a cold target takes from all hosts together; 0
+    /// means no limit.
+    double m_cold_rate = 0;
+    /// Time for which a target is cold after its start.
+    duration m_warm_up{0};
 };
 
 struct zone_config
@@ -128,6 +136,8 @@
     std::map<std::string, duration> m_one_way_delay;
     /// Cost of spilling to this zone in addition to the round-trip time.
     duration m_extra_cost{0};
+    /// Operators ask that targets of this zone get no new requests.
+    bool m_is_evacuated = false;
 };
 
 /// A complete configuration document.
@@ -153,6 +163,8 @@
     std::vector<service_config> m_services;
     /// Empty if requests name their service.
     std::vector<route_config> m_routes;
+    /// Null if requests need no access keys.
+    customer_table_ptr m_customers;
 };
 
 /// Returns the service with this name, or null.
--- /dev/null
+++ b/src/core/customers.hpp
@@ -0,0 +1,60 @@
+#ifndef HAWTHORNSPUR_CORE_CUSTOMERS_HPP
+#define HAWTHORNSPUR_CORE_CUSTOMERS_HPP
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hawthornspur::core
+{
+
+/// A customer of the operators. Its requests bear one of its access keys.
+struct customer_config
+{
+    std::string m_name;
+    std::vector<std::string> m_access_keys;
+    /// 0 is the most urgent, 9 the least. Precedes the priority of the kind.
+    int m_priority = 4;
+    /// Limit over all hosts together, in requests per second; 0 means none.
+    double m_rate = 0;
+    /// Requests that may exceed the rate at once.
+    double m_burst = 0;
+};
+
+/// The customers of a document with an index of their keys. Immutable, so that
+/// all copies of a document share one table.
+struct customer_table;
+using customer_table_ptr = std::shared_ptr<customer_table const>;
+
+/// A key that two entries of the list hold.
+struct repeated_key
+{
+    std::size_t m_customer = 0;
+    std::size_t m_key = 0;
+    std::size_t m_first_customer = 0;
+    std::size_t m_first_key = 0;
+};
+
+/// All keys that occur earlier in the list, with the positions of both.
+std::vector<repeated_key>
+find_repeated_keys(std::vector<customer_config> const& customers);
+
+/// Of customers with the same key, the first one gets it.
+customer_table_ptr make_customer_table(std::vector<customer_config> customers);
+
+std::vector<customer_config> const&
+customers(customer_table const& table) noexcept;
+
+/// Returns the customer that holds the key, or null. Takes constant expected
+/// time, and the time does not depend on how much of a key is right.
+customer_config const* find_customer_by_key(customer_table const& table,
+                                            std::string_view key);
+
+/// Returns the customer with this name, or null.
+customer_config const* find_customer(customer_table const& table,
+                                     std::string_view name);
+
+} // namespace hawthornspur::core
+
+#endif
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -25,6 +25,7 @@
 struct target_tag;
 struct kind_tag;
 struct content_tag;
+struct customer_tag;
 } // namespace detail
 
 /// Identifies a request within one host process, whether it came from a caller
@@ -42,6 +43,10 @@
 /// method, path, body and caller.
 using content_id = identifier<detail::content_tag, std::uint64_t>;
 
+/// Identifies a customer within one host process; never reused for another
+/// customer.
+using customer_id = identifier<detail::customer_tag, std::uint32_t>;
+
 /// Number of an attempt among those of one request at one pool owner, from 1.
 using attempt_number = std::uint32_t;
 
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -96,6 +96,10 @@
     content_id m_content = {};
     /// Targets that have ended under requests with this content.
     int m_target_ends = 0;
+    /// Empty if the request needs no access key.
+    std::optional<customer_id> m_customer = std::nullopt;
+    /// Of the customer, 0 is the most urgent. Unused without a customer.
+    int m_customer_priority = 0;
 };
 
 /// How an attempt ended at its target.
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -75,7 +75,7 @@
 
 void write(std::string& out, forward_request const& message)
 {
-    auto writer = begin(out, wire_type::forward_request, 17);
+    auto writer = begin(out, wire_type::forward_request, 18);
     writer.put(message.m_id);
     writer.put(static_cast<std::uint8_t>(message.m_purpose));
     writer.put(message.m_service);
@@ -92,6 +92,7 @@
     writer.put(message.m_body_size);
     writer.put(message.m_request_id);
     put_attempts(writer, message.m_attempts);
+    writer.put(message.m_customer);
 }
 
 peer_message read_forward_request(field_reader& reader)
@@ -119,6 +120,10 @@
     {
         message.m_attempts = get_attempts(reader);
     }
+    if (!reader.is_at_end())
+    {
+        message.m_customer = reader.get<std::string>();
+    }
     return message;
 }
 
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -63,6 +63,8 @@
     /// The id that the caller gave the request.
     std::string m_request_id = {};
     attempt_record m_attempts = {};
+    /// Customer whose access key the request bears; empty if it needs none.
+    std::string m_customer = {};
 };
 
 struct body_chunk
--- a/src/serve/accept.cpp
+++ b/src/serve/accept.cpp
@@ -59,6 +59,18 @@
 
 } // namespace
 
+std::string read_access_key(std::string_view credentials,
+                            std::string_view scheme)
+{
+    auto const space = credentials.find(' ');
+    if (space == std::string_view::npos ||
+        !equals_ignore_case(credentials.substr(0, space), scheme))
+    {
+        return {};
+    }
+    return std::string(trim(credentials.substr(space)));
+}
+
 result<accepted_request> accept_request(net::http_request request)
 {
     accepted_request accepted;
@@ -95,6 +107,9 @@
     {
         return failure(parsed);
     }
+    accepted.m_access_key = read_access_key(
+        net::find_header(request_headers, headers::credentials).value_or(""),
+        "Bearer");
     auto const attempts = read_count(request_headers, headers::attempt);
     auto const depth = read_count(request_headers, headers::depth);
     for (auto const* count : {&attempts, &depth})
--- a/src/serve/accept.hpp
+++ b/src/serve/accept.hpp
@@ -22,12 +22,21 @@
 inline constexpr std::string_view draining = "Hawthornspur-Draining";
 /// Requests per second that a target takes from all hosts together.
 inline constexpr std::string_view rate_limit = "Hawthornspur-Rate-Limit";
+/// Name of the customer that holds the request's access key.
+inline constexpr std::string_view customer = "Hawthornspur-Customer";
+/// Access key of the caller's customer: "Bearer KEY".
+inline constexpr std::string_view credentials = "Authorization";
 } // namespace headers
 
 /// First filter: reads the headers that are addressed to this host and removes
 /// hop-by-hop headers. Errors: malformed_request, deadline_invalid.
 result<accepted_request> accept_request(net::http_request request);
 
+/// Reads an access key written as "SCHEME KEY". The scheme is compared without
+/// regard to case. Empty if the credentials have another form.
+std::string read_access_key(std::string_view credentials,
+                            std::string_view scheme);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -71,6 +71,8 @@
     std::optional<std::string> m_once_key;
     int m_earlier_attempts = 0;
     int m_depth = 0;
+    /// Access key of the caller's customer. Never logged, hashed or passed on.
+    std::string m_access_key;
 };
 
 /// Result of the classify filter. It shares ownership of the configuration, so
@@ -156,6 +158,9 @@
     /// lost.
     net::attempt_record m_prior_attempts;
     core::pool_id m_pool;
+    /// Name of the customer whose access key the request bears; empty if it
+    /// needs none.
+    std::string m_customer;
     answer_sink m_sink;
     bool m_is_receiver_closed = false;
     /// Retry delay reported by the host that refused the request; 0 if none.
--- a/src/serve/caller_interface.hpp
+++ b/src/serve/caller_interface.hpp
@@ -41,6 +41,8 @@
     /// Name of the intended target.
     std::string m_target;
     core::attempt_number m_attempt = 0;
+    /// Customer whose access key the request bears; empty if it needs none.
+    std::string m_customer;
 };
 
 /// A caller's request for the addresses of entry hosts.
@@ -75,6 +77,9 @@
     std::function<answer_signals(net::http_response_head const&,
                                  std::string const& target)>
         m_read_probe_signals;
+    /// Removes the access key and the name of a customer from the headers of a
+    /// request.
+    std::function<void(net::http_headers&)> m_remove_credentials;
     /// Removes the headers of an answer that concern only this host.
     std::function<void(net::http_headers&)> m_remove_signal_headers;
     /// Adds the delay after which a refused caller may retry.
--- a/src/serve/crash_reports.cpp
+++ b/src/serve/crash_reports.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "core/crash_suspects.hpp"
+#include "serve/authorize.hpp"
 #include "serve/host.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/pools.hpp"
@@ -200,7 +201,8 @@
 
 } // namespace
 
-core::content_id make_content_id(net::http_request const& request)
+core::content_id make_content_id(net::http_request const& request,
+                                 std::string_view caller)
 {
     auto const add = [](std::uint64_t hash, std::string_view text)
     {
@@ -209,15 +211,19 @@
     auto hash = add(0, request.m_method);
     hash = add(hash, net::find_header(request.m_headers, "Host").value_or(""));
     hash = add(hash, request.m_uri);
-    hash =
-        add(hash,
-            net::find_header(request.m_headers, "Authorization").value_or(""));
+    hash = add(hash, caller);
     return {add(hash, request.m_body)};
 }
 
 bool refuse_if_suspect(entry_host& host, active_call& call)
 {
-    auto const content = make_content_id(call.m_accepted.m_request);
+    // Access keys are not hashed. The owner of the pool does not know them.
+    auto const& request = call.m_accepted.m_request;
+    auto const caller =
+        has_customers(call)
+            ? std::string_view(call.m_customer)
+            : net::find_header(request.m_headers, "Authorization").value_or("");
+    auto const content = make_content_id(request, caller);
     call.m_content = content;
     auto const verdict =
         core::judge_request(host.m_crash_suspects, content,
--- a/src/serve/crash_reports.hpp
+++ b/src/serve/crash_reports.hpp
@@ -7,6 +7,7 @@
 #include "net/peer_messages.hpp"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornspur::serve
@@ -28,10 +29,12 @@
     int m_reported_count = 0;
 };
 
-/// Computes the content id of a request from method, host name, path, body and,
-/// if the caller gives it, the authorization. Network addresses are not part of
-/// it: those of a caller change, and many callers may send the same request.
-core::content_id make_content_id(net::http_request const& request);
+/// Computes the content id of a request from method, host name, path, body and
+/// `caller`: the customer, or else the authorization if the caller gives it.
+/// Network addresses are not part of it: those of a caller change, and many
+/// callers may send the same request.
+core::content_id make_content_id(net::http_request const& request,
+                                 std::string_view caller);
 
 /// Refuses the call if its content is suspected to crash targets, and returns
 /// whether it did, which invalidates the reference. Otherwise sets what the
--- a/src/serve/default_caller_interface.cpp
+++ b/src/serve/default_caller_interface.cpp
@@ -33,6 +33,16 @@
                     std::to_string(accepted.m_depth + 1));
     net::remove_header(header_list, headers::service);
     net::remove_header(header_list, headers::zone);
+    if (!metadata.m_customer.empty())
+    {
+        net::set_header(header_list, headers::customer, metadata.m_customer);
+    }
+}
+
+void remove_credentials(net::http_headers& header_list)
+{
+    net::remove_header(header_list, headers::credentials);
+    net::remove_header(header_list, headers::customer);
 }
 
 answer_signals read_signals(accepted_request const& /*accepted*/,
@@ -77,6 +87,7 @@
     caller_interface callbacks;
     callbacks.m_accept = accept_request;
     callbacks.m_set_target_headers = set_target_headers;
+    callbacks.m_remove_credentials = remove_credentials;
     callbacks.m_read_signals = read_signals;
     callbacks.m_read_probe_signals = read_probe_signals;
     callbacks.m_remove_signal_headers = remove_signal_headers;
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "core/pool_effects.hpp"
 #include "core/retry_rules.hpp"
 #include "serve/account.hpp"
+#include "serve/authorize.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/forwarding.hpp"
@@ -54,6 +55,11 @@
                                       attempt_metadata const& metadata)
 {
     auto request = call.m_accepted.m_request;
+    if (has_customers(call))
+    {
+        host.m_adapter.m_caller_interface.m_remove_credentials(
+            request.m_headers);
+    }
     host.m_adapter.m_caller_interface.m_set_target_headers(
         call.m_accepted, metadata, request.m_headers);
     return request;
@@ -348,7 +354,8 @@
         make_target_request(host, call,
                             {time_left, target->second.m_name,
                              number + static_cast<core::attempt_number>(
-                                          call.m_prior_attempts.m_count)}),
+                                          call.m_prior_attempts.m_count),
+                             call.m_customer}),
         options,
         {.m_on_head = [&host, id, number](net::http_response_head head,
                                           std::optional<std::uint64_t> length)
--- a/src/serve/forwarding.cpp
+++ b/src/serve/forwarding.cpp
@@ -6,6 +6,7 @@
 #include "core/retry_rules.hpp"
 #include "serve/account.hpp"
 #include "serve/admit.hpp"
+#include "serve/authorize.hpp"
 #include "serve/classify.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/host.hpp"
@@ -44,7 +45,7 @@
     return "to_home";
 }
 
-net::forward_request make_head(active_call const& call,
+net::forward_request make_head(entry_host const& host, active_call const& call,
                                net::forward_purpose purpose,
                                std::string const& zone, net::forward_id id)
 {
@@ -63,6 +64,11 @@
     head.m_method = accepted.m_request.m_method;
     head.m_uri = accepted.m_request.m_uri;
     head.m_headers = accepted.m_request.m_headers;
+    head.m_customer = call.m_customer;
+    if (has_customers(call))
+    {
+        host.m_adapter.m_caller_interface.m_remove_credentials(head.m_headers);
+    }
     head.m_body_size = accepted.m_request.m_body.size();
     head.m_request_id = accepted.m_request_id;
     head.m_attempts = all_attempts(call);
@@ -357,7 +363,7 @@
     }
     auto const id = host.m_next_forward_id++;
     auto const head =
-        make_head(call, purpose, forward_zone(call, purpose, zone), id);
+        make_head(host, call, purpose, forward_zone(call, purpose, zone), id);
     if (!host.m_peer_network->is_reachable(to) ||
         !has_value(host.m_peer_network->send(to, head)))
     {
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -147,6 +147,7 @@
     std::map<std::pair<std::string, std::string>, core::target_id> m_target_ids;
     std::unordered_map<core::target_id, target_record> m_targets;
     core::target_departures m_target_departures;
+    std::map<std::string, core::customer_id> m_customer_ids;
 
     core::crash_suspects m_crash_suspects;
     /// Contents with changed records that the other hosts are still to be told.
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -4,6 +4,7 @@
 #include "serve/accept.hpp"
 #include "serve/account.hpp"
 #include "serve/admit.hpp"
+#include "serve/authorize.hpp"
 #include "serve/classify.hpp"
 #include "serve/deduplicate.hpp"
 #include "serve/dispatch.hpp"
@@ -78,6 +79,10 @@
         fail_call(host, call, *call.m_may_have_run);
         return;
     }
+    if (!authorize_call(host, call))
+    {
+        return;
+    }
     // A held or rerouted call that runs under a key passes the filters a second
     // time.
     if (!call.m_running_key &&
@@ -133,6 +138,7 @@
     accepted.m_zone = head.m_zone;
     accepted.m_time_left = head.m_time_left;
     accepted.m_earlier_attempts = head.m_earlier_attempts;
+    call.m_customer = head.m_customer;
     call.m_prior_attempts = head.m_attempts;
     if (!head.m_once_key.empty())
     {
--- a/src/serve/pipeline.hpp
+++ b/src/serve/pipeline.hpp
@@ -10,8 +10,8 @@
 
 struct entry_host;
 
-// The filters in order: accept -> classify -> deduplicate -> admit -> queue
-// and bind (core::pool) -> dispatch -> relay -> account.
+// The filters in order: accept -> classify -> authorize -> deduplicate -> admit
+// -> queue and bind (core::pool) -> dispatch -> relay -> account.
 
 /// Starts a call for the request of an HTTP caller. `id_out` is set before any
 /// function of the sink is called.
@@ -23,8 +23,8 @@
                           net::forward_request const& head, std::string body,
                           answer_sink sink, core::request_id& id_out);
 
-/// Runs the filters classify, deduplicate and admit. The call may have ended on
-/// return.
+/// Runs the filters classify, authorize, deduplicate and admit. The call may
+/// have ended on return.
 void run_filters(entry_host& host, active_call& call);
 
 /// Handles the close of the answer's receiver: cancels the call, unless copies
--- a/src/serve/platform_adapter.hpp
+++ b/src/serve/platform_adapter.hpp
@@ -30,6 +30,18 @@
     std::optional<core::duration> m_retry_window;
     /// Probes of one target per second, over all hosts.
     std::optional<double> m_probes_per_second;
+    /// Time after which a request with a withdrawn access key must not run;
+    /// empty if the deployment does not enforce it.
+    std::optional<core::duration> m_revocation_bound;
+    /// Span in which the quotas of customers are counted, above zero, and what
+    /// a customer may exceed them by: a share, and a number of requests.
+    std::optional<core::duration> m_quota_window;
+    double m_quota_overage = 0;
+    double m_quota_slack = 0;
+    /// What a cold target bears beyond its rate within one second: a factor,
+    /// at least 1, and a number of requests.
+    double m_cold_overage = 1;
+    double m_cold_slack = 0;
 };
 
 /// Everything that differs between platforms. Without a store layout, a host
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -13,6 +13,7 @@
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
 #include "serve/probing.hpp"
+#include "serve/quotas.hpp"
 #include "serve/rate_limits.hpp"
 #include "serve/relay.hpp"
 
@@ -111,10 +112,30 @@
     return found;
 }
 
+/// Names the customer of the call with the priority that the configuration in
+/// force gives it.
+void set_customer(entry_host& host, active_call const& call,
+                  core::arrival& arrival)
+{
+    auto const& table = host.m_configuration.m_in_force->m_customers;
+    auto const* customer = call.m_customer.empty() || table == nullptr
+                               ? nullptr
+                               : core::find_customer(*table, call.m_customer);
+    if (customer == nullptr)
+    {
+        return;
+    }
+    auto const next = core::customer_id{
+        static_cast<std::uint32_t>(host.m_customer_ids.size() + 1)};
+    arrival.m_customer =
+        host.m_customer_ids.try_emplace(call.m_customer, next).first->second;
+    arrival.m_customer_priority = customer->m_priority;
+}
+
 /// Describes the call to its pool. The kind is looked up by name, since the
 /// pool may have newer rules than those under which the call was classified.
 /// The pool refuses a kind that it does not have.
-core::arrival make_arrival(entry_host const& host, local_pool const& pool,
+core::arrival make_arrival(entry_host& host, local_pool const& pool,
                            active_call const& call)
 {
     constexpr core::kind_id unknown_kind{
@@ -136,6 +157,7 @@
     arrival.m_spill_refusals = call.m_spill_refusals;
     arrival.m_content = call.m_content;
     arrival.m_target_ends = call.m_target_ends;
+    set_customer(host, call, arrival);
     return arrival;
 }
 
@@ -492,7 +514,7 @@
         fail_call(host, call, result_code::unknown_service);
         return;
     }
-    if (refuse_if_suspect(host, call))
+    if (refuse_if_suspect(host, call) || !admit_to_quota(host, call))
     {
         return;
     }
