--- a/src/config/document_property_test.cpp
+++ b/src/config/document_property_test.cpp
@@ -147,9 +147,10 @@
 auto tie_members(core::kind_config const& kind)
 {
     auto const& [name, method, prefix, execution, deadline, priority, share,
-                 declared, hedge, statuses, latency, attempts] = kind;
+                 declared, hedge, statuses, latency, attempts, is_public] =
+        kind;
     return std::tie(name, method, prefix, execution, deadline, priority, share,
-                    declared, hedge, statuses, latency, attempts);
+                    declared, hedge, statuses, latency, attempts, is_public);
 }
 
 auto tie_members(core::target_config const& target)
@@ -163,8 +164,8 @@
 
 auto tie_members(core::zone_config const& zone)
 {
-    auto const& [name, region, delay, cost] = zone;
-    return std::tie(name, region, delay, cost);
+    auto const& [name, region, delay, cost, is_evacuated] = zone;
+    return std::tie(name, region, delay, cost, is_evacuated);
 }
 
 auto tie_members(core::route_part const& part)
@@ -184,18 +185,18 @@
 bool are_equal(core::service_config const& a, core::service_config const& b)
 {
     auto const& [name, kinds, targets, probe, retry, body, answer, queue,
-                 connections] = a;
+                 connections, cold_rate, warm_up] = a;
     auto const& [probe_cost, cost, connection, path] = probe;
     auto const& [ratio, burst] = retry;
     return std::tie(name, probe_cost, cost, connection, path, ratio, burst,
-                    body, answer, queue, connections) ==
+                    body, answer, queue, connections, cold_rate, warm_up) ==
                std::tie(b.m_name, b.m_probe_budget.m_cost_per_second,
                         b.m_probe_budget.m_probe_cost,
                         b.m_probe_budget.m_connection_cost,
                         b.m_probe_budget.m_path, b.m_retry_budget.m_ratio,
                         b.m_retry_budget.m_burst, b.m_max_body_bytes,
                         b.m_max_answer_bytes, b.m_max_queue,
-                        b.m_max_connections) &&
+                        b.m_max_connections, b.m_cold_rate, b.m_warm_up) &&
            are_equal(kinds, b.m_kinds) && are_equal(targets, b.m_targets);
 }
 
@@ -210,12 +211,13 @@
 bool are_equal(core::configuration const& a, core::configuration const& b)
 {
     auto const& [generation, change, zones, hosts, addresses, keys, depth,
-                 owners, idle, services, routes] = a;
+                 owners, idle, services, routes, customers] = a;
     return std::tie(generation, change, hosts, addresses, keys, depth, owners,
                     idle) ==
                std::tie(b.m_generation, b.m_change_id, b.m_max_entry_hosts,
                         b.m_address_lifetime, b.m_key_lifetime, b.m_max_depth,
                         b.m_max_owners_per_zone, b.m_caller_idle_timeout) &&
+           (customers == nullptr) == (b.m_customers == nullptr) &&
            are_equal(zones, b.m_zones) &&
            std::equal(routes.begin(), routes.end(), b.m_routes.begin(),
                       b.m_routes.end(),
