Accept only final HTTP statuses in answers of other hosts

Here a target's status line is checked (100 to 599), so the system test passes before and after: eight bad status lines, directly and through another host, all end in a 5xx of the host. A head from another host was accepted with 100 to 999; a status above 599 or an interim one would have reached the caller. The test of the decoder failed before for 100, 199, 600 and 999.

net_tests: 94 cases passed.

--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -172,8 +172,9 @@
 
 peer_message read_answer_head(field_reader& reader)
 {
-    constexpr int lowest_status = 100;
-    constexpr int highest_status = 999;
+    // Interim answers (1xx) are not passed on between hosts.
+    constexpr int lowest_status = 200;
+    constexpr int highest_status = 599;
     answer_head message;
     message.m_id = reader.get<forward_id>();
     message.m_head.m_status = reader.get_count();
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -253,6 +253,22 @@
     CHECK(is_any_refused);
 }
 
+// Guards against an answer of another host whose status is not an HTTP status,
+// which the caller would get.
+TEST_CASE("the head of an answer has a final HTTP status")
+{
+    for (int const status : {200, 404, 599})
+    {
+        CAPTURE(status);
+        CHECK(has_value(decode(encode(answer_head{7, {status, {}}, 0}))));
+    }
+    for (int const status : {-1, 0, 99, 100, 199, 600, 999})
+    {
+        CAPTURE(status);
+        CHECK(!has_value(decode(encode(answer_head{7, {status, {}}, 0}))));
+    }
+}
+
 // Guards against records that change between hosts.
 TEST_CASE("a datagram survives encoding and decoding")
 {
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -187,6 +187,37 @@
     }
 }
 
+// Guards against an answer whose status is not an HTTP status and that reaches
+// the caller, directly or from another host.
+TEST_CASE("an answer without an HTTP status never reaches the caller")
+{
+    std::string const framing = "Content-Length: 2\r\n\r\nok";
+    for (auto const* line :
+         {"HTTP/1.1 000 Unknown", "HTTP/1.1 0 Unknown", "HTTP/1.1 099 Low",
+          "HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/1.1 -20 Low",
+          "HTTP/1.1  00 Low", "HTTP/1.1 2000 OK"})
+    {
+        CAPTURE(line);
+        raw_target target({.m_start = std::string(line) + "\r\n" + framing});
+        test_cluster cluster(2, 0);
+        use_targets(cluster, {&target});
+        auto const owner = cluster.find_owner(0);
+        for (auto const host : {owner, 1 - owner})
+        {
+            CAPTURE(host == owner);
+            for (auto const* method : {"GET", "POST"})
+            {
+                auto const refused = cluster.send_and_wait(host, method, "/x");
+                CHECK(refused.m_outcome == net::exchange_outcome::complete);
+                CHECK(refused.m_head.m_status >= 500);
+                CHECK(refused.m_head.m_status <= 599);
+                CHECK(refused.m_body != "ok");
+            }
+        }
+        CHECK(target.requests() > 0);
+    }
+}
+
 // Guards against a request that runs at a second target because the first one
 // has repeated the refusal of an earlier request.
 TEST_CASE("a repeated refusal never sends a request to a second target")
