Decide which zones are evacuated and limit cold targets in core

Operators ask that the targets of a zone get no requests, and state a rate for targets that have just started. Neither was known to the core.

evacuated_zones holds the set that was read from the store with its position, decides what it means under a document and marks the targets of evacuated zones as draining in the document in force. Their state in the directory does not change, so that it is no departure. A pool whose zone is evacuated spills its waiting requests or refuses them at once; before, they were kept until their deadline. Requests of callers there are distributed over the zones that are equally near, in proportion to their slots. When a zone is taken back, its targets count as cold for the warm-up time of their service.

While a target is cold, the bucket of advertised rate limits holds it to the cold rate, or to the advertised limit if that is lower, with the same share over owners. Busy targets of such services are probed once a second, since only health answers say that they are cold again. An entry with a later end of the cold time is now a change; before, the end of the first one was kept.

--- a/src/core/advertised_rate.cpp
+++ b/src/core/advertised_rate.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace hawthornspur::core
 {
@@ -27,12 +28,13 @@
 
 void update_bucket(advertised_rate& rate, time_point now)
 {
-    if (!rate.m_limit)
+    auto const limit = limit_in_force(rate);
+    if (!limit)
     {
         rate.m_bucket = {};
         return;
     }
-    auto const per_second = rate.m_share * std::max(min_rate, *rate.m_limit);
+    auto const per_second = rate.m_share * std::max(min_rate, *limit);
     auto const capacity =
         rate.m_share > 0 ? std::max(1.0, per_second * burst_window.count()) : 0;
     set_rate(rate.m_bucket, per_second, capacity, now);
@@ -134,14 +136,62 @@
     dispatch_queued(pool, now, out);
 }
 
+void update_cold_limits(pool& pool, time_point now)
+{
+    for (auto& target : pool.m_targets)
+    {
+        bool const is_cold = pool.m_rules.m_cold_rate > 0 &&
+                             now < target.m_slowness_estimate.m_cold_until;
+        auto const limit =
+            is_cold ? std::optional(pool.m_rules.m_cold_rate) : std::nullopt;
+        if (std::exchange(target.m_rate.m_cold_limit, limit) != limit)
+        {
+            update_bucket(target.m_rate, now);
+        }
+    }
+}
+
+void record_cold_report(pool& pool, target_id target,
+                        std::optional<duration> left, time_point now)
+{
+    auto* entry = find_target(pool, target);
+    if (entry != nullptr && left && pool.m_rules.m_cold_rate > 0)
+    {
+        entry->m_slowness_estimate.m_cold_until = now + *left;
+        update_cold_limits(pool, now);
+    }
+}
+
+time_point next_cold_end(pool const& pool)
+{
+    auto next = time_point::max();
+    for (auto const& target : pool.m_targets)
+    {
+        if (target.m_rate.m_cold_limit)
+        {
+            next = std::min(next, target.m_slowness_estimate.m_cold_until);
+        }
+    }
+    return next;
+}
+
+std::optional<double> limit_in_force(advertised_rate const& rate)
+{
+    if (rate.m_limit && rate.m_cold_limit)
+    {
+        return std::min(*rate.m_limit, *rate.m_cold_limit);
+    }
+    return rate.m_limit ? rate.m_limit : rate.m_cold_limit;
+}
+
 bool has_token(advertised_rate const& rate, time_point now)
 {
-    return !rate.m_limit || tokens(rate.m_bucket, now) >= 1;
+    return !limit_in_force(rate) || tokens(rate.m_bucket, now) >= 1;
 }
 
 void take_token(advertised_rate& rate, time_point now)
 {
-    if (rate.m_limit)
+    if (limit_in_force(rate))
     {
         [[maybe_unused]] bool const is_taken = try_take(rate.m_bucket, 1, now);
         assert(is_taken);
@@ -166,11 +216,12 @@
 double usable_slots(advertised_rate const& rate, int slots,
                     duration service_duration)
 {
-    if (rate.m_limit && rate.m_share <= 0)
+    bool const is_limited = limit_in_force(rate).has_value();
+    if (is_limited && rate.m_share <= 0)
     {
         return 0;
     }
-    if (!rate.m_limit || service_duration == duration::zero())
+    if (!is_limited || service_duration == duration::zero())
     {
         return slots;
     }
--- a/src/core/advertised_rate.hpp
+++ b/src/core/advertised_rate.hpp
@@ -15,15 +15,18 @@
 
 struct pool;
 
-/// Rate limit that one target advertises in its answers, for the requests of
-/// all hosts together, and what this host sent to the target under it. Health
-/// checks are not requests and do not count.
+/// Rate limit that one target advertises in its answers or that holds while it
+/// is cold, for the requests of all hosts together, and what this host sent to
+/// the target under it. Health checks are not requests and do not count.
 struct advertised_rate
 {
     /// Requests per second; empty if the target advertises no limit.
     std::optional<double> m_limit;
     /// Part of the limit that this host may use, from 0 to 1.
     double m_share = 1;
+    /// Requests per second while the target is cold; empty if it is not, or if
+    /// its service has no cold rate.
+    std::optional<double> m_cold_limit;
     /// One token per request. Used only while there is a limit.
     token_bucket m_bucket;
     /// Last report of the target to this host.
@@ -98,6 +101,24 @@
 void set_rate_share(pool& pool, double share, time_point now,
                     pool_effects& out);
 
+/// Limits the targets that are cold now to the cold rate of their service, and
+/// ends the limit of the others. To be called after each change of the rules or
+/// of the time until which a target is cold, and when next_cold_end() is due.
+void update_cold_limits(pool& pool, time_point now);
+
+/// Records how much longer a target reports to be cold, zero if it is not. No
+/// effect without a report, or if its service has no cold rate.
+void record_cold_report(pool& pool, target_id target,
+                        std::optional<duration> left, time_point now);
+
+/// When the next target ceases to be cold; time_point::max() if none is limited
+/// as cold.
+time_point next_cold_end(pool const& pool);
+
+/// The limit that holds, in requests per second: the lower of the advertised
+/// limit and that of a cold target.
+std::optional<double> limit_in_force(advertised_rate const& rate);
+
 /// Whether the limit allows a request now.
 bool has_token(advertised_rate const& rate, time_point now);
 
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -84,6 +84,9 @@
     int m_slots = 1;
     int m_max_connections = 100;
     target_state m_state = target_state::active;
+    /// The zone of the target is evacuated; its state is then draining. Set in
+    /// the document in force only, and not a departure of the target.
+    bool m_is_evacuated = false;
     /// End of the warm-up that a registered target reported at its start; the
     /// target is slower until then.
     time_point m_cold_until{};
--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -61,8 +61,12 @@
         entry.m_limit.m_limit = 1;
         entry.m_outlier = {};
     }
+    // An entry that says nothing new does not replace a later health answer.
+    if (entry.m_spec.m_cold_until != spec.m_cold_until)
+    {
+        entry.m_slowness_estimate.m_cold_until = spec.m_cold_until;
+    }
     entry.m_spec = spec;
-    entry.m_slowness_estimate.m_cold_until = spec.m_cold_until;
     entry.m_listed = true;
 }
 
@@ -373,6 +377,7 @@
     pool.m_targets_known = pool.m_targets_known || !targets.empty();
     remove_unlisted_targets(pool);
     enforce_ejection_bound(pool);
+    update_cold_limits(pool, now);
     check_targets(pool, now, budgets, out);
     dispatch_queued(pool, now, out);
 }
@@ -510,6 +515,7 @@
     }
     target->m_probe_pending = false;
     record_load(*target, answer.m_load, now);
+    record_cold_report(pool, answer.m_target, answer.m_cold_left, now);
     if (answer.m_draining)
     {
         target->m_draining = true;
@@ -622,6 +628,7 @@
         pool.m_handover.clear();
         pool.m_handover_until = time_point::max();
     }
+    update_cold_limits(pool, now);
     check_targets(pool, now, budgets, out);
     dispatch_queued(pool, now, out);
     prune_timers(pool);
@@ -630,7 +637,7 @@
 std::optional<time_point> next_timer(pool const& pool)
 {
     auto next = std::min({pool.m_next_dispatch_check, next_target_check(pool),
-                          pool.m_handover_until});
+                          pool.m_handover_until, next_cold_end(pool)});
     if (!pool.m_timers.empty())
     {
         next = std::min(next, pool.m_timers.front().m_expires_at);
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -56,6 +56,8 @@
     bool m_leaving = false;
     /// A newly started target is expected to be slow until this time.
     time_point m_cold_until{};
+    /// The zone is evacuated. The target is then leaving as well.
+    bool m_is_evacuated = false;
 };
 
 struct pool_rules
@@ -65,6 +67,9 @@
     duration m_probe_cost = std::chrono::milliseconds(6);
     duration m_connection_cost = std::chrono::milliseconds(1);
     queue_order m_order = queue_order::first_come;
+    /// Requests per second that a cold target takes from all hosts together; 0
+    /// means no limit.
+    double m_cold_rate = 0;
 };
 
 /// A request as it arrives at the owner of the pool.
@@ -155,6 +160,8 @@
     std::optional<reported_load> m_load = std::nullopt;
     /// Set if this host could not send the probe; only the target is then used.
     bool m_is_unsent = false;
+    /// How much longer the target is cold, as it reports; empty if it does not.
+    std::optional<duration> m_cold_left = std::nullopt;
 };
 
 /// State of a pool that its owner sends to owners of the same service's pools
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -1,5 +1,7 @@
 #include "core/pool_dispatch.hpp"
 
+#include "core/pool_evacuation.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -525,10 +527,18 @@
 
 } // namespace
 
+bool spill_waiting(pool& pool, request_map::iterator request, time_point now,
+                   pool_effects& out)
+{
+    return request->second.m_attempt_count == 0 &&
+           try_spill(pool, request, {}, now, out);
+}
+
 void dispatch_queued(pool& pool, time_point now, pool_effects& out)
 {
     pool.m_next_dispatch_check = time_point::max();
     dispatch_ready(pool, now, out);
+    release_waiting(pool, now, out);
     if (pool.m_queued_count > 0 || !pool.m_retry_queue.empty())
     {
         pool.m_next_dispatch_check =
--- a/src/core/pool_dispatch.hpp
+++ b/src/core/pool_dispatch.hpp
@@ -30,6 +30,12 @@
 /// request has not been sent to.
 bool has_untried_target(pool const& pool, request_entry const& request);
 
+/// Spills a request that was removed from the queue and has had no attempt, if
+/// another zone has a free slot for it. Returns whether it was spilled; the
+/// request is then erased.
+bool spill_waiting(pool& pool, request_map::iterator request, time_point now,
+                   pool_effects& out);
+
 /// Refuses a waiting request that can no longer finish before its deadline.
 void refuse_overdue(pool& pool, request_map::iterator request,
                     pool_effects& out);
--- a/src/core/pool_probing.cpp
+++ b/src/core/pool_probing.cpp
@@ -16,6 +16,9 @@
 // take more slots of the targets than the better placement gains.
 constexpr duration slowness_refresh_interval = std::chrono::milliseconds(150);
 constexpr duration slowness_check_interval = std::chrono::milliseconds(25);
+// Shorter than a warm-up, so that most of it is observed. The probe budget
+// bounds the cost.
+constexpr duration cold_report_interval = std::chrono::seconds(1);
 // A pool without arrivals for this long is idle and does not refresh reports.
 constexpr duration active_pool_window = std::chrono::seconds(2);
 
@@ -85,14 +88,18 @@
            !target.m_probe_pending;
 }
 
-/// Age at which the slowness report of the target is refreshed. A target that
-/// advertises a rate limit is asked no more often than it takes requests.
+/// Age at which the slowness report of the target is refreshed. A target with a
+/// rate limit is asked no more often than it takes requests.
 duration slowness_refresh_age(target_entry const& target)
 {
-    if (!target.m_rate.m_limit)
+    if (!limit_in_force(target.m_rate))
     {
         return slowness_refresh_interval;
     }
+    if (target.m_rate.m_bucket.m_tokens_per_second <= 0)
+    {
+        return recent_answer_window;
+    }
     return std::max(slowness_refresh_interval,
                     std::chrono::duration_cast<duration>(seconds(
                         1 / target.m_rate.m_bucket.m_tokens_per_second)));
@@ -109,10 +116,21 @@
            now - last_contact(target) >= slowness_refresh_age(target);
 }
 
+/// Whether the target is to be asked if it is cold. It may become cold again at
+/// any moment, and only health answers say so, also of a busy target.
+bool is_cold_report_stale(pool const& pool, target_entry const& target,
+                          time_point now)
+{
+    return pool.m_rules.m_cold_rate > 0 &&
+           now - pool.m_last_arrival < active_pool_window &&
+           now - target.m_last_probe >= cold_report_interval;
+}
+
 bool is_probe_due(pool const& pool, target_entry const& target, time_point now)
 {
     return can_be_probed(target) &&
            (is_slowness_stale(pool, target, now) ||
+            is_cold_report_stale(pool, target, now) ||
             (target.m_in_flight == 0 &&
              now - last_contact(target) >= recent_answer_window));
 }
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -117,7 +117,7 @@
         {
             continue;
         }
-        if (!target.m_rate.m_limit)
+        if (!limit_in_force(target.m_rate))
         {
             return 0;
         }
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -1,5 +1,6 @@
 #include "core/routing.hpp"
 
+#include "core/evacuated_zones.hpp"
 #include "core/ownership.hpp"
 
 #include <algorithm>
@@ -11,13 +12,80 @@
 namespace
 {
 
+/// Slots of the active targets of the service in the zone.
+int count_active_slots(service_config const& service, std::string const& zone)
+{
+    int slots = 0;
+    for (auto const& target : service.m_targets)
+    {
+        if (target.m_zone == zone && target.m_state == target_state::active)
+        {
+            slots += target.m_slots;
+        }
+    }
+    return slots;
+}
+
 bool has_active_target(service_config const& service, std::string const& zone)
 {
-    return std::any_of(service.m_targets.begin(), service.m_targets.end(),
-                       [&](target_config const& target) {
-                           return target.m_zone == zone &&
-                                  target.m_state == target_state::active;
-                       });
+    return count_active_slots(service, zone) > 0;
+}
+
+std::optional<duration> one_way_delay(configuration const& document,
+                                      std::string const& from,
+                                      std::string const& to)
+{
+    auto const* zone = find_zone(document, from);
+    if (zone == nullptr || !zone->m_one_way_delay.contains(to))
+    {
+        return std::nullopt;
+    }
+    return zone->m_one_way_delay.at(to);
+}
+
+/// The zones that serve callers of `zone`.
+std::vector<zone_share> serving_zones(configuration const& document,
+                                      service_config const& service,
+                                      std::string const& zone)
+{
+    std::vector<zone_share> shares;
+    for (auto const& candidate : nearest_zones(document, zone))
+    {
+        auto const slots = count_active_slots(service, candidate);
+        if (slots == 0)
+        {
+            continue;
+        }
+        if (!shares.empty() &&
+            one_way_delay(document, zone, candidate) !=
+                one_way_delay(document, zone, shares.front().m_zone))
+        {
+            break;
+        }
+        shares.push_back({candidate, slots, 0});
+        if (!is_evacuated(service, zone))
+        {
+            break;
+        }
+    }
+    return shares;
+}
+
+/// Smooth weighted round robin: no zone gets its requests in a burst.
+std::string const& take_turn(std::vector<zone_share>& shares)
+{
+    std::int64_t total = 0;
+    for (auto& share : shares)
+    {
+        share.m_credit += share.m_slots;
+        total += share.m_slots;
+    }
+    auto const next =
+        std::max_element(shares.begin(), shares.end(),
+                         [](zone_share const& a, zone_share const& b)
+                         { return a.m_credit < b.m_credit; });
+    next->m_credit -= total;
+    return next->m_zone;
 }
 
 } // namespace
@@ -39,16 +107,10 @@
         table.m_pool_zones.try_emplace(pool_id{service.m_name, zone});
     if (is_new)
     {
-        for (auto const& candidate : nearest_zones(document, zone))
-        {
-            if (has_active_target(service, candidate))
-            {
-                entry->second = candidate;
-                break;
-            }
-        }
+        entry->second = serving_zones(document, service, zone);
     }
-    return entry->second;
+    static std::string const no_zone;
+    return entry->second.empty() ? no_zone : take_turn(entry->second);
 }
 
 std::vector<std::string> const& ranked_owners(routing_table& table,
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/membership.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -15,6 +16,16 @@
 namespace hawthornspur::core
 {
 
+/// A zone that serves a part of the callers of another one, in proportion to
+/// the slots of its active targets.
+struct zone_share
+{
+    std::string m_zone;
+    int m_slots = 0;
+    /// The zone with the highest credit gets the next request.
+    std::int64_t m_credit = 0;
+};
+
 /// Caches the zones and owners of pools for one configuration and one
 /// membership view; reset() is called when either changes. Entries are computed
 /// on first use, since a host routes to few of all pools.
@@ -25,14 +36,16 @@
     std::map<pool_id, std::vector<std::string>> m_ranked_owners;
     /// Owners by zone and service.
     std::map<std::string, std::map<std::string, std::string>> m_zone_owners;
-    /// Results of pool_zone(), by service and caller's zone.
-    std::map<pool_id, std::string> m_pool_zones;
+    /// Zones between which pool_zone() chooses, by service and caller's zone.
+    std::map<pool_id, std::vector<zone_share>> m_pool_zones;
 };
 
 void reset(routing_table& table, std::vector<host_record> hosts);
 
-/// Returns the zone whose pool serves callers of `zone`: the nearest one with
-/// an active target of the service, or empty if no zone has one.
+/// Returns the zone whose pool serves the next request of a caller of `zone`:
+/// the nearest one with an active target of the service, or empty if no zone
+/// has one. While `zone` is evacuated, the requests are distributed over all
+/// zones that are equally near, in proportion to their slots.
 std::string const& pool_zone(routing_table& table,
                              configuration const& document,
                              service_config const& service,
--- a/src/core/target_directory.cpp
+++ b/src/core/target_directory.cpp
@@ -19,6 +19,28 @@
            a.m_incarnation == b.m_incarnation;
 }
 
+// The same warm-up is reported with a later end if its entry arrives late.
+constexpr duration cold_end_tolerance = std::chrono::milliseconds(250);
+
+bool is_other_cold_end(time_point a, time_point b)
+{
+    return (a == time_point{}) != (b == time_point{}) ||
+           std::chrono::abs(a - b) > cold_end_tolerance;
+}
+
+/// When the target ceases to be cold.
+time_point cold_end(target_directory::entry const& entry,
+                    service_config const& service,
+                    evacuation_state const& evacuation)
+{
+    auto const end = cold_end_after_return(evacuation, entry.m_target.m_zone,
+                                           service.m_warm_up);
+    bool const is_reported_since =
+        end && entry.m_read_at > *end - service.m_warm_up;
+    return end && !is_reported_since ? std::max(entry.m_cold_until, *end)
+                                     : entry.m_cold_until;
+}
+
 // Longer than a registry goes back.
 constexpr duration removal_memory = std::chrono::seconds(60);
 
@@ -81,11 +103,11 @@
         return false;
     }
     auto& entry = directory.m_entries[target.m_name];
-    bool const is_changed =
-        is_new || !is_same_target(entry.m_target, target) ||
-        (cold_until == time_point{}) != (entry.m_cold_until == time_point{});
+    bool const is_changed = is_new || !is_same_target(entry.m_target, target) ||
+                            is_other_cold_end(cold_until, entry.m_cold_until);
     entry.m_target = std::move(target);
     entry.m_cold_until = cold_until;
+    entry.m_read_at = now;
     entry.m_remove_at.reset();
     return is_changed;
 }
@@ -166,7 +188,8 @@
 }
 
 configuration with_registered_targets(configuration const& document,
-                                      target_directory const& directory)
+                                      target_directory const& directory,
+                                      evacuation_state const& evacuation)
 {
     auto merged = document;
     std::map<std::string, service_config*> services;
@@ -191,10 +214,11 @@
         config.m_slots = target.m_slots;
         config.m_max_connections = service->second->m_max_connections;
         config.m_state = target.m_state;
-        config.m_cold_until = entry.m_cold_until;
+        config.m_cold_until = cold_end(entry, *service->second, evacuation);
         config.m_incarnation = target.m_incarnation;
         service->second->m_targets.push_back(std::move(config));
     }
+    mark_evacuated_targets(merged, evacuation.m_decision.m_zones);
     return merged;
 }
 
--- a/src/core/target_directory.hpp
+++ b/src/core/target_directory.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_CORE_TARGET_DIRECTORY_HPP
 
 #include "core/configuration.hpp"
+#include "core/evacuated_zones.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -38,6 +39,8 @@
     {
         registered_target m_target;
         time_point m_cold_until{};
+        /// Time at which the entry was read.
+        time_point m_read_at{};
         /// Set while the entry is missing in the registry after an outage of
         /// it: the target may still run and register again until then.
         std::optional<time_point> m_remove_at;
@@ -103,9 +106,13 @@
 next_lapsed_removal(target_directory const& directory);
 
 /// Returns the document with the registered targets in place of its own.
-/// Targets of services that are not in the document are left out.
+/// Targets of services that are not in the document are left out. Those of
+/// evacuated zones are marked. Those of a zone that was taken back count as
+/// cold for the warm-up time of their service, unless a later entry says
+/// otherwise.
 configuration with_registered_targets(configuration const& document,
-                                      target_directory const& directory);
+                                      target_directory const& directory,
+                                      evacuation_state const& evacuation = {});
 
 } // namespace hawthornspur::core
 
