Evacuate zones by keys of the store and tell the other hosts

Operators evacuate a zone with a key in the range that watchers read anyway. Nothing read it.

The platform's layout now tells which keys evacuate a zone and checks their values. serve/evacuations keeps the set of zones with the position of the store, puts it in force with the document, and passes it on: at once when it changes, on a new link, and to a host that tells an earlier set (peer message evacuated_zones, type 25, which hosts send only after an evacuation).

A new owner waits for the operators' range as it does for the targets before it sends to targets. Wrong entries are logged once and leave the zones as they are. GET /status lists the evacuated zones and what still runs there.

Health answers now report how long a target is cold, and pools get the cold rate of their service. An entry that is read again no longer makes its target cold again.

--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -54,7 +54,8 @@
              target_leaving{"map", "t1"},
              rate_limits_message{"map", "west", {{"t1", 1.5}}},
              crash_suspects_message{
-                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}}})
+                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}},
+             evacuated_zones_message{2, 1700, {"east", "west"}}})
     {
         messages.push_back(encode(message));
     }
--- a/src/core/evacuated_zones_test.cpp
+++ b/src/core/evacuated_zones_test.cpp
@@ -155,6 +155,21 @@
     CHECK(put_target(directory, target, time_point(seconds(20))));
 }
 
+// Guards against a limit on all targets of a service because a host reads the
+// entries again that they wrote when they started.
+TEST_CASE("an entry that is read again does not make its target cold again")
+{
+    target_directory directory;
+    auto target = make_target("t1", "a", 2);
+    target.m_warm_up_left = seconds(3);
+    target.m_sequence = 1;
+    CHECK(put_target(directory, target, time_point(seconds(10))));
+    CHECK(!put_target(directory, target, time_point(seconds(60))));
+    CHECK(directory.m_entries.at("t1").m_cold_until == time_point(seconds(13)));
+    target.m_sequence = 2;
+    CHECK(put_target(directory, target, time_point(seconds(70))));
+}
+
 // Guards against one zone that gets the whole load of an evacuated one.
 TEST_CASE("the load of an evacuated zone is spread over equally near zones")
 {
--- a/src/core/target_directory.cpp
+++ b/src/core/target_directory.cpp
@@ -63,6 +63,15 @@
            known.m_sequence && *read.m_sequence < *known.m_sequence;
 }
 
+/// Whether `read` is the entry that is known already. The time for which it
+/// says the target is cold counts from the first read.
+bool is_read_again(registered_target const& read,
+                   registered_target const& known)
+{
+    return is_same_target(read, known) && read.m_sequence &&
+           read.m_sequence == known.m_sequence;
+}
+
 /// Whether this process was removed before the registry was restored.
 bool is_removed(target_directory const& directory,
                 registered_target const& target, time_point now)
@@ -103,12 +112,16 @@
         return false;
     }
     auto& entry = directory.m_entries[target.m_name];
+    entry.m_remove_at.reset();
+    if (!is_new && is_read_again(target, entry.m_target))
+    {
+        return false;
+    }
     bool const is_changed = is_new || !is_same_target(entry.m_target, target) ||
                             is_other_cold_end(cold_until, entry.m_cold_until);
     entry.m_target = std::move(target);
     entry.m_cold_until = cold_until;
     entry.m_read_at = now;
-    entry.m_remove_at.reset();
     return is_changed;
 }
 
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -454,6 +454,31 @@
     return message;
 }
 
+void write(std::string& out, evacuated_zones_message const& message)
+{
+    auto writer = begin(out, wire_type::evacuated_zones, 3);
+    writer.put(message.m_epoch);
+    writer.put(message.m_revision);
+    writer.begin_array(message.m_zones.size());
+    for (auto const& zone : message.m_zones)
+    {
+        writer.put(zone);
+    }
+}
+
+peer_message read_evacuated_zones(field_reader& reader)
+{
+    evacuated_zones_message message;
+    message.m_epoch = reader.get<std::uint64_t>();
+    message.m_revision = reader.get<std::uint64_t>();
+    field_reader zones(reader.next());
+    for (std::size_t i = 0; i < zones.size(); ++i)
+    {
+        message.m_zones.push_back(zones.get<std::string>());
+    }
+    return message;
+}
+
 void write(std::string& out, target_leaving const& message)
 {
     auto writer = begin(out, wire_type::leaving, 3);
@@ -516,6 +541,8 @@
         return read_rate_limits(reader);
     case wire_type::crash_suspects:
         return read_crash_suspects(reader);
+    case wire_type::evacuated_zones:
+        return read_evacuated_zones(reader);
     case wire_type::hello:
     case wire_type::hello_proof:
     case wire_type::heartbeat:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -213,11 +213,22 @@
     std::vector<suspect_entry> m_entries;
 };
 
-using peer_message = std::variant<
-    forward_request, body_chunk, answer_head, answer_chunk, answer_end, refusal,
-    cancel_request, window_update, pool_summary_message, configuration_request,
-    configuration_reply, handover_message, target_leaving,
-    generation_announcement, rate_limits_message, crash_suspects_message>;
+/// The zones that operators have evacuated, as read from the store.
+struct evacuated_zones_message
+{
+    /// Where in the history of the store they were read.
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_revision = 0;
+    std::vector<std::string> m_zones;
+};
+
+using peer_message =
+    std::variant<forward_request, body_chunk, answer_head, answer_chunk,
+                 answer_end, refusal, cancel_request, window_update,
+                 pool_summary_message, configuration_request,
+                 configuration_reply, handover_message, target_leaving,
+                 generation_announcement, rate_limits_message,
+                 crash_suspects_message, evacuated_zones_message>;
 
 /// Encodes a message as a msgpack array [type, version, fields...].
 std::string encode(peer_message const& message);
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -55,7 +55,9 @@
                   {{5, milliseconds(3), 0.5}, {6, milliseconds(1), 1}},
                   std::nullopt,
                   milliseconds(2)},
-                 {{78}, {}, milliseconds(9), std::nullopt}}}};
+                 {{78}, {}, milliseconds(9), std::nullopt}}},
+            evacuated_zones_message{2, 1700, {"east", "west"}},
+            evacuated_zones_message{}};
 }
 
 core::membership_message sample_datagram()
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -36,6 +36,7 @@
     generation = 18,
     rate_limits = 19,
     crash_suspects = 20,
+    evacuated_zones = 25,
     membership = 32,
 };
 
--- a/src/platform/store_layout.hpp
+++ b/src/platform/store_layout.hpp
@@ -6,6 +6,7 @@
 #include "core/target_directory.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,13 @@
     /// Errors: store_answer_malformed, whose message states the reason.
     std::function<result<core::configuration>(std::string_view value)>
         m_read_configuration;
+    /// The zone that a key of the configuration's range evacuates while it
+    /// exists, or nothing. Empty if the platform has no such keys.
+    std::function<std::optional<std::string>(std::string_view key)>
+        m_evacuated_zone;
+    /// Checks the value of such a key. Errors: store_answer_malformed, whose
+    /// message states the reason.
+    std::function<status(std::string_view value)> m_check_evacuation;
     /// Errors: store_answer_malformed for an entry without a usable target.
     std::function<result<core::registered_target>(std::string_view key,
                                                   std::string_view value)>
--- a/src/serve/address_answer.cpp
+++ b/src/serve/address_answer.cpp
@@ -1,5 +1,6 @@
 #include "serve/address_answer.hpp"
 
+#include "core/evacuated_zones.hpp"
 #include "core/once_key.hpp"
 #include "core/once_table.hpp"
 #include "core/routing.hpp"
@@ -109,9 +110,12 @@
     {
         zone = host.m_settings.m_zone;
     }
+    // The hosts of an evacuated zone still serve its callers.
     core::pool_id const pool{
         service->m_name,
-        core::pool_zone(host.m_routing, *document, *service, zone)};
+        core::is_evacuated(*service, zone)
+            ? zone
+            : core::pool_zone(host.m_routing, *document, *service, zone)};
     nlohmann::json addresses = nlohmann::json::array();
     std::optional<std::string> session;
     for (auto const& name :
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -36,6 +36,29 @@
     return pools;
 }
 
+/// The evacuated zones, and what still waits and runs in the pools that this
+/// host has there.
+nlohmann::json describe_evacuated_zones(entry_host& host)
+{
+    auto zones = nlohmann::json::array();
+    for (auto const& zone : host.m_evacuation.m_in_force.m_decision.m_zones)
+    {
+        auto pools = nlohmann::json::array();
+        for (auto const& [id, pool] : host.m_pools)
+        {
+            if (id.m_zone == zone)
+            {
+                pools.push_back(
+                    {{"service", id.m_service},
+                     {"queued", core::queue_length(*pool->m_core_pool)},
+                     {"in_flight", core::in_flight(*pool->m_core_pool)}});
+            }
+        }
+        zones.push_back({{"zone", zone}, {"pools", std::move(pools)}});
+    }
+    return zones;
+}
+
 nlohmann::json describe_hosts(entry_host& host)
 {
     auto list = nlohmann::json::array();
@@ -82,6 +105,7 @@
         {"once_keys",
          host.m_once_table == nullptr ? 0 : core::size(*host.m_once_table)},
         {"leaving_targets", std::move(leaving)},
+        {"evacuated_zones", describe_evacuated_zones(host)},
         {"pools", describe_pools(host)},
         {"hosts", describe_hosts(host)}};
     return status.dump();
--- a/src/serve/caller_interface.hpp
+++ b/src/serve/caller_interface.hpp
@@ -32,6 +32,9 @@
     std::optional<core::reported_load> m_load;
     /// Requests per second that the target takes from all hosts together.
     std::optional<double> m_rate_limit;
+    /// How much longer the target is cold; zero if it is not. Only in answers
+    /// to probes.
+    std::optional<core::duration> m_cold_left;
 };
 
 /// Values sent to the target with an attempt.
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -9,6 +9,7 @@
 #include "platform/configuration_store.hpp"
 #include "platform/scheduler.hpp"
 #include "serve/configuration_sync.hpp"
+#include "serve/evacuations.hpp"
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
@@ -159,11 +160,16 @@
     if (host.m_store_sync != nullptr)
     {
         complete_document(host, document);
-        if (has_target_list(host))
-        {
-            document = core::with_registered_targets(
-                document, host.m_store_sync->m_target_directory);
-        }
+    }
+    auto const evacuation = evacuation_under(host, document);
+    if (host.m_store_sync != nullptr && has_target_list(host))
+    {
+        document = core::with_registered_targets(
+            document, host.m_store_sync->m_target_directory, evacuation);
+    }
+    else
+    {
+        core::mark_evacuated_targets(document, evacuation.m_decision.m_zones);
     }
     auto shared =
         std::make_shared<core::configuration const>(std::move(document));
@@ -185,6 +191,7 @@
     host.m_configuration_sync->m_peer_document_text = text;
     log_document(*shared, source, "configuration in force");
     host.m_metrics.count_event("configuration_in_force");
+    update_evacuations(host);
     core::remove_missing_routes(host.m_part_selector, *shared);
     if (host.m_once_table == nullptr)
     {
@@ -350,7 +357,8 @@
     }
     in_force = std::make_shared<core::configuration const>(
         core::with_registered_targets(*in_force,
-                                      host.m_store_sync->m_target_directory));
+                                      host.m_store_sync->m_target_directory,
+                                      host.m_evacuation.m_in_force));
     update_routing(host);
 }
 
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -20,6 +20,7 @@
 #include "platform/platform_calls.hpp"
 #include "serve/call.hpp"
 #include "serve/crash_reports.hpp"
+#include "serve/evacuations.hpp"
 #include "serve/metrics.hpp"
 #include "serve/platform_adapter.hpp"
 #include "serve/start_queue.hpp"
@@ -147,6 +148,7 @@
     std::map<std::pair<std::string, std::string>, core::target_id> m_target_ids;
     std::unordered_map<core::target_id, target_record> m_targets;
     core::target_departures m_target_departures;
+    evacuation_record m_evacuation;
     std::map<std::string, core::customer_id> m_customer_ids;
 
     core::crash_suspects m_crash_suspects;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -4,6 +4,7 @@
 #include "base/text.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/crash_reports.hpp"
+#include "serve/evacuations.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
 #include "serve/incoming_forwards.hpp"
@@ -89,6 +90,10 @@
     {
         on_crash_suspects(m_host, message);
     }
+    void operator()(net::evacuated_zones_message const& message) const
+    {
+        on_evacuated_zones(m_host, m_from, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
@@ -147,6 +152,7 @@
             announce_generation(host, peer);
             send_crash_suspects(host, peer);
             send_departures(host, peer);
+            send_evacuated_zones(host, peer);
             update_store_role(host);
             // Not at once: it replaces the list of peers, and this is
             // called by one of their links.
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -35,6 +35,7 @@
     rules.m_max_queue = service.m_max_queue;
     rules.m_probe_cost = service.m_probe_budget.m_probe_cost;
     rules.m_connection_cost = service.m_probe_budget.m_connection_cost;
+    rules.m_cold_rate = service.m_cold_rate;
     return rules;
 }
 
@@ -59,8 +60,16 @@
             core::is_departing(
                 host.m_target_departures,
                 {id.m_service, target.m_name, target.m_incarnation});
+        // Entries of targets in a store are merged with this already.
+        auto const cold_since_return =
+            host.m_store_sync == nullptr
+                ? core::cold_end_after_return(host.m_evacuation.m_in_force,
+                                              target.m_zone, service->m_warm_up)
+                : std::nullopt;
         targets.push_back({intern_target(host, id.m_service, target),
-                           target.m_slots, is_leaving, target.m_cold_until});
+                           target.m_slots, is_leaving,
+                           cold_since_return.value_or(target.m_cold_until),
+                           target.m_is_evacuated});
     }
     return targets;
 }
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -74,6 +74,9 @@
         answer->m_draining =
             signals.m_is_draining && !signals.m_is_other_target;
         answer->m_load = signals.m_load;
+        // Another target's answer says nothing about this one.
+        answer->m_cold_left =
+            signals.m_is_other_target ? std::nullopt : signals.m_cold_left;
         if (signals.m_is_other_target)
         {
             on_target_ended(host, answer->m_target);
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "platform/scheduler.hpp"
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/evacuations.hpp"
 #include "serve/host.hpp"
 #include "serve/host_registration.hpp"
 #include "serve/membership_driver.hpp"
@@ -209,8 +210,10 @@
 }
 
 void apply_configuration_snapshot(entry_host& host,
-                                  platform::stored_range const& snapshot)
+                                  platform::stored_range const& snapshot,
+                                  bool is_latest)
 {
+    apply_evacuation_snapshot(host, snapshot, is_latest);
     for (auto const& item : snapshot.m_items)
     {
         if (item.m_key == host.m_adapter.m_store_layout->m_configuration_key)
@@ -221,14 +224,14 @@
 }
 
 void apply_snapshot(entry_host& host, range_watch& range,
-                    platform::stored_range const& snapshot)
+                    platform::stored_range const& snapshot, bool is_latest)
 {
     if (&range == &host.m_store_sync->m_targets)
     {
         apply_target_snapshot(host, snapshot);
         return;
     }
-    apply_configuration_snapshot(host, snapshot);
+    apply_configuration_snapshot(host, snapshot, is_latest);
 }
 
 void apply_changes(entry_host& host, range_watch& range,
@@ -239,6 +242,7 @@
         apply_target_changes(host, changes);
         return;
     }
+    apply_evacuation_changes(host, changes);
     for (auto const& event : changes.m_events)
     {
         if (event.m_key == host.m_adapter.m_store_layout->m_configuration_key &&
@@ -329,7 +333,7 @@
             {
                 range.m_catching_up_since.reset();
             }
-            apply_snapshot(host, range, snapshot);
+            apply_snapshot(host, range, snapshot, is_latest);
             schedule_next_read(host, range, watch_start_delay);
         });
 }
@@ -487,6 +491,15 @@
     return success();
 }
 
+/// Whether this host watches the range and is up to date with it, as far as the
+/// store answers in time.
+bool is_current(range_watch const& range)
+{
+    return !range.m_is_polling &&
+           (!range.m_catching_up_since ||
+            now() - *range.m_catching_up_since >= max_catch_up_time);
+}
+
 } // namespace
 
 bool has_target_list(entry_host const& host) noexcept
@@ -549,10 +562,12 @@
     {
         return true;
     }
-    auto const& range = host.m_store_sync->m_targets;
-    return host.m_store_sync->m_has_read_targets && !range.m_is_polling &&
-           (!range.m_catching_up_since ||
-            now() - *range.m_catching_up_since >= max_catch_up_time);
+    auto const& sync = *host.m_store_sync;
+    // The operators' range says which zones are evacuated.
+    bool const has_evacuations =
+        host.m_adapter.m_store_layout->m_evacuated_zone != nullptr;
+    return sync.m_has_read_targets && is_current(sync.m_targets) &&
+           (!has_evacuations || is_current(sync.m_configuration));
 }
 
 void read_configuration_now(entry_host& host)
@@ -569,7 +584,7 @@
                 host.m_metrics.count_event("store_call_failed");
                 return;
             }
-            apply_configuration_snapshot(host, value(answer));
+            apply_configuration_snapshot(host, value(answer), true);
         });
 }
 
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -100,7 +100,8 @@
 bool has_target_list(entry_host const& host) noexcept;
 
 /// Whether the host may send requests to targets. A host that polls the targets
-/// may not have read yet which of them are leaving.
+/// may not have read yet which of them are leaving, or which zones are
+/// evacuated.
 bool has_current_target_list(entry_host const& host) noexcept;
 
 /// Determines what this host reads from the store, and starts to read it. To be
--- a/src/serve/target_signals.cpp
+++ b/src/serve/target_signals.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <system_error>
 
@@ -61,17 +62,42 @@
     return load;
 }
 
-std::optional<double> read_rate_limit(net::http_headers const& headers,
-                                      std::string_view name)
+namespace
+{
+
+/// Reads a finite number of at least 0.
+std::optional<double> read_number(net::http_headers const& headers,
+                                  std::string_view name)
 {
     auto const header = net::find_header(headers, name);
     auto const text = header ? trim(*header) : std::string_view();
     auto const* const end = text.data() + text.size();
-    double limit = 0;
-    auto const [stop, problem] = std::from_chars(text.data(), end, limit);
+    double number = 0;
+    auto const [stop, problem] = std::from_chars(text.data(), end, number);
     bool const is_valid = problem == std::errc{} && stop == end &&
-                          std::isfinite(limit) && limit >= 0;
-    return is_valid ? std::optional(limit) : std::nullopt;
+                          std::isfinite(number) && number >= 0;
+    return is_valid ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<double> read_rate_limit(net::http_headers const& headers,
+                                      std::string_view name)
+{
+    return read_number(headers, name);
+}
+
+std::optional<core::duration> read_cold_time(net::http_headers const& headers,
+                                             std::string_view name)
+{
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    constexpr milliseconds longest = std::chrono::hours(24);
+    auto const number = read_number(headers, name);
+    if (!number || milliseconds(*number) > longest)
+    {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<core::duration>(milliseconds(*number));
 }
 
 } // namespace hawthornspur::serve
--- a/src/serve/target_signals.hpp
+++ b/src/serve/target_signals.hpp
@@ -28,6 +28,12 @@
 std::optional<double> read_rate_limit(net::http_headers const& headers,
                                       std::string_view name);
 
+/// Reads how much longer a target is cold, in milliseconds, from the header
+/// with this name. Nothing if the header is missing or is not a time of at most
+/// one day.
+std::optional<core::duration> read_cold_time(net::http_headers const& headers,
+                                             std::string_view name);
+
 } // namespace hawthornspur::serve
 
 #endif
--- a/tests/memory_store.cpp
+++ b/tests/memory_store.cpp
@@ -83,6 +83,15 @@
     }
 }
 
+void drop_watches(memory_store& store, std::string const& prefix,
+                  store_view const& view)
+{
+    std::erase_if(store.m_watches,
+                  [&](memory_store::watch const& watch) {
+                      return watch.m_prefix == prefix && watch.m_view == &view;
+                  });
+}
+
 void restore(memory_store& store, memory_store const& copy)
 {
     store.m_items = copy.m_items;
@@ -146,9 +155,9 @@
         answer();
     };
     calls.m_watch_range =
-        [&store](std::string const& prefix, std::uint64_t after,
-                 core::duration wait,
-                 platform::callback<platform::range_changes> done)
+        [&view, &store](std::string const& prefix, std::uint64_t after,
+                        core::duration wait,
+                        platform::callback<platform::range_changes> done)
     {
         platform::range_changes changes;
         changes.m_store_revision = store.m_revision;
@@ -169,7 +178,7 @@
         }
         if (changes.m_events.empty() && wait > std::chrono::seconds(1))
         {
-            store.m_watches.push_back({prefix, std::move(done)});
+            store.m_watches.push_back({prefix, std::move(done), &view});
             return;
         }
         store.m_loop->post([done, changes] { done(changes); });
--- a/tests/memory_store.hpp
+++ b/tests/memory_store.hpp
@@ -17,6 +17,8 @@
 inline constexpr char const* document_key = "conf/document";
 inline constexpr char const* target_prefix = "targets/";
 
+struct store_view;
+
 /// An in-memory store shared by all hosts of a test.
 struct memory_store
 {
@@ -29,6 +31,7 @@
     {
         std::string m_prefix;
         platform::callback<platform::range_changes> m_on_changes;
+        store_view const* m_view = nullptr;
     };
     net::event_loop* m_loop = nullptr;
     std::map<std::string, item> m_items;
@@ -64,6 +67,11 @@
 /// Drops the history and the open watches, as a compaction does.
 void lose_history(memory_store& store);
 
+/// Loses the answers of this host's open watches of a range, as a connection
+/// does that has become silent.
+void drop_watches(memory_store& store, std::string const& prefix,
+                  store_view const& view);
+
 /// Brings the store back from `copy`. Open watches fail, as in an outage.
 void restore(memory_store& store, memory_store const& copy);
 
