--- a/src/serve/evacuations.cpp
+++ b/src/serve/evacuations.cpp
@@ -164,6 +164,10 @@
     for (auto const& event : changes.m_events)
     {
         auto const zone = evacuated_zone(host, event.m_key);
+        if (!event.m_value)
+        {
+            host.m_evacuation.m_rejected_values.erase(event.m_key);
+        }
         if (zone &&
             (!event.m_value || is_accepted(host, event.m_key, *event.m_value)))
         {
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "config/document.hpp"
+#include "core/ownership.hpp"
 #include "memory_store.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
