--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -217,6 +217,25 @@
     return **status;
 }
 
+std::string read_status(fixture& state, std::size_t host)
+{
+    std::string body;
+    bool is_done = false;
+    state.m_client->send(
+        {"127.0.0.1", state.m_hosts[host]->m_administration_server->port()},
+        {"GET", "/status", {}, {}}, {},
+        {.m_on_head = [](net::http_response_head const&,
+                         std::optional<std::uint64_t>) {},
+         .m_on_data = [&](std::string_view data) { body += data; },
+         .m_on_end =
+             [&](net::exchange_outcome)
+         {
+             is_done = true;
+         }});
+    run_until(state, [&] { return is_done; });
+    return body;
+}
+
 bool has_evacuated(serve::entry_host const& host, std::string const& zone)
 {
     return host.m_evacuation.m_in_force.m_decision.m_zones.contains(zone);
@@ -265,6 +284,9 @@
     put(state->m_store, "conf/evacuate/a", "{}");
     wait_for_all(*state, true);
     check_sent_to_other_zone(*state, 0);
+    CHECK(read_status(*state, 0).find(
+              R"("evacuated_zones":[{"pools":[{"in_flight":0,"queued":0,)"
+              R"("service":"map"}],"zone":"a"}])") != std::string::npos);
     SUBCASE("the key is removed")
     {
         remove(state->m_store, "conf/evacuate/a");
