--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -54,7 +54,9 @@
              target_leaving{"map", "t1"},
              rate_limits_message{"map", "west", {{"t1", 1.5}}},
              crash_suspects_message{
-                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}}})
+                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}},
+             configuration_proof_request{5},
+             configuration_proof_message{5, 12, milliseconds(900)}})
     {
         messages.push_back(encode(message));
     }
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -454,6 +454,28 @@
     return message;
 }
 
+void write(std::string& out, configuration_proof_request const& message)
+{
+    begin(out, wire_type::configuration_proof_request, 1).put(message.m_number);
+}
+
+void write(std::string& out, configuration_proof_message const& message)
+{
+    auto writer = begin(out, wire_type::configuration_proof, 3);
+    writer.put(message.m_number);
+    writer.put(message.m_generation);
+    writer.put(message.m_age);
+}
+
+peer_message read_configuration_proof(field_reader& reader)
+{
+    configuration_proof_message message;
+    message.m_number = reader.get<std::uint64_t>();
+    message.m_generation = reader.get<std::uint64_t>();
+    message.m_age = get_age(reader);
+    return message;
+}
+
 void write(std::string& out, target_leaving const& message)
 {
     auto writer = begin(out, wire_type::leaving, 3);
@@ -516,6 +538,11 @@
         return read_rate_limits(reader);
     case wire_type::crash_suspects:
         return read_crash_suspects(reader);
+    case wire_type::configuration_proof_request:
+        return peer_message(
+            configuration_proof_request{reader.get<std::uint64_t>()});
+    case wire_type::configuration_proof:
+        return read_configuration_proof(reader);
     case wire_type::hello:
     case wire_type::hello_proof:
     case wire_type::heartbeat:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -213,11 +213,30 @@
     std::vector<suspect_entry> m_entries;
 };
 
+/// Asks for the receiver's latest confirmation that a configuration is recent.
+struct configuration_proof_request
+{
+    /// Chosen by the sender, which never reuses it.
+    std::uint64_t m_number = 0;
+};
+
+/// The latest confirmation that the sender has, from the store or another host;
+/// see core::configuration_proof.
+struct configuration_proof_message
+{
+    /// Of the request.
+    std::uint64_t m_number = 0;
+    std::uint64_t m_generation = 0;
+    /// At the time of the reply, since hosts have no common clock.
+    core::duration m_age{0};
+};
+
 using peer_message = std::variant<
     forward_request, body_chunk, answer_head, answer_chunk, answer_end, refusal,
     cancel_request, window_update, pool_summary_message, configuration_request,
     configuration_reply, handover_message, target_leaving,
-    generation_announcement, rate_limits_message, crash_suspects_message>;
+    generation_announcement, rate_limits_message, crash_suspects_message,
+    configuration_proof_request, configuration_proof_message>;
 
 /// Encodes a message as a msgpack array [type, version, fields...].
 std::string encode(peer_message const& message);
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -55,7 +55,9 @@
                   {{5, milliseconds(3), 0.5}, {6, milliseconds(1), 1}},
                   std::nullopt,
                   milliseconds(2)},
-                 {{78}, {}, milliseconds(9), std::nullopt}}}};
+                 {{78}, {}, milliseconds(9), std::nullopt}}},
+            configuration_proof_request{5},
+            configuration_proof_message{5, 12, milliseconds(900)}};
 }
 
 core::membership_message sample_datagram()
@@ -207,6 +209,11 @@
          result_code::frame_malformed},
         {"status outside its range", "\x96\x05\x01\x07\x01\x90\xc0",
          result_code::frame_malformed},
+        {"age below zero", "\x95\x16\x01\x05\x0c\xff",
+         result_code::frame_malformed},
+        {"age above a day",
+         "\x95\x16\x01\x05\x0c\xcf\x7f\xff\xff\xff\xff\xff\xff\xff",
+         result_code::frame_malformed},
         {"header name without value", "\x96\x05\x01\x07\xcc\xc8\x91\xa1x\xc0",
          result_code::frame_malformed},
     };
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -36,6 +36,8 @@
     generation = 18,
     rate_limits = 19,
     crash_suspects = 20,
+    configuration_proof_request = 21,
+    configuration_proof = 22,
     membership = 32,
 };
 
