Refuse access keys that neither the store nor a host confirms

A host used its access keys however long ago it had heard from the store. The first host of a zone asks the store for changes of the operators' range, others ask such hosts while they get requests with keys. Other deployments make no calls and have no waits.

The metrics page and the status show the age of the proof; its loss and its return are logged.

--- a/src/core/configuration_proof_test.cpp
+++ b/src/core/configuration_proof_test.cpp
@@ -217,10 +217,16 @@
             auto const loss = chance(state, 0.5) ? 0.5 : 0.05;
             std::exponential_distribution<double> delay(
                 chance(state, 0.5) ? 1 : 50);
-            auto const withdrawn_at = start + seconds(8);
+            auto const withdrawn_at =
+                start + milliseconds(std::uniform_int_distribution(8000, 9000)(
+                            state.m_random));
+            // A confirmation shortly before the withdrawal is used longest.
+            auto const silent_from =
+                withdrawn_at + milliseconds(std::uniform_int_distribution(
+                                   -1000, 200)(state.m_random));
             state.m_is_store_silent = [&](std::size_t host)
             {
-                return state.m_now > start + seconds(6) &&
+                return state.m_now > silent_from &&
                        chance(state, silence.at(host));
             };
             state.m_is_lost = [&]
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -2,6 +2,7 @@
 
 #include "core/once_table.hpp"
 #include "net/http_refusal.hpp"
+#include "serve/configuration_proofs.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/stop.hpp"
@@ -51,6 +52,16 @@
     return list;
 }
 
+/// Null if there is no proof, or if none is needed.
+nlohmann::json describe_proof_age(entry_host const& host)
+{
+    auto const age = configuration_proof_age(host);
+    return age ? nlohmann::json(
+                     std::chrono::duration_cast<std::chrono::milliseconds>(*age)
+                         .count())
+               : nlohmann::json();
+}
+
 std::string describe_status(entry_host& host)
 {
     auto const& configuration = host.m_configuration;
@@ -78,6 +89,7 @@
         {"newest_generation_heard", configuration.m_newest_generation},
         {"rejected_generation", configuration.m_rejected_generation},
         {"rejected_documents", configuration.m_rejected_documents},
+        {"configuration_proof_age_ms", describe_proof_age(host)},
         {"calls_in_flight", host.m_calls.size()},
         {"once_keys",
          host.m_once_table == nullptr ? 0 : core::size(*host.m_once_table)},
@@ -173,6 +185,15 @@
         make_counter("hawthornspur_datagrams_refused_total",
                      "Datagrams that failed authentication or parsing.",
                      peers.m_datagrams_refused)};
+    if (auto const age = configuration_proof_age(host))
+    {
+        samples.push_back(
+            {"hawthornspur_configuration_proof_age_seconds",
+             "Age of the latest confirmation that the configuration is recent.",
+             std::chrono::duration<double>(*age).count(),
+             false,
+             {}});
+    }
     return samples;
 }
 
--- a/src/serve/authorize.cpp
+++ b/src/serve/authorize.cpp
@@ -45,13 +45,15 @@
         return check_forwarded_call(host, call);
     }
     // A key may have been added or withdrawn since the configuration was last
-    // confirmed, so neither its absence nor its presence shows anything.
-    if (!is_configuration_proved(host))
+    // confirmed, so neither its absence nor its presence shows anything. A call
+    // that passes a second time was sent before its key was checked first.
+    if (call.m_customer.empty() && !is_configuration_proved(host))
     {
         host.m_metrics.count_event("access_keys_unconfirmed");
-        if (!hold_call(host, call))
+        call.m_proof_awaited_since = call.m_proof_awaited_since.value_or(now());
+        if (!hold_call(host, call, hold_reason::proof))
         {
-            fail_call(host, call, result_code::access_keys_unconfirmed);
+            refuse_unconfirmed_call(host, call);
         }
         return false;
     }
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -163,6 +163,9 @@
     std::string m_customer;
     answer_sink m_sink;
     bool m_is_receiver_closed = false;
+    /// Time since which the call waits for the proof that access keys are
+    /// recent.
+    std::optional<core::time_point> m_proof_awaited_since;
     /// Retry delay reported by the host that refused the request; 0 if none.
     core::duration m_retry_after{0};
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -6,6 +6,7 @@
 #include "serve/administration.hpp"
 #include "serve/caller_server.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/configuration_proofs.hpp"
 #include "serve/configuration_sync.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/directory_server.hpp"
@@ -154,6 +155,7 @@
     maintain_crash_suspects(host);
     limit_caller_connections(host);
     read_missed_configuration(host);
+    maintain_configuration_proof(host);
     if (host.m_once_table != nullptr)
     {
         core::remove_expired_keys(*host.m_once_table, now());
@@ -241,10 +243,10 @@
     host->m_platform_calls = host->m_adapter.m_make_calls(
         *host->m_http_client, {host->m_settings.m_platform.m_address,
                                host->m_settings.m_platform.m_port});
-    for (auto* step :
-         {&open_caller_server, &open_peer_network, &open_administration,
-          &open_directory_servers, &start_membership, &start_configuration_sync,
-          &start_repeated_actions})
+    for (auto* step : {&open_caller_server, &open_peer_network,
+                       &open_administration, &open_directory_servers,
+                       &start_configuration_proofs, &start_membership,
+                       &start_configuration_sync, &start_repeated_actions})
     {
         if (auto const opened = (*step)(*host); !has_value(opened))
         {
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -37,6 +37,7 @@
 namespace hawthornspur::serve
 {
 
+struct configuration_proofs;
 struct configuration_sync;
 struct store_sync;
 
@@ -178,6 +179,7 @@
     std::unique_ptr<net::http_server> m_directory_server;
     std::unique_ptr<net::http_server> m_readiness_server;
     std::unique_ptr<configuration_sync> m_configuration_sync;
+    std::unique_ptr<configuration_proofs> m_configuration_proofs;
     /// Null if the platform's store does not hold targets and hosts.
     std::unique_ptr<store_sync> m_store_sync;
     std::unique_ptr<net::timer> m_membership_timer;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/configuration_proofs.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
@@ -89,6 +90,14 @@
     {
         on_crash_suspects(m_host, message);
     }
+    void operator()(net::configuration_proof_request const& message) const
+    {
+        on_configuration_proof_request(m_host, m_from, message);
+    }
+    void operator()(net::configuration_proof_message const& message) const
+    {
+        on_configuration_proof(m_host, m_from, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "platform/scheduler.hpp"
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/configuration_proofs.hpp"
 #include "serve/host.hpp"
 #include "serve/host_registration.hpp"
 #include "serve/membership_driver.hpp"
@@ -295,14 +296,25 @@
     }
 }
 
+/// Whether the snapshot is at least as new as `known` and of the same epoch, so
+/// that the store has not come back from an earlier state meanwhile.
+bool confirms_position(core::store_position const& known,
+                       platform::stored_range const& snapshot)
+{
+    return core::compare_read(known, snapshot.m_epoch,
+                              snapshot.m_store_revision,
+                              false) == core::read_order::current;
+}
+
 void read_snapshot(entry_host& host, range_watch& range,
                    platform::freshness freshness)
 {
     range.m_call_time = now();
     host.m_platform_calls.m_get_range(
         range.m_prefix, freshness,
-        [&host, &range, freshness, number = ++range.m_call_number](
-            result<platform::stored_range> const& answer)
+        [&host, &range, freshness, number = ++range.m_call_number,
+         asked =
+             range.m_call_time](result<platform::stored_range> const& answer)
         {
             detect_pause(host);
             if (number != range.m_call_number)
@@ -317,6 +329,9 @@
             on_store_answer(host, range);
             auto const& snapshot = value(answer);
             bool const is_latest = freshness == platform::freshness::latest;
+            bool const is_confirmation =
+                is_latest && &range == &host.m_store_sync->m_configuration &&
+                confirms_position(range.m_position, snapshot);
             if (!accept_answer(host, range, snapshot.m_epoch,
                                snapshot.m_store_revision,
                                is_latest ? answer_kind::snapshot
@@ -331,6 +346,10 @@
             }
             apply_snapshot(host, range, snapshot);
             schedule_next_read(host, range, watch_start_delay);
+            if (is_confirmation)
+            {
+                confirm_configuration(host, asked);
+            }
         });
 }
 
@@ -374,6 +393,15 @@
         });
 }
 
+/// Applies changes that the open watch has not reported, and replaces it.
+void apply_unreported_changes(entry_host& host, range_watch& range,
+                              platform::range_changes const& changes)
+{
+    ++range.m_call_number;
+    apply_changes(host, range, changes);
+    schedule_next_read(host, range, change_interval(host, range));
+}
+
 /// Reads the changes that an open watch should have reported. If there are any,
 /// its connection is silent and another watch replaces it.
 void confirm_watch(entry_host& host, range_watch& range)
@@ -399,12 +427,41 @@
             }
             host.m_metrics.count_event("store_watch_silent");
             log_range(range, logging::level::warn, "store watch is silent", "");
-            ++range.m_call_number;
-            apply_changes(host, range, changes);
-            schedule_next_read(host, range, change_interval(host, range));
+            apply_unreported_changes(host, range, changes);
         });
 }
 
+/// Handles the answer to a question for changes after the revision `known`,
+/// sent at `asked`.
+void on_range_confirmation(entry_host& host, range_watch& range,
+                           std::uint64_t known, core::time_point asked,
+                           result<platform::range_changes> const& answer)
+{
+    if (!has_value(answer))
+    {
+        if (failure(answer).m_code == result_code::history_lost)
+        {
+            // The open watch may be silent, and its position is of no use.
+            on_store_failure(host, range, failure(answer));
+        }
+        return;
+    }
+    auto const& changes = value(answer);
+    auto const newest = range.m_position.m_revision.value_or(0);
+    if (changes.m_store_revision < known ||
+        !accept_answer(host, range, changes.m_epoch,
+                       std::max(newest, changes.m_store_revision),
+                       answer_kind::changes))
+    {
+        return;
+    }
+    if (!changes.m_events.empty())
+    {
+        apply_unreported_changes(host, range, changes);
+    }
+    confirm_configuration(host, asked);
+}
+
 /// Compares the revision of the store with that of the open watch of the
 /// targets. A store whose answer was lost does not answer on the connection
 /// again, which keep-alive probes do not show.
@@ -561,7 +618,9 @@
     host.m_platform_calls.m_get_range(
         host.m_store_sync->m_configuration.m_prefix,
         platform::freshness::latest,
-        [&host](result<platform::stored_range> const& answer)
+        [&host, asked = now(),
+         known = host.m_store_sync->m_configuration.m_position](
+            result<platform::stored_range> const& answer)
         {
             detect_pause(host);
             if (!has_value(answer))
@@ -569,7 +628,46 @@
                 host.m_metrics.count_event("store_call_failed");
                 return;
             }
-            apply_configuration_snapshot(host, value(answer));
+            auto const& snapshot = value(answer);
+            apply_configuration_snapshot(host, snapshot);
+            observe_store_epoch(host, snapshot.m_epoch);
+            if (confirms_position(known, snapshot))
+            {
+                confirm_configuration(host, asked);
+            }
+        });
+}
+
+bool can_confirm_by_watch(entry_host const& host) noexcept
+{
+    auto const* sync = host.m_store_sync.get();
+    return sync != nullptr && sync->m_role == core::store_role::watcher &&
+           !sync->m_configuration.m_is_polling &&
+           // A newer answer would make the snapshot under way look like one
+           // from before a restore.
+           !sync->m_configuration.m_catching_up_since &&
+           sync->m_configuration.m_position.m_revision.has_value();
+}
+
+void confirm_operator_range(entry_host& host)
+{
+    if (!can_confirm_by_watch(host))
+    {
+        read_configuration_now(host);
+        return;
+    }
+    auto& range = host.m_store_sync->m_configuration;
+    host.m_platform_calls.m_watch_range(
+        range.m_prefix, *range.m_position.m_revision, confirmation_wait,
+        [&host, &range, number = range.m_call_number, asked = now(),
+         known = *range.m_position.m_revision](
+            result<platform::range_changes> const& answer)
+        {
+            detect_pause(host);
+            if (number == range.m_call_number)
+            {
+                on_range_confirmation(host, range, known, asked, answer);
+            }
         });
 }
 
--- a/src/serve/store_sync.hpp
+++ b/src/serve/store_sync.hpp
@@ -111,6 +111,14 @@
 /// answer that fails is not repeated.
 void read_configuration_now(entry_host& host);
 
+/// Asks the store for changes of the operators' range. An answer that shows
+/// that this host knows all of them confirms the configuration.
+void confirm_operator_range(entry_host& host);
+
+/// Whether confirm_operator_range() can read the changes alone, and not the
+/// whole range.
+bool can_confirm_by_watch(entry_host const& host) noexcept;
+
 /// Calls read_configuration_now() if other hosts have announced a document that
 /// this one could not get from them. To be called at regular intervals.
 void read_missed_configuration(entry_host& host);
--- a/tests/memory_store.cpp
+++ b/tests/memory_store.cpp
@@ -124,6 +124,10 @@
         [&view, &store](std::string const& prefix, platform::freshness,
                         platform::callback<platform::stored_range> done)
     {
+        if (view.m_is_silent)
+        {
+            return;
+        }
         if (view.m_is_refused && (prefix == target_prefix || prefix == "conf/"))
         {
             store.m_loop->post(
@@ -146,10 +150,14 @@
         answer();
     };
     calls.m_watch_range =
-        [&store](std::string const& prefix, std::uint64_t after,
-                 core::duration wait,
-                 platform::callback<platform::range_changes> done)
+        [&view, &store](std::string const& prefix, std::uint64_t after,
+                        core::duration wait,
+                        platform::callback<platform::range_changes> done)
     {
+        if (view.m_is_silent)
+        {
+            return;
+        }
         platform::range_changes changes;
         changes.m_store_revision = store.m_revision;
         changes.m_epoch = store.m_epoch;
--- a/tests/memory_store.hpp
+++ b/tests/memory_store.hpp
@@ -48,6 +48,8 @@
     memory_store* m_store = nullptr;
     /// Whether this host's reads of the document and the targets fail.
     bool m_is_refused = false;
+    /// Reads and watches that this host starts are never answered.
+    bool m_is_silent = false;
     /// Reads of this host wait for answer_delayed_reads().
     bool m_is_delayed = false;
     /// Restricts the delay to reads of this prefix.
