--- a/tests/configuration_proof_test.cpp
+++ b/tests/configuration_proof_test.cpp
@@ -207,6 +207,18 @@
                                     silent_since + bound;
                      }));
 
+    // A request that arrives without a proof waits for one.
+    CHECK(send_until(*state, 0,
+                     [&](int status)
+                     {
+                         auto& proofs = *host.m_configuration_proofs;
+                         proofs.m_proof = {};
+                         proofs.m_schedule.m_open_questions.clear();
+                         return status == 200;
+                     }));
+
+    CHECK(send_until(*state, 0, [](int status) { return status == 200; }));
+
     state->m_views[1].m_is_silent = true;
     run_until(*state,
               [&] { return serve::configuration_proof_age(host) > bound; });
