--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -3,6 +3,7 @@
 #include "base/logging.hpp"
 #include "base/text.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/configuration_proofs.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/evacuations.hpp"
 #include "serve/forwarding.hpp"
@@ -90,6 +91,14 @@
     {
         on_crash_suspects(m_host, message);
     }
+    void operator()(net::configuration_proof_request const& message) const
+    {
+        on_configuration_proof_request(m_host, m_from, message);
+    }
+    void operator()(net::configuration_proof_message const& message) const
+    {
+        on_configuration_proof(m_host, m_from, message);
+    }
     void operator()(net::evacuated_zones_message const& message) const
     {
         on_evacuated_zones(m_host, m_from, message);
