Count requests against the quotas of customers

Change: a request that names a customer with a limit takes a token where it first enters a pool. A request that is refused or cancelled without a run returns its token. The status of a host lists the customers that it refused most.

Deployments without a limited customer have no state, timer or message for quotas.

--- a/src/core/quota_allowance.cpp
+++ b/src/core/quota_allowance.cpp
@@ -32,6 +32,10 @@
 /// trips between zones.
 constexpr duration answer_timeout = std::chrono::milliseconds(50);
 
+/// The home is asked again after this time, since another host may have become
+/// the home, or its share may have grown.
+constexpr duration max_refusal = std::chrono::milliseconds(500);
+
 constexpr duration max_retry_spread = std::chrono::seconds(1);
 
 double tokens(quota_allowance const& allowance)
@@ -137,7 +141,7 @@
 
 duration retry_delay(quota_allowance& allowance, double rate, time_point now)
 {
-    auto const first = std::max(now, allowance.m_refused_until);
+    auto const first = std::max(now, allowance.m_next_token_at);
     auto const retry =
         std::clamp(allowance.m_next_retry, first, first + max_retry_spread);
     allowance.m_next_retry =
@@ -197,7 +201,8 @@
     if (allowance.m_asked_at && *allowance.m_asked_at <= asked_at)
     {
         allowance.m_asked_at.reset();
-        allowance.m_refused_until = now + next_token;
+        allowance.m_next_token_at = now + next_token;
+        allowance.m_refused_until = now + std::min(next_token, max_refusal);
     }
     auto const whole = std::floor(tokens);
     if (whole < 1)
--- a/src/core/quota_allowance.hpp
+++ b/src/core/quota_allowance.hpp
@@ -47,7 +47,9 @@
     time_point m_last_end;
     /// The last question without an answer.
     std::optional<time_point> m_asked_at;
-    /// The home has no token before this time.
+    /// When the next token arises at the home.
+    time_point m_next_token_at;
+    /// The home is not asked before this time.
     time_point m_refused_until;
     /// When the next caller may be told to retry, after those that were told
     /// before.
--- a/src/core/quota_ledger.cpp
+++ b/src/core/quota_ledger.cpp
@@ -29,6 +29,9 @@
 /// The host's report of what was left of an allowance arrives after its end.
 constexpr duration report_delay = std::chrono::milliseconds(250);
 
+/// Answer of a home that may not grant anything at present.
+constexpr duration unknown_next_token = std::chrono::milliseconds(200);
+
 constexpr duration max_next_token = std::chrono::seconds(60);
 
 double outstanding_tokens(quota_account const& account)
@@ -128,7 +131,7 @@
     auto const missing = 1 - std::min(1.0, bucket.m_tokens);
     if (bucket.m_tokens_per_second <= 0)
     {
-        return max_next_token;
+        return unknown_next_token;
     }
     auto const seconds =
         std::chrono::duration<double>(missing / bucket.m_tokens_per_second);
--- a/src/core/quota_test.cpp
+++ b/src/core/quota_test.cpp
@@ -122,6 +122,22 @@
     CHECK(make_question(allowance, 0, start + seconds(1)).m_unused == 3);
 }
 
+// Guards against a host that relies on the answer of a home that has no share
+// or no longer is the home.
+TEST_CASE("a home that has no token is asked again within half a second")
+{
+    quota_allowance allowance;
+    make_question(allowance, 1, start);
+    on_grant(allowance, start, 0, seconds(20), start);
+    CHECK(take(allowance, start) == quota_decision::refused);
+    CHECK(retry_delay(allowance, 0.05, start) == seconds(20));
+    CHECK(take(allowance, start + milliseconds(500)) == quota_decision::wait);
+    quota_ledger ledger;
+    set_limits(ledger, {{"harbour", {0.05, 0}}}, margin, start);
+    CHECK(grant(ledger, {"harbour", "a", 1, 0, 0}, start).m_next_token ==
+          milliseconds(200));
+}
+
 // Guards against callers that are all told to return at the same moment.
 TEST_CASE("refused callers are told to return one after another")
 {
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -454,6 +454,97 @@
     return message;
 }
 
+/// Reads a number of tokens.
+double get_tokens(field_reader& reader)
+{
+    auto const tokens = reader.get<double>();
+    if (!std::isfinite(tokens) || tokens < 0 || tokens > max_quota_tokens)
+    {
+        throw msgpack::type_error();
+    }
+    return tokens;
+}
+
+/// Reads the list of customers of a message about quotas.
+field_reader get_quota_list(field_reader& reader)
+{
+    field_reader list(reader.next());
+    if (list.size() > max_quota_customers)
+    {
+        throw msgpack::type_error();
+    }
+    return list;
+}
+
+void write(std::string& out, quota_request const& message)
+{
+    auto writer = begin(out, wire_type::quota_request, 2);
+    writer.put(message.m_sequence);
+    writer.begin_array(message.m_questions.size());
+    for (auto const& question : message.m_questions)
+    {
+        writer.begin_array(4);
+        writer.put(question.m_customer);
+        writer.put(question.m_wanted);
+        writer.put(question.m_used);
+        writer.put(question.m_unused);
+    }
+}
+
+peer_message read_quota_request(field_reader& reader)
+{
+    quota_request message;
+    message.m_sequence = reader.get<std::uint64_t>();
+    auto list = get_quota_list(reader);
+    while (!list.is_at_end())
+    {
+        field_reader fields(list.next());
+        quota_question question;
+        question.m_customer = fields.get<std::string>();
+        question.m_wanted = get_tokens(fields);
+        question.m_used = get_tokens(fields);
+        question.m_unused = get_tokens(fields);
+        message.m_questions.push_back(std::move(question));
+    }
+    return message;
+}
+
+void write(std::string& out, quota_grant const& message)
+{
+    auto writer = begin(out, wire_type::quota_grant, 2);
+    writer.put(message.m_sequence);
+    writer.begin_array(message.m_answers.size());
+    for (auto const& answer : message.m_answers)
+    {
+        writer.begin_array(3);
+        writer.put(answer.m_customer);
+        writer.put(answer.m_tokens);
+        writer.put(answer.m_next_token);
+    }
+}
+
+peer_message read_quota_grant(field_reader& reader)
+{
+    quota_grant message;
+    message.m_sequence = reader.get<std::uint64_t>();
+    auto list = get_quota_list(reader);
+    while (!list.is_at_end())
+    {
+        field_reader fields(list.next());
+        quota_answer answer;
+        answer.m_customer = fields.get<std::string>();
+        answer.m_tokens = get_tokens(fields);
+        answer.m_next_token = fields.get_duration();
+        if (answer.m_next_token < core::duration(0) ||
+            answer.m_next_token > max_quota_delay)
+        {
+            throw msgpack::type_error();
+        }
+        message.m_answers.push_back(std::move(answer));
+    }
+    return message;
+}
+
 void write(std::string& out, target_leaving const& message)
 {
     auto writer = begin(out, wire_type::leaving, 3);
@@ -516,6 +607,10 @@
         return read_rate_limits(reader);
     case wire_type::crash_suspects:
         return read_crash_suspects(reader);
+    case wire_type::quota_request:
+        return read_quota_request(reader);
+    case wire_type::quota_grant:
+        return read_quota_grant(reader);
     case wire_type::hello:
     case wire_type::hello_proof:
     case wire_type::heartbeat:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -6,6 +6,8 @@
 #include "core/time.hpp"
 #include "net/http_message.hpp"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -213,11 +215,59 @@
     std::vector<suspect_entry> m_entries;
 };
 
-using peer_message = std::variant<
-    forward_request, body_chunk, answer_head, answer_chunk, answer_end, refusal,
-    cancel_request, window_update, pool_summary_message, configuration_request,
-    configuration_reply, handover_message, target_leaving,
-    generation_announcement, rate_limits_message, crash_suspects_message>;
+/// Upper bound of the numbers of tokens in the messages about quotas.
+inline constexpr double max_quota_tokens = 1e9;
+
+/// Upper bound of the delays in the messages about quotas.
+inline constexpr core::duration max_quota_delay = std::chrono::hours(1);
+
+/// Upper bound of the customers in one message about quotas.
+inline constexpr std::size_t max_quota_customers = 1000;
+
+/// What the sender needs and reports for one customer. The numbers are from 0
+/// to max_quota_tokens.
+struct quota_question
+{
+    std::string m_customer;
+    double m_wanted = 0;
+    /// Tokens used since the last question.
+    double m_used = 0;
+    /// Tokens that ended or were returned without use since the last question.
+    double m_unused = 0;
+};
+
+/// Requests tokens from the home of the customers.
+struct quota_request
+{
+    std::uint64_t m_sequence = 0;
+    std::vector<quota_question> m_questions;
+};
+
+/// Tokens for one customer. Customers that have their home elsewhere are left
+/// out of the answer.
+struct quota_answer
+{
+    std::string m_customer;
+    double m_tokens = 0;
+    /// Delay until the next token arises; 0 if all that were wanted are
+    /// granted.
+    core::duration m_next_token{0};
+};
+
+/// Answers the quota_request with the same sequence number.
+struct quota_grant
+{
+    std::uint64_t m_sequence = 0;
+    std::vector<quota_answer> m_answers;
+};
+
+using peer_message =
+    std::variant<forward_request, body_chunk, answer_head, answer_chunk,
+                 answer_end, refusal, cancel_request, window_update,
+                 pool_summary_message, configuration_request,
+                 configuration_reply, handover_message, target_leaving,
+                 generation_announcement, rate_limits_message,
+                 crash_suspects_message, quota_request, quota_grant>;
 
 /// Encodes a message as a msgpack array [type, version, fields...].
 std::string encode(peer_message const& message);
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,9 @@
                   {{5, milliseconds(3), 0.5}, {6, milliseconds(1), 1}},
                   std::nullopt,
                   milliseconds(2)},
-                 {{78}, {}, milliseconds(9), std::nullopt}}}};
+                 {{78}, {}, milliseconds(9), std::nullopt}}},
+            quota_request{5, {{"harbour", 4, 2, 1}, {"market", 0, 0, 3}}},
+            quota_grant{5, {{"market", 0, milliseconds(8)}}}};
 }
 
 core::membership_message sample_datagram()
@@ -253,6 +256,36 @@
     CHECK(is_any_refused);
 }
 
+// Guards against numbers from the network that a bucket would keep for ever.
+TEST_CASE("quota messages with numbers outside their bounds are refused")
+{
+    for (double const tokens :
+         {-1.0, 1.1e9, std::numeric_limits<double>::infinity(),
+          std::numeric_limits<double>::quiet_NaN()})
+    {
+        CAPTURE(tokens);
+        for (peer_message const& message : std::vector<peer_message>{
+                 quota_request{1, {{"harbour", tokens, 0, 0}}},
+                 quota_request{1, {{"harbour", 0, tokens, 0}}},
+                 quota_request{1, {{"harbour", 0, 0, tokens}}},
+                 quota_grant{1, {{"harbour", tokens, {}}}}})
+        {
+            CHECK(get_code(decode(encode(message))) ==
+                  result_code::frame_malformed);
+        }
+    }
+    using std::chrono::milliseconds;
+    for (auto const delay : {-milliseconds(1), milliseconds(3'600'001)})
+    {
+        CHECK(
+            get_code(decode(encode(quota_grant{1, {{"harbour", 1, delay}}}))) ==
+            result_code::frame_malformed);
+    }
+    quota_request const long_list{
+        1, std::vector<quota_question>(max_quota_customers + 1)};
+    CHECK(get_code(decode(encode(long_list))) == result_code::frame_malformed);
+}
+
 // Guards against records that change between hosts.
 TEST_CASE("a datagram survives encoding and decoding")
 {
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -36,6 +36,8 @@
     generation = 18,
     rate_limits = 19,
     crash_suspects = 20,
+    quota_request = 23,
+    quota_grant = 24,
     membership = 32,
 };
 
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -4,6 +4,7 @@
 #include "net/http_refusal.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/quotas.hpp"
 #include "serve/stop.hpp"
 
 #include <nlohmann/json.hpp>
@@ -51,6 +52,22 @@
     return list;
 }
 
+/// Names only: access keys are never shown.
+nlohmann::json describe_quotas(entry_host& host)
+{
+    auto list = nlohmann::json::array();
+    for (auto const& report : most_refused_customers(host))
+    {
+        list.push_back(
+            {{"customer", report.m_customer},
+             {"rate", report.m_rate},
+             {"burst", report.m_burst},
+             {"admitted_last_minute", report.m_last_minute.m_admitted},
+             {"refused_last_minute", report.m_last_minute.m_refused}});
+    }
+    return list;
+}
+
 std::string describe_status(entry_host& host)
 {
     auto const& configuration = host.m_configuration;
@@ -82,6 +99,7 @@
         {"once_keys",
          host.m_once_table == nullptr ? 0 : core::size(*host.m_once_table)},
         {"leaving_targets", std::move(leaving)},
+        {"quota_refusals", describe_quotas(host)},
         {"pools", describe_pools(host)},
         {"hosts", describe_hosts(host)}};
     return status.dump();
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -161,6 +161,8 @@
     /// Name of the customer whose access key the request bears; empty if it
     /// needs none.
     std::string m_customer;
+    /// Has taken a token of its customer's quota at this host.
+    bool m_is_quota_counted = false;
     answer_sink m_sink;
     bool m_is_receiver_closed = false;
     /// Retry delay reported by the host that refused the request; 0 if none.
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -13,6 +13,7 @@
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/peer_driver.hpp"
+#include "serve/quota_state.hpp"
 #include "serve/rate_limits.hpp"
 #include "serve/spilling.hpp"
 #include "serve/start_queue.hpp"
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -38,6 +38,7 @@
 {
 
 struct configuration_sync;
+struct quota_state;
 struct store_sync;
 
 /// A target and how to connect to it.
@@ -160,6 +161,8 @@
     net::forward_id m_next_forward_id = 1;
 
     start_queue m_start_queue;
+    /// Null until a document in force limits a customer.
+    std::unique_ptr<quota_state> m_quotas;
 
     stop_stage m_stop_stage = stop_stage::running;
     /// Valid unless the stage is `running`.
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -6,6 +6,7 @@
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
 #include "serve/pools.hpp"
+#include "serve/quotas.hpp"
 #include "serve/start_queue.hpp"
 #include "serve/store_role_inputs.hpp"
 #include "serve/store_sync.hpp"
@@ -40,6 +41,10 @@
 void set_isolated(entry_host& host, bool is_isolated)
 {
     host.m_is_isolated = is_isolated;
+    if (is_isolated)
+    {
+        reset_quotas_after_pause(host);
+    }
     host.m_metrics.count_event(is_isolated ? "isolated" : "isolation_ended");
     logging::write(logging::level::warn, "serve.membership",
                    is_isolated ? "isolated after a pause" : "isolation ended");
@@ -336,6 +341,7 @@
     records.push_back(core::self(*host.m_membership));
     core::reset(host.m_routing, std::move(records));
     update_pools(host);
+    update_quotas(host);
     update_store_role(host);
     release_held_calls(host);
 }
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -9,6 +9,7 @@
 #include "serve/incoming_forwards.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/quotas.hpp"
 #include "serve/rate_limits.hpp"
 #include "serve/spilling.hpp"
 #include "serve/store_sync.hpp"
@@ -89,6 +90,14 @@
     {
         on_crash_suspects(m_host, message);
     }
+    void operator()(net::quota_request const& message) const
+    {
+        on_quota_request(m_host, m_from, message);
+    }
+    void operator()(net::quota_grant const& message) const
+    {
+        on_quota_grant(m_host, m_from, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -13,6 +13,7 @@
 #include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/pools.hpp"
+#include "serve/quotas.hpp"
 #include "serve/relay.hpp"
 #include "serve/start_queue.hpp"
 #include "serve/stop.hpp"
@@ -175,6 +176,10 @@
     bool const was_dispatched =
         was_forwarded ||
         cancel_in_pool(host, *call) == core::cancel_result::after_dispatch;
+    if (!was_dispatched)
+    {
+        return_quota(host, *call);
+    }
     end_call(host, *call,
              was_dispatched ? result_code::cancelled_after_dispatch
                             : result_code::cancelled_before_dispatch);
@@ -249,6 +254,10 @@
 void fail_call(entry_host& host, active_call& call, result_code code)
 {
     code = check_promise(host, call, code);
+    if (info(code).m_execution == execution::not_run)
+    {
+        return_quota(host, call);
+    }
     complete_key(host, call, code);
     if (call.m_sink.m_fail)
     {
