--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -54,7 +54,7 @@
              target_leaving{"map", "t1"},
              rate_limits_message{"map", "west", {{"t1", 1.5}}},
              crash_suspects_message{
-                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}}},
+                 {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}},
              quota_request{5, {{"harbour", 4, 2, 1}}},
              quota_grant{5, {{"harbour", 4, milliseconds(8)}}}})
     {
