Let hosts hold 50 ms of a quota besides its capacity

Cause: tokens that are on their way leave no room in the bucket of a customer with a high rate and a small burst, so that it got a part of its rate in calm.

Change: outstanding tokens up to 50 ms of the rate do not reduce the capacity of the bucket.

--- a/src/core/quota_allowance.cpp
+++ b/src/core/quota_allowance.cpp
@@ -169,7 +169,8 @@
 {
     return std::max(min_batch,
                     std::min(quota_rate(limits, margin) * batch_span.count(),
-                             quota_capacity(limits, margin) * batch_share));
+                             batch_share * (quota_capacity(limits, margin) +
+                                            quota_transit(limits, margin))));
 }
 
 quota_need make_question(quota_allowance& allowance, std::size_t waiting,
--- a/src/core/quota_ledger.cpp
+++ b/src/core/quota_ledger.cpp
@@ -44,7 +44,7 @@
     return sum;
 }
 
-/// Capacity of the customer less the outstanding tokens.
+/// Capacity of the customer less the outstanding tokens beyond the transit.
 double free_capacity(quota_ledger const& ledger, quota_account const& account)
 {
     if (ledger.m_share <= 0)
@@ -54,7 +54,10 @@
     auto const capacity = std::max(
         min_capacity,
         ledger.m_share * quota_capacity(account.m_limits, ledger.m_margin));
-    return std::max(0.0, capacity - outstanding_tokens(account));
+    auto const transit =
+        ledger.m_share * quota_transit(account.m_limits, ledger.m_margin);
+    return std::max(
+        0.0, capacity - std::max(0.0, outstanding_tokens(account) - transit));
 }
 
 /// Removes the grants that have ended by `now`. Each end leaves room in the
--- a/src/core/quota_ledger.hpp
+++ b/src/core/quota_ledger.hpp
@@ -36,7 +36,8 @@
 struct quota_account
 {
     quota_limits m_limits;
-    /// Its capacity is that of the customer less the outstanding tokens.
+    /// Its capacity is that of the customer less the outstanding tokens beyond
+    /// the transit.
     token_bucket m_bucket;
     std::vector<outstanding_grant> m_outstanding;
     time_point m_home_since;
@@ -45,9 +46,9 @@
 } // namespace detail
 
 /// The credit of the customers whose home is this host. Tokens in the bucket
-/// plus tokens granted and not yet ended never exceed the capacity of a
-/// customer. Its size is bounded by the number of customers in the document,
-/// and per customer by the hosts that asked within the last second.
+/// plus tokens granted and not yet ended never exceed the capacity and the
+/// transit of a customer. Its size is bounded by the number of customers in the
+/// document, and per customer by the hosts that asked within the last second.
 struct quota_ledger
 {
     quota_margin m_margin;
--- a/src/core/quota_limits.hpp
+++ b/src/core/quota_limits.hpp
@@ -39,6 +39,17 @@
     return (1 + margin.m_overage / 2) * limits.m_burst + margin.m_slack / 2;
 }
 
+/// Tokens that hosts may hold besides quota_capacity(): what is on the way and
+/// in use in 50 ms, several round trips between zones. Without them, a customer
+/// with a high rate and a small burst gets half of its rate, because the bucket
+/// is full while its tokens are on the way.
+constexpr double quota_transit(quota_limits const& limits,
+                               quota_margin const& margin) noexcept
+{
+    constexpr double transit_seconds = 0.05;
+    return transit_seconds * quota_rate(limits, margin);
+}
+
 } // namespace hawthornspur::core
 
 #endif
