--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -55,17 +55,24 @@
              rate_limits_message{"map", "west", {{"t1", 1.5}}},
              crash_suspects_message{
                  {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}},
+             quota_request{5, {{"harbour", 4, 2, 1}}},
+             quota_grant{5, {{"harbour", 4, milliseconds(8)}}}},
              configuration_proof_request{5},
              configuration_proof_message{5, 12, milliseconds(900)},
-             evacuated_zones_message{2, 1700, {"east", "west"}}})
-    {
-        messages.push_back(encode(message));
-    }
-    messages.push_back(encode_fragment({1, false, "part"}));
-    messages.push_back(
-        encode_hello({"a", 1, std::string(nonce_bytes, 'n'), "b", 3}));
-    messages.push_back(encode_proof(std::string(32, 'p')));
-    return messages;
+             evacuated_zones_message{
+        2, 1700,
+        {
+            "east", "west"
+        }}
+})
+{
+    messages.push_back(encode(message));
+}
+messages.push_back(encode_fragment({1, false, "part"}));
+messages.push_back(encode_hello({"a", 1, std::string(nonce_bytes, 'n'), "b",
+                                 3}));
+messages.push_back(encode_proof(std::string(32, 'p')));
+return messages;
 }
 
 } // namespace
--- a/src/net/peer_wire.hpp
+++ b/src/net/peer_wire.hpp
@@ -38,6 +38,8 @@
     crash_suspects = 20,
     configuration_proof_request = 21,
     configuration_proof = 22,
+    quota_request = 23,
+    quota_grant = 24,
     evacuated_zones = 25,
     membership = 32,
 };
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -11,6 +11,7 @@
 #include "serve/incoming_forwards.hpp"
 #include "serve/leaving_targets.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/quotas.hpp"
 #include "serve/rate_limits.hpp"
 #include "serve/spilling.hpp"
 #include "serve/store_sync.hpp"
@@ -103,6 +104,14 @@
     {
         on_evacuated_zones(m_host, m_from, message);
     }
+    void operator()(net::quota_request const& message) const
+    {
+        on_quota_request(m_host, m_from, message);
+    }
+    void operator()(net::quota_grant const& message) const
+    {
+        on_quota_grant(m_host, m_from, message);
+    }
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
