Share the fixture of the tests with a store in memory

The tests of evacuations repeated the fixture of store_platform_test. It is now in store_fixture; its adapter knows keys that evacuate zones, and a host may be started in any zone. The test cases are unchanged.

--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -1,25 +1,15 @@
 // Evacuations by keys of the platform's store, over hosts of two zones.
 
-#include "base/logging.hpp"
-#include "base/text.hpp"
 #include "config/document.hpp"
-#include "memory_store.hpp"
-#include "net/event_loop.hpp"
-#include "net/http_client.hpp"
-#include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/store_sync.hpp"
-#include "target_emulator/target_emulator.hpp"
+#include "store_fixture.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <thread>
-#include <variant>
 #include <vector>
 
 namespace hawthornspur::test
@@ -28,71 +18,7 @@
 namespace
 {
 
-constexpr auto hang_timeout = std::chrono::seconds(30);
-constexpr std::string_view evacuation_prefix = "conf/evacuate/";
-
-result<core::configuration> read_document(std::string_view text)
-{
-    auto parsed = config::parse_document(text);
-    if (auto* document = std::get_if<core::configuration>(&parsed))
-    {
-        return std::move(*document);
-    }
-    return make_error(result_code::store_answer_malformed, "document");
-}
-
-/// Parses an entry, whose key ends with the zone and whose value is the port.
-result<core::registered_target> read_target(std::string_view key,
-                                            std::string_view value)
-{
-    core::registered_target target;
-    target.m_name = key.substr(std::string_view(target_prefix).size());
-    target.m_service = "map";
-    target.m_zone = target.m_name.substr(1);
-    target.m_address = "127.0.0.1";
-    target.m_port = parse_number<std::uint16_t>(value).value_or(0);
-    target.m_slots = 3;
-    return target;
-}
-
-std::optional<std::string> read_zone(std::string_view key)
-{
-    if (!key.starts_with(evacuation_prefix))
-    {
-        return std::nullopt;
-    }
-    return std::string(key.substr(evacuation_prefix.size()));
-}
-
-status check_value(std::string_view value)
-{
-    if (value == "{}")
-    {
-        return success();
-    }
-    return make_error(result_code::store_answer_malformed, "not {}");
-}
-
-serve::platform_adapter make_adapter(store_view& view)
-{
-    auto adapter = serve::make_default_platform_adapter();
-    adapter.m_make_calls = [&view](net::http_client&, net::endpoint const&)
-    {
-        return make_calls(view);
-    };
-    platform::store_layout layout;
-    layout.m_configuration_prefix = "conf/";
-    layout.m_configuration_key = document_key;
-    layout.m_target_prefix = target_prefix;
-    layout.m_read_configuration = read_document;
-    layout.m_read_target = read_target;
-    layout.m_evacuated_zone = read_zone;
-    layout.m_check_evacuation = check_value;
-    adapter.m_store_layout = std::move(layout);
-    return adapter;
-}
-
-std::string make_document()
+std::string make_two_zones()
 {
     core::configuration document;
     document.m_generation = 3;
@@ -111,112 +37,37 @@
     return config::print_document(document);
 }
 
-/// Host and target loops of one process, with one target in each zone.
-struct fixture
-{
-    std::unique_ptr<net::event_loop> m_loop = take(net::event_loop::create());
-    std::unique_ptr<net::http_client> m_client =
-        take(net::http_client::create(*m_loop));
-    memory_store m_store;
-    std::vector<std::unique_ptr<tools::target_emulator>> m_targets;
-    std::vector<std::unique_ptr<store_view>> m_views;
-    std::vector<std::unique_ptr<serve::entry_host>> m_hosts;
-
-    std::uint64_t runs(std::size_t target)
-    {
-        return m_targets[target]->runs().m_runs;
-    }
-};
-
-void run_until(fixture& state, std::function<bool()> const& condition)
-{
-    auto const start = net::event_loop::now();
-    while (!condition())
-    {
-        REQUIRE(net::event_loop::now() - start < hang_timeout);
-        state.m_loop->run_pending();
-        std::this_thread::sleep_for(std::chrono::microseconds(50));
-    }
-}
-
 /// Starts the hosts, the first letter of whose names is their zone, and waits
-/// until they are ready and linked.
-std::unique_ptr<fixture> make_fixture(std::vector<std::string> const& hosts)
+/// until they are ready. Each of two zones has a target.
+std::unique_ptr<fixture> make_zones(std::vector<std::string> const& hosts)
 {
-    logging::start(logging::level::error);
-    auto state = std::make_unique<fixture>();
-    state->m_store.m_loop = state->m_loop.get();
-    put(state->m_store, document_key, make_document());
-    for (auto const* name : {"ta", "tb"})
-    {
-        tools::target_settings settings;
-        settings.m_name = name;
-        state->m_targets.push_back(
-            take(tools::target_emulator::create(*state->m_loop, settings)));
-        put(state->m_store, target_prefix + std::string(name),
-            std::to_string(state->m_targets.back()->port()));
-    }
+    auto state = make_fixture();
+    put(state->m_store, document_key, make_two_zones());
+    tools::target_settings settings;
+    settings.m_name = "t2";
+    state->m_other_target =
+        take(tools::target_emulator::create(*state->m_loop, settings));
+    put(state->m_store, target_prefix + std::string("t2"),
+        std::to_string(state->m_other_target->port()) + " map b");
     for (auto const& name : hosts)
     {
-        auto view = std::make_unique<store_view>();
-        view->m_store = &state->m_store;
-        config::host_settings settings;
-        settings.m_name = name;
-        settings.m_zone = name.substr(0, 1);
-        settings.m_max_owners_per_zone = 1;
-        settings.m_platform_calls_per_second = 1000;
-        state->m_hosts.push_back(take(
-            serve::create_host(*state->m_loop, settings, make_adapter(*view))));
-        state->m_views.push_back(std::move(view));
+        start_host(*state, name, false, false, name.substr(0, 1));
     }
     run_until(*state,
               [&]
               {
-                  for (auto const& host : state->m_hosts)
-                  {
-                      if (!serve::is_ready(*host) ||
-                          core::hosts(*host->m_membership).size() + 1 !=
-                              hosts.size())
+                  return std::all_of(
+                      state->m_hosts.begin(), state->m_hosts.end(),
+                      [&](auto const& host)
                       {
-                          return false;
-                      }
-                  }
-                  return true;
+                          return serve::is_ready(*host) &&
+                                 core::hosts(*host->m_membership).size() + 1 ==
+                                     hosts.size();
+                      });
               });
     return state;
 }
 
-/// The status of an answer, once it has ended.
-using pending_status = std::shared_ptr<std::optional<int>>;
-
-pending_status send(fixture& state, std::size_t host)
-{
-    auto status = std::make_shared<std::optional<int>>();
-    auto head_status = std::make_shared<int>(0);
-    net::http_request const request{
-        "GET", "/x", {{"Hawthornspur-Service", "map"}}, {}};
-    state.m_client->send(
-        {"127.0.0.1", state.m_hosts[host]->m_caller_server->port()}, request,
-        {},
-        {.m_on_head = [head_status](net::http_response_head const& head,
-                                    std::optional<std::uint64_t>)
-         { *head_status = head.m_status; },
-         .m_on_data = {},
-         .m_on_end =
-             [status, head_status](net::exchange_outcome)
-         {
-             *status = *head_status;
-         }});
-    return status;
-}
-
-int send_and_wait(fixture& state, std::size_t host)
-{
-    auto const status = send(state, host);
-    run_until(state, [&] { return status->has_value(); });
-    return **status;
-}
-
 std::string read_status(fixture& state, std::size_t host)
 {
     std::string body;
@@ -260,14 +111,14 @@
 
 void check_sent_to_other_zone(fixture& state, std::size_t host)
 {
-    auto const runs_before = state.runs(0);
-    auto const other_before = state.runs(1);
+    auto const runs_before = state.m_target->runs().m_runs;
+    auto const other_before = state.m_other_target->runs().m_runs;
     for (int i = 0; i < 5; ++i)
     {
         CHECK(send_and_wait(state, host) == 200);
     }
-    CHECK(state.runs(0) == runs_before);
-    CHECK(state.runs(1) == other_before + 5);
+    CHECK(state.m_target->runs().m_runs == runs_before);
+    CHECK(state.m_other_target->runs().m_runs == other_before + 5);
 }
 
 } // namespace
@@ -277,10 +128,10 @@
 // after the key is removed or the store is restored from before it.
 TEST_CASE("an evacuated zone's requests go to other zones until it is back")
 {
-    auto const state = make_fixture({"a1", "b1"});
+    auto const state = make_zones({"a1", "b1"});
     auto const before = state->m_store;
     CHECK(send_and_wait(*state, 0) == 200);
-    CHECK(state->runs(0) == 1);
+    CHECK(state->m_target->runs().m_runs == 1);
     put(state->m_store, "conf/evacuate/a", "{}");
     wait_for_all(*state, true);
     check_sent_to_other_zone(*state, 0);
@@ -303,13 +154,13 @@
     }
     wait_for_all(*state, false);
     CHECK(send_and_wait(*state, 0) == 200);
-    CHECK(state->runs(0) == 2);
+    CHECK(state->m_target->runs().m_runs == 2);
 }
 
 // Guards against a wrong entry that evacuates or takes back a zone.
 TEST_CASE("entries that cannot be used leave the zones as they are")
 {
-    auto const state = make_fixture({"a1", "b1"});
+    auto const state = make_zones({"a1", "b1"});
     put(state->m_store, "conf/evacuate/a", "{}");
     put(state->m_store, "conf/evacuate/x", "{}");
     wait_for_all(*state, true);
@@ -330,7 +181,7 @@
 // notification did not reach it.
 TEST_CASE("a host whose watch is silent hears of an evacuation from others")
 {
-    auto const state = make_fixture({"a1", "b1"});
+    auto const state = make_zones({"a1", "b1"});
     run_until(*state,
               [&]
               {
@@ -351,7 +202,7 @@
 TEST_CASE("the successor of killed owners reads the evacuated zones first")
 {
     constexpr auto slow_read = std::chrono::milliseconds(150);
-    auto const state = make_fixture({"a1", "a2", "a3", "a4"});
+    auto const state = make_zones({"a1", "a2", "a3", "a4"});
     auto const is_watcher = [&](std::size_t host)
     {
         return state->m_hosts[host] != nullptr &&
@@ -405,7 +256,7 @@
                                      [](auto const& a)
                                      { return a->has_value(); });
               });
-    CHECK(state->runs(0) == 0);
+    CHECK(state->m_target->runs().m_runs == 0);
     check_sent_to_other_zone(*state, state->m_hosts[0] != nullptr   ? 0
                                      : state->m_hosts[1] != nullptr ? 1
                                                                     : 2);
