Read and print customers in configuration documents

The project's own documents could not express what the users' platform's can: customers with access keys and quotas, public kinds, cold rates and evacuated zones. They are now fields of the document. Those that have their default are not printed, so earlier documents keep their text and content hashes.

The check refuses repeated keys and names of customers, values out of range and the evacuation of all zones. Its messages name the path and the allowed range and contain no key, also where a key stands in a field of another name. Differences show a digest of 8 hex digits for each key. They find entries of lists by an index; a list may have 10,000 customers.

An empty key in a list of keys would have matched requests without a key; such keys are ignored. The new test of customers_test.cpp covers it.

--- a/src/config/common_section.cpp
+++ b/src/config/common_section.cpp
@@ -29,6 +29,7 @@
                 });
     read_duration(reader, "extra_cost", presence::optional, nanoseconds(0),
                   seconds(10), out.m_extra_cost);
+    read_boolean(reader, "evacuated", presence::optional, out.m_is_evacuated);
 }
 
 void read_route_part(object_reader& reader, core::route_part& out)
@@ -79,6 +80,10 @@
     }
     out["one_way_delay"] = std::move(delays);
     out["extra_cost"] = print_duration(zone.m_extra_cost);
+    if (zone.m_is_evacuated)
+    {
+        out["evacuated"] = true;
+    }
     return out;
 }
 
@@ -107,9 +112,11 @@
                  max_hosts, out.m_max_owners_per_zone);
     read_objects(reader, "routes", presence::optional, 0, max_routes,
                  read_route, out.m_routes);
+    read_customers(reader, out);
 }
 
-nlohmann::ordered_json print_common_section(core::configuration const& document)
+nlohmann::ordered_json print_common_section(core::configuration const& document,
+                                            key_form keys)
 {
     nlohmann::ordered_json out;
     auto zones = nlohmann::ordered_json::array();
@@ -141,6 +148,10 @@
         }
         out["routes"] = std::move(routes);
     }
+    if (document.m_customers != nullptr)
+    {
+        out["customers"] = print_customers(*document.m_customers, keys);
+    }
     return out;
 }
 
--- a/src/config/difference.cpp
+++ b/src/config/difference.cpp
@@ -4,8 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <optional>
+#include <map>
 #include <utility>
 
 namespace hawthornspur::config
@@ -27,22 +26,26 @@
     return list.is_array() && !list.empty() && list.front().is_object();
 }
 
-ordered_json const* find_entry(ordered_json const& list,
-                               std::string const& name)
+/// The entries of a list by name. A list may have 10,000 customers.
+using entry_index = std::map<std::string, ordered_json const*>;
+
+entry_index index_entries(ordered_json const& list)
 {
-    auto const found = std::find_if(list.begin(), list.end(),
-                                    [&](ordered_json const& entry)
-                                    { return entry_name(entry) == name; });
-    return found == list.end() ? nullptr : &*found;
+    entry_index index;
+    for (auto const& entry : list)
+    {
+        index.emplace(entry_name(entry), &entry);
+    }
+    return index;
 }
 
 std::vector<std::string> common_names(ordered_json const& list,
-                                      ordered_json const& other)
+                                      entry_index const& other)
 {
     std::vector<std::string> names;
     for (auto const& entry : list)
     {
-        if (find_entry(other, entry_name(entry)) != nullptr)
+        if (other.contains(entry_name(entry)))
         {
             names.push_back(entry_name(entry));
         }
@@ -82,28 +85,30 @@
 void compare_entries(ordered_json const& before, ordered_json const& after,
                      std::string const& path, std::vector<field_change>& out)
 {
+    auto const old_entries = index_entries(before);
+    auto const new_entries = index_entries(after);
     for (auto const& entry : before)
     {
         auto const entry_path = path + "[" + entry_name(entry) + "]";
-        auto const* other = find_entry(after, entry_name(entry));
-        if (other == nullptr)
+        auto const other = new_entries.find(entry_name(entry));
+        if (other == new_entries.end())
         {
             out.push_back({change_kind::removed, entry_path, entry.dump(), ""});
             continue;
         }
-        compare(entry, *other, entry_path, out);
+        compare(entry, *other->second, entry_path, out);
     }
     for (auto const& entry : after)
     {
-        if (find_entry(before, entry_name(entry)) == nullptr)
+        if (!old_entries.contains(entry_name(entry)))
         {
             out.push_back({change_kind::added,
                            path + "[" + entry_name(entry) + "]", "",
                            entry.dump()});
         }
     }
-    auto const old_order = common_names(before, after);
-    auto const new_order = common_names(after, before);
+    auto const old_order = common_names(before, new_entries);
+    auto const new_order = common_names(after, old_entries);
     if (old_order != new_order)
     {
         out.push_back({change_kind::changed, path + " (order)",
@@ -136,7 +141,8 @@
 
 ordered_json to_canonical(core::configuration const& document)
 {
-    auto printed = ordered_json::parse(print_document(document));
+    auto printed =
+        ordered_json::parse(print_document(document, key_form::digest));
     printed.erase("generation");
     printed.erase("change_id");
     return printed;
--- a/src/config/difference_test.cpp
+++ b/src/config/difference_test.cpp
@@ -1,4 +1,5 @@
 #include "config/difference.hpp"
+#include "config/document.hpp"
 
 #include <doctest/doctest.h>
 
@@ -64,6 +65,29 @@
 )");
 }
 
+// Guards against access keys in reviews and logs, and against changes of keys
+// that a review does not show.
+TEST_CASE("differences show the digests of access keys")
+{
+    std::string const old_key = "old-key-of-harbour";
+    std::string const new_key = "new-key-of-harbour";
+    auto before = make_document();
+    before.m_customers = core::make_customer_table(
+        {{"harbour", {old_key}, 4, 0, 0}, {"gone", {"key-of-gone-1234"}}});
+    auto after = make_document();
+    after.m_customers = core::make_customer_table(
+        {{"harbour", {new_key}, 4, 5, 0}, {"added", {"key-of-added-123"}}});
+    auto const text = describe(find_differences(before, after));
+    CHECK(text.find("key-of") == std::string::npos);
+    CHECK(text.find("~ customers[harbour].access_keys: [\"" +
+                    content_hash(old_key).substr(0, 8) + "\"] -> [\"" +
+                    content_hash(new_key).substr(0, 8) + "\"]\n") !=
+          std::string::npos);
+    CHECK(text.find("+ customers[harbour].rate: 5.0\n") != std::string::npos);
+    CHECK(text.find("- customers[gone]: ") != std::string::npos);
+    CHECK(text.find("+ customers[added]: ") != std::string::npos);
+}
+
 // Guards against a swap of two kinds that is not reported although another kind
 // applies to the same request.
 TEST_CASE("a changed order of kinds is a difference")
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -37,13 +37,13 @@
     return document;
 }
 
-std::string print_document(core::configuration const& document)
+std::string print_document(core::configuration const& document, key_form keys)
 {
     constexpr int indentation = 2;
     nlohmann::ordered_json out;
     out["generation"] = document.m_generation;
     out["change_id"] = document.m_change_id;
-    out.update(print_common_section(document));
+    out.update(print_common_section(document, keys));
     auto services = nlohmann::ordered_json::array();
     for (auto const& service : document.m_services)
     {
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -34,9 +34,20 @@
 /// types, units, ranges, references and duplicate names.
 parse_result<core::configuration> parse_document(std::string_view text);
 
-/// Prints a document in canonical form. parse_document() of the text yields an
-/// equal document.
-std::string print_document(core::configuration const& document);
+/// How access keys are printed.
+enum class key_form : std::uint8_t
+{
+    /// For the store and for other hosts.
+    plain,
+    /// A short digest, for output that persons read. Such a text is not a valid
+    /// document.
+    digest,
+};
+
+/// Prints a document in canonical form. With plain keys, parse_document() of
+/// the text yields an equal document.
+std::string print_document(core::configuration const& document,
+                           key_form keys = key_form::plain);
 
 /// A document in the form that is written to the store: a small head, and
 /// immutable parts with their content hashes as keys.
--- a/src/config/document_property_test.cpp
+++ b/src/config/document_property_test.cpp
@@ -52,6 +52,7 @@
     kind.m_target_latency =
         any_duration(milliseconds(0), std::chrono::seconds(2));
     kind.m_max_attempts = 1 + any_number_up_to(9);
+    kind.m_is_public = *rc::gen::arbitrary<bool>();
     return kind;
 }
 
@@ -88,9 +89,34 @@
         *rc::gen::inRange<std::size_t>(1U << 10U, 1U << 30U);
     service.m_max_connections = 1 + any_number_up_to(999);
     service.m_max_queue = *rc::gen::inRange<std::size_t>(0, 1'000'000);
+    service.m_cold_rate = any_number_up_to(1000) / 7.0;
+    service.m_warm_up = any_duration(seconds(0), std::chrono::hours(24));
     return service;
 }
 
+core::customer_table_ptr any_customers()
+{
+    std::vector<core::customer_config> list;
+    for (int i = any_number_up_to(3); i > 0; --i)
+    {
+        auto const name = "customer-" + std::to_string(i);
+        core::customer_config customer{
+            name,
+            {},
+            any_number_up_to(9),
+            any_number_up_to(1'000'000) / 3.0,
+            any_number_up_to(1'000) / 7.0,
+        };
+        for (int key = any_number_up_to(2); key > 0; --key)
+        {
+            customer.m_access_keys.push_back("any!\"\\~key-of-" + name + "-" +
+                                             std::to_string(key));
+        }
+        list.push_back(std::move(customer));
+    }
+    return list.empty() ? nullptr : core::make_customer_table(std::move(list));
+}
+
 core::configuration any_document()
 {
     using std::chrono::seconds;
@@ -113,6 +139,8 @@
                     any_duration(seconds(0), seconds(10));
             }
         }
+        // At least one zone is not evacuated.
+        zone.m_is_evacuated = i > 0 && *rc::gen::arbitrary<bool>();
         document.m_zones.push_back(std::move(zone));
     }
     document.m_max_entry_hosts = 1 + any_number_up_to(999);
@@ -139,6 +167,7 @@
         }
         document.m_routes.push_back(std::move(route));
     }
+    document.m_customers = any_customers();
     return document;
 }
 
@@ -174,6 +203,12 @@
     return std::tie(service, weight);
 }
 
+auto tie_members(core::customer_config const& customer)
+{
+    auto const& [name, keys, priority, rate, burst] = customer;
+    return std::tie(name, keys, priority, rate, burst);
+}
+
 template <class T>
 bool are_equal(std::vector<T> const& a, std::vector<T> const& b)
 {
@@ -208,6 +243,14 @@
            are_equal(parts, b.m_parts);
 }
 
+bool are_equal(core::customer_table_ptr const& a,
+               core::customer_table_ptr const& b)
+{
+    return a == nullptr || b == nullptr
+               ? a == b
+               : are_equal(core::customers(*a), core::customers(*b));
+}
+
 bool are_equal(core::configuration const& a, core::configuration const& b)
 {
     auto const& [generation, change, zones, hosts, addresses, keys, depth,
@@ -217,8 +260,7 @@
                std::tie(b.m_generation, b.m_change_id, b.m_max_entry_hosts,
                         b.m_address_lifetime, b.m_key_lifetime, b.m_max_depth,
                         b.m_max_owners_per_zone, b.m_caller_idle_timeout) &&
-           (customers == nullptr) == (b.m_customers == nullptr) &&
-           are_equal(zones, b.m_zones) &&
+           are_equal(customers, b.m_customers) && are_equal(zones, b.m_zones) &&
            std::equal(routes.begin(), routes.end(), b.m_routes.begin(),
                       b.m_routes.end(),
                       [](auto const& x, auto const& y)
--- a/src/config/kind_section.cpp
+++ b/src/config/kind_section.cpp
@@ -89,6 +89,7 @@
     constexpr std::uint64_t max_attempts = 100;
     read_integer(reader, "max_attempts", presence::optional, 1, max_attempts,
                  out.m_max_attempts);
+    read_boolean(reader, "public", presence::optional, out.m_is_public);
 }
 
 nlohmann::ordered_json print_kind(core::kind_config const& kind)
@@ -117,6 +118,10 @@
     {
         out["max_attempts"] = kind.m_max_attempts;
     }
+    if (kind.m_is_public)
+    {
+        out["public"] = true;
+    }
     return out;
 }
 
--- a/src/config/reference_check.cpp
+++ b/src/config/reference_check.cpp
@@ -1,6 +1,7 @@
 #include "config/quantity.hpp"
 #include "config/sections.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -86,6 +87,42 @@
     }
 }
 
+/// Refuses an evacuation that would leave no zone to send requests to.
+void check_evacuations(core::configuration const& document, fault_list& out)
+{
+    auto const& zones = document.m_zones;
+    if (!zones.empty() && std::all_of(zones.begin(), zones.end(),
+                                      [](core::zone_config const& zone)
+                                      { return zone.m_is_evacuated; }))
+    {
+        out.push_back({result_code::value_out_of_range, "zones",
+                       "found all zones evacuated; allowed: at least one zone "
+                       "with evacuated false"});
+    }
+}
+
+/// Reports repeated names and keys. Messages contain the positions of a key
+/// only.
+void check_customers(core::customer_table const& table, fault_list& out)
+{
+    auto const& customers = core::customers(table);
+    check_names(customers, "customers", out);
+    auto const key_path = [](std::size_t customer, std::size_t key)
+    {
+        return entry_path(entry_path("customers", customer) + ".access_keys",
+                          key);
+    };
+    for (auto const& repeated : core::find_repeated_keys(customers))
+    {
+        out.push_back(
+            {result_code::duplicate_name,
+             key_path(repeated.m_customer, repeated.m_key),
+             "found the key of " +
+                 key_path(repeated.m_first_customer, repeated.m_first_key) +
+                 "; allowed: a key that occurs once in the document"});
+    }
+}
+
 void check_kinds(core::configuration const& document,
                  core::service_config const& service, std::string const& path,
                  fault_list& out)
@@ -209,6 +246,7 @@
 {
     auto const zones = check_names(document.m_zones, "zones", out);
     check_zones(document, zones, out);
+    check_evacuations(document, out);
     check_names(document.m_services, "services", out);
     for (std::size_t i = 0; i < document.m_services.size(); ++i)
     {
@@ -220,6 +258,10 @@
         check_targets(service, zones, path, out);
     }
     check_routes(document, out);
+    if (document.m_customers != nullptr)
+    {
+        check_customers(*document.m_customers, out);
+    }
 }
 
 } // namespace hawthornspur::config
--- a/src/config/sections.hpp
+++ b/src/config/sections.hpp
@@ -18,6 +18,7 @@
 constexpr std::size_t max_kinds = 5000;
 constexpr std::size_t max_routes = 10'000;
 constexpr std::size_t max_targets = 5000;
+constexpr std::size_t max_customers = 10'000;
 
 // One pair of functions for each section of a document. The print functions
 // write the fields in a fixed order: equal sections have equal texts and
@@ -31,10 +32,20 @@
 void read_service(object_reader& reader, core::service_config& out);
 nlohmann::ordered_json print_service(core::service_config const& service);
 
-/// Zones, routes and the settings common to all services.
+/// Reads the optional list of customers. The document has no table of them if
+/// the list is empty.
+void read_customers(object_reader& reader, core::configuration& out);
+nlohmann::ordered_json print_customers(core::customer_table const& table,
+                                       key_form keys);
+
+/// Digest that stands for an access key in output: the first 8 digits of its
+/// content_hash().
+std::string key_digest(std::string_view key);
+
+/// Zones, routes, customers and the settings common to all services.
 void read_common_section(object_reader& reader, core::configuration& out);
-nlohmann::ordered_json
-print_common_section(core::configuration const& document);
+nlohmann::ordered_json print_common_section(core::configuration const& document,
+                                            key_form keys);
 
 /// Reads generation and change id, which are optional in a file written by
 /// hand.
--- a/src/config/service_section.cpp
+++ b/src/config/service_section.cpp
@@ -78,6 +78,11 @@
     constexpr std::uint64_t max_connections = 100'000;
     read_integer(reader, "max_connections", presence::optional, 1,
                  max_connections, out.m_max_connections);
+    constexpr double max_cold_rate = 1e6;
+    read_number(reader, "cold_rate", presence::optional, 0, max_cold_rate,
+                out.m_cold_rate);
+    read_duration(reader, "warm_up", presence::optional, core::duration(0),
+                  std::chrono::hours(24), out.m_warm_up);
 }
 
 nlohmann::ordered_json print_service(core::service_config const& service)
@@ -105,6 +110,14 @@
     {
         out["max_connections"] = service.m_max_connections;
     }
+    if (service.m_cold_rate != core::service_config{}.m_cold_rate)
+    {
+        out["cold_rate"] = service.m_cold_rate;
+    }
+    if (service.m_warm_up != core::service_config{}.m_warm_up)
+    {
+        out["warm_up"] = print_duration(service.m_warm_up);
+    }
     return out;
 }
 
--- a/src/config/stored_document.cpp
+++ b/src/config/stored_document.cpp
@@ -100,7 +100,7 @@
 {
     stored_document stored;
     document_head head{document.m_generation, document.m_change_id, {}};
-    add_part(stored, head, print_common_section(document));
+    add_part(stored, head, print_common_section(document, key_form::plain));
     for (auto const& service : document.m_services)
     {
         add_part(stored, head, print_service(service));
--- a/src/config/value_reader.cpp
+++ b/src/config/value_reader.cpp
@@ -62,8 +62,10 @@
                   result_code code, json const& found,
                   std::string const& allowed)
 {
-    report(reader, name, code,
-           "found " + describe_value(found) + "; allowed: " + allowed);
+    auto const value = reader.m_hides_values && found.is_primitive()
+                           ? "a value that is not shown"
+                           : describe_value(found);
+    report(reader, name, code, "found " + value + "; allowed: " + allowed);
 }
 
 std::string describe_range(std::string const& lowest,
@@ -119,7 +121,7 @@
              "found " + describe_value(value) + "; allowed: an object"});
         return std::nullopt;
     }
-    return object_reader{&value, std::move(path), &out, {}};
+    return object_reader{&value, std::move(path), &out, {}, false};
 }
 
 std::string field_path(object_reader const& reader, std::string_view name)
--- a/src/config/value_reader.hpp
+++ b/src/config/value_reader.hpp
@@ -31,6 +31,9 @@
     /// Names of the fields looked up so far; all others are unknown fields. The
     /// names must outlive the reader.
     std::vector<std::string_view> m_known_fields;
+    /// Messages contain no texts and numbers of the object, which may be access
+    /// keys.
+    bool m_hides_values = false;
 };
 
 /// Whether a field has to be present.
--- a/src/core/customers.cpp
+++ b/src/core/customers.cpp
@@ -95,6 +95,11 @@
         for (std::size_t j = 0; j < customer.m_access_keys.size(); ++j)
         {
             auto const& key = customer.m_access_keys[j];
+            // A request without a key would match an empty one.
+            if (key.empty())
+            {
+                continue;
+            }
             if (auto const* first = find_entry(table, key))
             {
                 on_repeated(i, j, *first);
--- a/src/core/customers.hpp
+++ b/src/core/customers.hpp
@@ -40,7 +40,8 @@
 std::vector<repeated_key>
 find_repeated_keys(std::vector<customer_config> const& customers);
 
-/// Of customers with the same key, the first one gets it.
+/// Of customers with the same key, the first one gets it. Empty keys are
+/// ignored, since a request without a key would match them.
 customer_table_ptr make_customer_table(std::vector<customer_config> customers);
 
 std::vector<customer_config> const&
--- a/src/core/customers_test.cpp
+++ b/src/core/customers_test.cpp
@@ -35,6 +35,15 @@
     CHECK(find_customer(*table, "nobody") == nullptr);
 }
 
+// Guards against requests without a key that run in the name of a customer
+// whose list has an empty one.
+TEST_CASE("an empty key belongs to no customer")
+{
+    std::vector<customer_config> const list{{"harbour", {"", ""}, 1, 0, 0}};
+    CHECK(find_repeated_keys(list).empty());
+    CHECK(find_customer_by_key(*make_customer_table(list), "") == nullptr);
+}
+
 // Guards against a document in which the holder of a key depends on the order
 // of its customers.
 TEST_CASE("repeated keys are found within a customer and across customers")
