Print digests instead of access keys in config show

config show printed the keys of the stored document. It now prints the digests that the differences show. They are too short to be keys, so a shown document is refused by config check and config apply until its keys are put back.

The new test looks for keys in the output of check, diff, apply with a conflict, history, status and show, and compares the stored document with its file.

--- a/src/cli/config_commands_test.cpp
+++ b/src/cli/config_commands_test.cpp
@@ -199,7 +199,8 @@
 {
 public:
     document_file(std::string name, std::uint64_t generation,
-                  std::size_t max_queue, std::string const& zone = "a")
+                  std::size_t max_queue, std::string const& zone = "a",
+                  std::vector<core::customer_config> customers = {})
         : m_name(std::move(name))
     {
         core::configuration document;
@@ -215,6 +216,11 @@
         service.m_kinds.push_back(kind);
         service.m_targets.push_back({"map-1", zone, "127.0.0.1", 9001});
         document.m_services.push_back(service);
+        if (!customers.empty())
+        {
+            document.m_customers =
+                core::make_customer_table(std::move(customers));
+        }
         std::ofstream(m_name) << config::print_document(document);
     }
     ~document_file()
@@ -307,6 +313,59 @@
     CHECK(contains(history.m_out, "generation 1, change "));
 }
 
+// Guards against access keys in the output of a command, and against a store
+// that gets digests instead of keys.
+TEST_CASE("no command prints an access key")
+{
+    auto const plaza = [](std::string const& key)
+    {
+        return std::vector<core::customer_config>{{"plaza", {key}, 4, 0, 0}};
+    };
+    platform_stub platform;
+    auto const flag = platform.flag();
+    document_file const first("keys-first.json", 0, 10, "a",
+                              plaza("secret-key-of-plaza-1"));
+    document_file const second("keys-second.json", 1, 10, "a",
+                               plaza("secret-key-of-plaza-2"));
+    document_file const late("keys-late.json", 1, 10, "a",
+                             plaza("secret-key-of-plaza-3"));
+    document_file const faulty("keys-faulty.json", 1, 10, "a",
+                               plaza("secret key of plaza"));
+    std::string all;
+    auto const run_all = [&](std::vector<std::string> const& arguments)
+    {
+        auto done = run(arguments);
+        all += done.m_out + done.m_errors;
+        return done;
+    };
+    auto const apply = [&](document_file const& file, std::string const& base)
+    {
+        return run_all({"config", "apply", flag, platform.hosts_flag(),
+                        "--wait=16s", "--based_on=" + base, file.m_name});
+    };
+    CHECK(apply(first, "0").m_exit_code == 0);
+    auto const stored = apply(second, "1");
+    CHECK(stored.m_exit_code == 0);
+    CHECK(contains(stored.m_out, "~ customers[plaza].access_keys: [\""));
+    CHECK(apply(late, "1").m_exit_code == 3);
+    CHECK(run_all({"config", "check", faulty.m_name}).m_exit_code == 2);
+    CHECK(
+        run_all({"config", "diff", first.m_name, second.m_name}).m_exit_code ==
+        6);
+    CHECK(run_all({"config", "diff", flag, late.m_name}).m_exit_code == 6);
+    run_all({"config", "history", flag});
+    run_all({"config", "status", flag, platform.hosts_flag()});
+    for (auto const* generation : {"--generation=0", "--generation=1"})
+    {
+        auto const shown = run_all({"config", "show", flag, generation});
+        CHECK(contains(shown.m_out, "\"access_keys\": ["));
+    }
+    CAPTURE(all);
+    CHECK_FALSE(contains(all, "secret"));
+    // The stored document has the key of the second file.
+    CHECK(run({"config", "diff", flag, second.m_name}).m_exit_code == 0);
+}
+
 // Guards against commands that hang or report success when the platform cannot
 // be reached.
 TEST_CASE(
--- a/src/cli/config_show_command.cpp
+++ b/src/cli/config_show_command.cpp
@@ -55,7 +55,8 @@
     {
         return print_error(failure(document));
     }
-    std::cout << config::print_document(value(document));
+    std::cout << config::print_document(value(document),
+                                        config::key_form::digest);
     return exit_code::success;
 }
 
@@ -72,7 +73,9 @@
         .m_details =
             "The printed document contains its generation. Edit it and "
             "pass it to config apply,\nwhich takes that generation as the "
-            "one the change is based on.\n\nExit codes: 0 printed, 4 the "
+            "one the change is based on. Access keys are\nprinted as digests "
+            "of 8 hex digits; config apply refuses them until the keys "
+            "are\nput back.\n\nExit codes: 0 printed, 4 the "
             "platform did not answer or its answer is malformed,\n8 there is "
             "no such configuration.",
         .m_flags = std::move(flags),
