Build customers and evacuations with the operators' library

The library could not declare customers, public kinds, cold rates and evacuated zones, which documents have now. A rate that is not finite is a fault, since JSON cannot hold it.

--- a/include/hawthornspur/configuration_builder.hpp
+++ b/include/hawthornspur/configuration_builder.hpp
@@ -67,6 +67,8 @@
     std::optional<slot_share> m_max_share = std::nullopt;
     /// HTTP statuses with which a target reports that it did not run a request.
     std::vector<int> m_not_run_statuses = {};
+    /// Requests need no access key, also if the document has customers.
+    bool m_is_public = false;
 };
 
 /// A kind whose requests must not run twice. It cannot be hedged, since a
@@ -119,6 +121,22 @@
     std::string m_path = "/health";
 };
 
+/// A customer of the operators. Once a document has customers, requests of
+/// kinds that are not public need an access key of one of them.
+struct customer_declaration
+{
+    std::string m_name;
+    /// Of 16 to 200 printable ASCII characters without spaces. Each key occurs
+    /// once in the document; without keys no request of the customer is served.
+    std::vector<std::string> m_access_keys;
+    /// From 0, the most urgent, to 9. Precedes the priority of the kind.
+    int m_priority = 4;
+    /// Requests per second over all hosts together; 0 means no limit.
+    double m_rate = 0;
+    /// Requests that may exceed the rate at once.
+    double m_burst = 0;
+};
+
 /// Handle to one service of a configuration_builder. Copies refer to the same
 /// service. Valid as long as the builder.
 class service_builder
@@ -133,6 +151,10 @@
     service_builder& set_max_body_bytes(std::size_t bytes);
     service_builder& set_max_answer_bytes(std::size_t bytes);
     service_builder& set_max_queue(std::size_t requests);
+    /// A target that started less than `warm_up` ago is cold and takes at most
+    /// `requests_per_second` from all hosts together.
+    service_builder& set_cold_rate(double requests_per_second,
+                                   std::chrono::milliseconds warm_up);
 
 private:
     friend class configuration_builder;
@@ -176,6 +198,12 @@
     configuration_builder& set_extra_cost(zone_name const& zone,
                                           std::chrono::microseconds cost);
 
+    /// Sends nothing more to the targets of the zone. At least one zone must
+    /// not be evacuated.
+    configuration_builder& set_evacuated(zone_name const& zone);
+
+    configuration_builder& add(customer_declaration const& customer);
+
     configuration_builder& set_max_entry_hosts(int hosts);
     configuration_builder& set_address_lifetime(std::chrono::seconds lifetime);
     configuration_builder& set_key_lifetime(std::chrono::seconds lifetime);
--- a/src/config/configuration_builder.cpp
+++ b/src/config/configuration_builder.cpp
@@ -17,6 +17,7 @@
 {
     core::configuration m_document;
     std::vector<service_builder> m_services;
+    std::vector<core::customer_config> m_customers;
 };
 
 namespace
@@ -68,6 +69,7 @@
     }
     kind.m_hedge = hedge;
     kind.m_not_run_statuses = rules.m_not_run_statuses;
+    kind.m_is_public = rules.m_is_public;
     return kind;
 }
 
@@ -157,6 +159,15 @@
     return *this;
 }
 
+service_builder&
+service_builder::set_cold_rate(double requests_per_second,
+                               std::chrono::milliseconds warm_up)
+{
+    m_state->m_config.m_cold_rate = requests_per_second;
+    m_state->m_config.m_warm_up = to_printable(warm_up);
+    return *this;
+}
+
 configuration_builder::configuration_builder()
     : m_state(std::make_unique<state>())
 {
@@ -197,6 +208,22 @@
     return *this;
 }
 
+configuration_builder&
+configuration_builder::set_evacuated(zone_name const& zone)
+{
+    find_or_add_zone(m_state->m_document, zone).m_is_evacuated = true;
+    return *this;
+}
+
+configuration_builder&
+configuration_builder::add(customer_declaration const& customer)
+{
+    m_state->m_customers.push_back({customer.m_name, customer.m_access_keys,
+                                    customer.m_priority, customer.m_rate,
+                                    customer.m_burst});
+    return *this;
+}
+
 configuration_builder& configuration_builder::set_max_entry_hosts(int hosts)
 {
     m_state->m_document.m_max_entry_hosts = hosts;
@@ -238,6 +265,10 @@
     {
         document.m_services.push_back(service.m_state->m_config);
     }
+    if (!m_state->m_customers.empty())
+    {
+        document.m_customers = core::make_customer_table(m_state->m_customers);
+    }
     auto text = config::print_document(document);
     auto const parsed = config::parse_document(text);
     auto const* faults = std::get_if<config::fault_list>(&parsed);
--- a/src/config/configuration_builder_test.cpp
+++ b/src/config/configuration_builder_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <type_traits>
 
 namespace hawthornspur
@@ -63,6 +64,59 @@
     CHECK(document.m_services[0].m_targets[0].m_zone == "b");
 }
 
+// Guards against customers, public kinds, cold rates and evacuations that are
+// missing in the document.
+TEST_CASE("customers, public kinds, cold rates and evacuations are printed")
+{
+    configuration_builder builder;
+    auto const a = builder.add_zone("a");
+    auto const b = builder.add_zone("b");
+    builder.set_one_way_delay(a, b, std::chrono::milliseconds(5))
+        .set_evacuated(b)
+        .add(customer_declaration{
+            "plaza", {"plaza-key-0123456789"}, 1, 20, 5.5});
+    builder.add_service("map")
+        .add(idempotent_kind{
+            {.m_name = "page", .m_path_prefix = "/", .m_is_public = true}})
+        .set_cold_rate(4.7, std::chrono::seconds(3));
+    auto const printed = builder.print();
+    REQUIRE(std::holds_alternative<std::string>(printed));
+    auto const parsed = config::parse_document(std::get<std::string>(printed));
+    auto const& document = std::get<core::configuration>(parsed);
+    auto const* plaza = core::find_customer_by_key(*document.m_customers,
+                                                   "plaza-key-0123456789");
+    REQUIRE(plaza != nullptr);
+    CHECK(plaza->m_name == "plaza");
+    CHECK(plaza->m_priority == 1);
+    CHECK(plaza->m_rate == 20);
+    CHECK(plaza->m_burst == 5.5);
+    CHECK_FALSE(document.m_zones[0].m_is_evacuated);
+    CHECK(document.m_zones[1].m_is_evacuated);
+    CHECK(document.m_services[0].m_kinds[0].m_is_public);
+    CHECK(document.m_services[0].m_cold_rate == 4.7);
+    CHECK(document.m_services[0].m_warm_up == std::chrono::seconds(3));
+}
+
+// Guards against numbers that JSON cannot hold and that become no limit.
+TEST_CASE("a rate that is not finite is a fault")
+{
+    for (auto const rate : {std::numeric_limits<double>::quiet_NaN(),
+                            std::numeric_limits<double>::infinity(), -1.0})
+    {
+        configuration_builder builder;
+        builder.add_zone("a");
+        builder.add(customer_declaration{"plaza", {}, 4, rate, 0})
+            .add(customer_declaration{"feria", {}, 4, 0, rate});
+        auto const printed = builder.print();
+        auto const* faults =
+            std::get_if<std::vector<configuration_fault>>(&printed);
+        REQUIRE(faults != nullptr);
+        REQUIRE(faults->size() == 2);
+        CHECK((*faults)[0].m_path == "customers[0].rate");
+        CHECK((*faults)[1].m_path == "customers[1].burst");
+    }
+}
+
 // Guards against invalid values that the types cannot exclude and that would be
 // found only when the document is applied.
 TEST_CASE("faults of a declared document are reported with code and path")
