--- a/src/serve/deduplicate.cpp
+++ b/src/serve/deduplicate.cpp
@@ -17,11 +17,17 @@
 {
 
 /// Hash of a request, to refuse a key that is used for two different requests.
-std::uint64_t make_fingerprint(net::http_request const& request)
+/// Requests of two customers are different, so that neither gets the answer to
+/// the other.
+std::uint64_t make_fingerprint(active_call const& call)
 {
+    auto const& request = call.m_accepted.m_request;
+    auto const& customer = call.m_customer;
     auto hash = XXH64(request.m_method.data(), request.m_method.size(), 0);
     hash = XXH64(request.m_uri.data(), request.m_uri.size(), hash);
-    return XXH64(request.m_body.data(), request.m_body.size(), hash);
+    hash = XXH64(request.m_body.data(), request.m_body.size(), hash);
+    return customer.empty() ? hash
+                            : XXH64(customer.data(), customer.size(), hash);
 }
 
 void send_kept_answer(entry_host& host, active_call& call,
@@ -66,8 +72,7 @@
                                      core::once_key const& key)
 {
     auto decision = core::begin_request(
-        *host.m_once_table, key, make_fingerprint(call.m_accepted.m_request),
-        call.m_id, now());
+        *host.m_once_table, key, make_fingerprint(call), call.m_id, now());
     if (std::holds_alternative<core::once_run>(decision))
     {
         call.m_running_key = key;
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -130,6 +130,10 @@
             continue;
         }
         auto const id = find_request_id(received);
+        {
+            std::lock_guard const lock(m_head_mutex);
+            m_last_head = received.substr(0, received.find("\r\n\r\n"));
+        }
         received.clear();
         auto const& answer = m_answers[std::min<std::size_t>(
             m_requests++, m_answers.size() - 1)];
@@ -156,6 +160,12 @@
     }
 }
 
+std::string raw_target::last_head() const
+{
+    std::lock_guard const lock(m_head_mutex);
+    return m_last_head;
+}
+
 bool raw_target::send_all(int socket, std::string const& bytes)
 {
     std::size_t sent = 0;
--- a/tests/raw_target.hpp
+++ b/tests/raw_target.hpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -57,6 +58,8 @@
     {
         return m_requests;
     }
+    /// Head of the last request, without its body.
+    std::string last_head() const;
     /// Connections that the other side has closed.
     std::size_t closed_connections() const noexcept
     {
@@ -69,6 +72,8 @@
     bool send_all(int socket, std::string const& bytes);
 
     std::vector<raw_answer> m_answers;
+    mutable std::mutex m_head_mutex;
+    std::string m_last_head;
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_is_stopping = false;
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -149,14 +149,14 @@
     }
 }
 
-void test_cluster::start_host(std::string const& name)
+void test_cluster::start_host(std::string const& name, std::string const& zone)
 {
     auto entry = std::make_unique<entry_host>();
     entry->m_name = name;
     entry->m_loop = take(net::event_loop::create());
     config::host_settings settings;
     settings.m_name = name;
-    settings.m_zone = "a";
+    settings.m_zone = zone;
     settings.m_platform = {"127.0.0.1", m_platform->port()};
     settings.m_platform_calls_per_second = 100;
     entry->m_host = take(serve::create_host(*entry->m_loop, settings));
@@ -174,7 +174,7 @@
             list.push_back(
                 {{"name", entry->m_name},
                  {"role", "entry"},
-                 {"zone", "a"},
+                 {"zone", entry->m_host->m_settings.m_zone},
                  {"address", "127.0.0.1"},
                  {"port", entry->m_host->m_caller_server->port()},
                  {"peer_port", entry->m_host->m_peer_network->port()},
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -77,7 +77,7 @@
     /// Returns a session whose home is the given host.
     std::string make_session(std::size_t host);
 
-    void start_host(std::string const& name);
+    void start_host(std::string const& name, std::string const& zone = "a");
     /// Destroys a host: its sockets close and no pool is handed over.
     void kill(std::size_t host);
     void pause(std::size_t host)
