--- a/fuzz/fuzz_documents.cpp
+++ b/fuzz/fuzz_documents.cpp
@@ -12,6 +12,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <optional>
+#include <string>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the first case.");
 ABSL_FLAG(std::uint64_t, count, 10'000, "Number of cases.");
@@ -49,7 +51,7 @@
                                      "\\ud800",
                                      "[[[[[[[["});
 
-std::string read_file(char const* path)
+std::string read_file(std::string const& path)
 {
     std::ifstream file(path);
     return {std::istreambuf_iterator<char>(file), {}};
@@ -63,30 +65,53 @@
     return parsed != nullptr && config::print_document(*parsed) == text;
 }
 
+/// The texts that the cases change.
+struct example
+{
+    std::string m_document;
+    config::stored_document m_stored;
+    std::string m_history;
+};
+
+std::optional<example> read_example(std::string const& name)
+{
+    example out;
+    out.m_document = read_file(HAWTHORNSPUR_EXAMPLES "/" + name + ".json");
+    auto const parsed = config::parse_document(out.m_document);
+    if (!std::holds_alternative<core::configuration>(parsed))
+    {
+        std::cerr << name << " is not a valid document\n";
+        return std::nullopt;
+    }
+    out.m_stored =
+        config::split_document(std::get<core::configuration>(parsed));
+    platform::document_history history;
+    history.m_heads.push_back(std::get<config::document_head>(
+        config::parse_head(out.m_stored.m_head)));
+    out.m_history = platform::print_history(history);
+    return out;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     absl::ParseCommandLine(argc, argv);
-    auto const document = read_file(HAWTHORNSPUR_EXAMPLE);
-    auto const parsed = config::parse_document(document);
-    if (!std::holds_alternative<core::configuration>(parsed))
+    // The first example has no customers, the second one has.
+    auto const plain = read_example("tiza_viva_festivales");
+    auto const with_customers = read_example("ecos_de_feria");
+    if (!plain || !with_customers)
     {
-        std::cerr << HAWTHORNSPUR_EXAMPLE << " is not a valid document\n";
         return 1;
     }
-    auto const stored =
-        config::split_document(std::get<core::configuration>(parsed));
-    platform::document_history history;
-    history.m_heads.push_back(
-        std::get<config::document_head>(config::parse_head(stored.m_head)));
-    auto const history_text = platform::print_history(history);
     auto const first = absl::GetFlag(FLAGS_seed);
     auto const count = absl::GetFlag(FLAGS_count);
     std::uint64_t accepted = 0;
     for (auto seed = first; seed < first + count; ++seed)
     {
         std::mt19937_64 random(seed);
+        auto const& [document, stored, history_text] =
+            seed % 2 == 0 ? *plain : *with_customers;
         auto const result =
             config::parse_document(fuzz::mutate(document, random, tokens));
         if (auto const* valid = std::get_if<core::configuration>(&result))
--- a/fuzz/http_heads.cpp
+++ b/fuzz/http_heads.cpp
@@ -6,6 +6,7 @@
 #include "byte_mutation.hpp"
 #include "net/answer_validator.hpp"
 #include "net/request_framer.hpp"
+#include "serve/accept.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -32,12 +33,16 @@
 std::string const put_head =
     "PUT /%20?b=c HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n";
 
+std::string const keyed_head =
+    "GET /k HTTP/1.1\r\nAuthorization: Bearer key-0123456789abc\r\n";
+
 std::vector<std::string> const requests{
     "GET /a HTTP/1.1\r\nHost: map\r\nAccept: */*\r\n\r\n",
     "POST /orders HTTP/1.1\r\nHost: orders\r\nContent-Length: 5\r\n\r\nhello",
     chunked_head + "5\r\nhello\r\n1;e=f\r\n!\r\n0\r\nT: 1\r\n\r\n",
     "OPTIONS * HTTP/1.1\r\nHost: [::1]:80\r\nConnection: X\r\nX: 1\r\n\r\n",
-    put_head + "Content-Length: 1\r\n\r\nx"};
+    put_head + "Content-Length: 1\r\n\r\nx",
+    keyed_head + "Hawthornspur-Customer: plaza\r\n\r\n"};
 
 std::vector<std::string> const answers{
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -80,6 +85,23 @@
     return {out, result_code::ok};
 }
 
+std::vector<std::string> const credentials{"Bearer key-0123456789abc",
+                                           "bearer  key-0123456789abc ",
+                                           "Token key",
+                                           "Bearer",
+                                           " Bearer \t",
+                                           "Basic YTpi"};
+
+/// Whether a key that was read from the credentials is a part of them without
+/// spaces at its ends, so that no other key is ever looked up.
+bool is_key_valid(std::string const& text)
+{
+    auto const key = serve::read_access_key(text, "Bearer");
+    return key.empty() ||
+           (text.find(key) != std::string::npos && key.front() != ' ' &&
+            key.back() != ' ' && key.size() < text.size());
+}
+
 /// Joins the chunks of an answer that passed the checks. What follows is the
 /// end of the body, if it has one, and the bytes after it.
 std::string join_chunks(std::string const& answer)
@@ -176,6 +198,12 @@
                                "the output passes the checks unchanged", seed,
                                i, input);
         }
+        auto const field = fuzz::mutate(
+            random, credentials[fuzz::random_below(random, credentials.size())],
+            credentials);
+        fuzz::require_rule(is_key_valid(field),
+                           "a key is a part of the credentials", seed, i,
+                           field);
         auto const answer = fuzz::mutate(
             random, answers[fuzz::random_below(random, answers.size())],
             answers);
