Share the slots of a pool among customers

Above the capacity of a pool, requests went by the priority of their kind and then in the order of arrival. A customer with many times its usual load took the slots of the others, the least urgent kind starved, and callers that returned at once after each refusal were served more often.

Each pair of customer and kind is now a flow, and flows are served by start-time fair queueing. The weight of a flow is the weight of its rank (customer priority, then kind priority; 1 to 1/4, so that no flow gets less than a quarter of what it would get without ranks), times the usual rate of its customer, times the share of the kind in the customer's recent requests. The usual rate follows a sudden rise by a factor of e in 60 s at most. The expected wait of a new request counts what goes before it by its flow. If the queue is full, the longest flow of the least urgent rank gives up its last request.

A pool does so from the first request that names a customer; others keep their order.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -4,12 +4,14 @@
 #include "core/pool_admission.hpp"
 #include "core/pool_dispatch.hpp"
 #include "core/pool_probing.hpp"
+#include "core/pool_sharing.hpp"
 #include "core/pool_state.hpp"
 #include "core/repeat_decision.hpp"
 #include "core/retry_rules.hpp"
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace hawthornspur::core
@@ -297,7 +299,8 @@
     {
         ordered[i].m_config = rules.m_kinds[i];
     }
-    std::vector<std::size_t> new_indices(pool.m_kinds.size());
+    std::vector<std::size_t> new_indices(
+        pool.m_kinds.size(), std::numeric_limits<std::size_t>::max());
     std::vector<bool> is_matched(ordered.size());
     for (std::size_t old_index = 0; old_index < pool.m_kinds.size();
          ++old_index)
@@ -326,6 +329,7 @@
         auto& kind = request.m_arrival.m_kind;
         kind = {static_cast<std::uint32_t>(new_indices[kind.m_value])};
     }
+    renumber_flows(pool, new_indices);
     pool.m_kinds = std::move(ordered);
 }
 
@@ -344,6 +348,7 @@
                 push(kind.m_queue, request, rules.m_order);
             }
         }
+        set_order(pool.m_share, rules.m_order);
     }
     pool.m_rules = std::move(rules);
 }
@@ -388,7 +393,8 @@
     resume_probing(pool, now);
     pool.m_last_arrival = now;
     auto const& kind = pool.m_kinds[request.m_kind.m_value];
-    auto const wait = expected_wait(pool, kind, now);
+    record_arrival_of_customer(pool, request, now);
+    auto const wait = expected_wait(pool, request, now);
     auto const sequence = pool.m_next_sequence++;
     pool.m_mean_free_slots +=
         mean_free_slots_weight *
@@ -572,9 +578,9 @@
     auto returned = request;
     returned.m_spilled = false;
     ++returned.m_spill_refusals;
-    auto const& kind = pool.m_kinds[request.m_kind.m_value];
+    record_arrival_of_customer(pool, request, now);
     admit(pool, returned, sequence.value_or(pool.m_next_sequence++),
-          expected_wait(pool, kind, now), now, out);
+          expected_wait(pool, request, now), now, out);
 }
 
 void refuse_suspects(pool& pool, content_id content, time_point now,
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -1,6 +1,7 @@
 #include "core/pool_admission.hpp"
 
 #include "core/pool_dispatch.hpp"
+#include "core/pool_sharing.hpp"
 
 namespace hawthornspur::core
 {
@@ -14,13 +15,10 @@
 
 void enqueue(pool& pool, request_entry& request, time_point now)
 {
-    auto& kind = pool.m_kinds[request.m_arrival.m_kind.m_value];
     request.m_queued = true;
-    push(kind.m_queue,
-         {request.m_arrival.m_request, request.m_sequence, now,
-          request.m_arrival.m_deadline},
-         pool.m_rules.m_order);
-    ++pool.m_queued_count;
+    add_waiting(pool, request.m_arrival,
+                {request.m_arrival.m_request, request.m_sequence, now,
+                 request.m_arrival.m_deadline});
 }
 
 /// Frees a place in the queue for a more urgent request by refusing the last
@@ -51,6 +49,33 @@
     return true;
 }
 
+/// Frees a place in the full queue by refusing the last request of another
+/// flow. Returns false if the new request has to be refused.
+bool evict_from_other_flow(pool& pool, arrival const& request,
+                           pool_effects& out)
+{
+    auto const id = pick_request_to_evict(pool, request);
+    if (!id)
+    {
+        return false;
+    }
+    auto const evicted = pool.m_requests.find(*id);
+    remove_waiting(pool, evicted->second.m_arrival);
+    evicted->second.m_queued = false;
+    refuse(pool, evicted, result_code::queue_full, out);
+    return true;
+}
+
+bool make_room(pool& pool, arrival const& request, pool_effects& out)
+{
+    return pool.m_is_shared_by_customer
+               ? evict_from_other_flow(pool, request, out)
+               : evict_less_urgent(
+                     pool,
+                     pool.m_kinds[request.m_kind.m_value].m_config.m_priority,
+                     out);
+}
+
 /// Whether a request that has to wait this long would miss its deadline.
 bool is_deadline_unreachable(kind_entry const& kind, duration wait,
                              duration remaining)
@@ -93,12 +118,13 @@
         bool const is_at_cap =
             kind.m_in_flight >= kind_cap(pool, kind, slots.m_slots);
         return slots.m_free > 0 && is_at_cap &&
-                       pool.m_queued_count == kind.m_queue.size()
+                       pool.m_queued_count ==
+                           count_waiting(pool, request.m_kind)
                    ? result_code::kind_share_full
                    : result_code::deadline_unreachable;
     }
     if (pool.m_queued_count >= pool.m_rules.m_max_queue &&
-        !evict_less_urgent(pool, kind.m_config.m_priority, out))
+        !make_room(pool, request, out))
     {
         return result_code::queue_full;
     }
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -1,5 +1,7 @@
 #include "core/pool_dispatch.hpp"
 
+#include "core/pool_sharing.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -191,10 +193,9 @@
         return false;
     }
     auto const usual_time = median_time(pool, request);
-    auto const& kind = pool.m_kinds[arrival.m_kind.m_value];
     auto const local_wait =
         best.m_target == nullptr
-            ? expected_wait(pool, kind, now)
+            ? expected_wait(pool, arrival, now)
             : expected_time_at(pool, request, *best.m_target, now) - usual_time;
     auto* option = choose_spill(pool.m_spill_options, local_wait, now);
     if (option == nullptr ||
@@ -205,6 +206,7 @@
     }
     reserve_slot(*option, entry->first, request.m_sequence, usual_time, now);
     out.emplace_back(spill_effect{entry->first, option->m_zone});
+    remove_waiting(pool, arrival);
     pool.m_requests.erase(entry);
     return true;
 }
@@ -310,20 +312,20 @@
            *objective - usual_time - now < now - waiting.m_enqueued_at;
 }
 
-/// Selects the next request of the kind. In first-come order, requests that can
-/// still meet their objective precede late ones, so that a short overload does
-/// not make all later requests late. While more requests arrive than can be
-/// served, the newest goes first: in the order of arrival, each would be
-/// dispatched when it can just meet its objective, and half of the answers
-/// would be late.
+/// Selects the next request of a queue of this kind. In first-come order,
+/// requests that can still meet their objective precede late ones, so that a
+/// short overload does not make all later requests late. While more requests
+/// arrive than can be served, the newest goes first: in the order of arrival,
+/// each would be dispatched when it can just meet its objective, and half of
+/// the answers would be late.
 queued_request const& pick_request(pool const& pool, kind_entry const& kind,
-                                   time_point now)
+                                   kind_queue const& queue, time_point now)
 {
     auto const usual_time = median(kind.m_service_time);
     if (pool.m_rules.m_order != queue_order::first_come ||
         kind.m_config.m_target_latency <= duration::zero())
     {
-        return front(kind.m_queue, pool.m_rules.m_order, now);
+        return front(queue, pool.m_rules.m_order, now);
     }
     auto const can_be_in_time = [&](queued_request const& waiting)
     {
@@ -332,17 +334,37 @@
         return !objective || now + usual_time <= *objective;
     };
     auto const oldest =
-        std::find_if(kind.m_queue.begin(), kind.m_queue.end(), can_be_in_time);
-    if (oldest == kind.m_queue.end())
+        std::find_if(queue.begin(), queue.end(), can_be_in_time);
+    if (oldest == queue.end())
     {
-        return kind.m_queue.front();
+        return queue.front();
     }
     if (!has_spent_half_of_slack(pool, *oldest, usual_time, now))
     {
         return *oldest;
     }
-    return *std::find_if(kind.m_queue.rbegin(), kind.m_queue.rend(),
-                         can_be_in_time);
+    return *std::find_if(queue.rbegin(), queue.rend(), can_be_in_time);
+}
+
+/// The queue that goes next, of a kind or of a flow of a customer.
+struct next_queue
+{
+    kind_entry const* m_kind = nullptr;
+    kind_queue const* m_queue = nullptr;
+};
+
+next_queue pick_queue(pool& pool, int slots, time_point now)
+{
+    if (pool.m_is_shared_by_customer)
+    {
+        auto const* flow = pick_flow(pool, slots);
+        return flow == nullptr
+                   ? next_queue{}
+                   : next_queue{&pool.m_kinds[flow->m_kind.m_value],
+                                &pool.m_share.m_flows.at(*flow).m_queue};
+    }
+    auto const* kind = pick_kind(pool, slots, now);
+    return kind == nullptr ? next_queue{} : next_queue{kind, &kind->m_queue};
 }
 
 /// Whether the request would miss its objective even if it was dispatched to a
@@ -353,11 +375,45 @@
     return objective && now + median_time(pool, request) > *objective;
 }
 
+/// Dispatches the first late request of the queue that a free slot of a slow
+/// target can serve. Returns whether a request was dispatched.
+bool dispatch_late_of_queue(pool& pool, kind_queue const& queue, time_point now,
+                            pool_effects& out)
+{
+    for (auto const& waiting : queue)
+    {
+        auto& request = pool.m_requests.at(waiting.m_request);
+        if (!is_late(pool, request, now))
+        {
+            continue;
+        }
+        auto const best = pick_target(pool, request, now);
+        if (best.m_target == nullptr || should_wait(pool, best, request, now))
+        {
+            continue;
+        }
+        start_waiting(pool, request.m_arrival);
+        dispatch(pool, request, *best.m_target, attempt_reason::first, now,
+                 out);
+        return true;
+    }
+    return false;
+}
+
 /// Dispatches a late request to a free slot of a slow target, which requests
 /// that can meet their objective leave unused while they wait for a fast one.
-/// The most urgent kind goes first. Returns whether a request was dispatched.
+/// The most urgent kind goes first, or the flow that is served next. Returns
+/// whether a request was dispatched.
 bool dispatch_late(pool& pool, int slots, time_point now, pool_effects& out)
 {
+    if (pool.m_is_shared_by_customer)
+    {
+        auto const queues = list_queues(pool, slots);
+        return std::any_of(
+            queues.begin(), queues.end(),
+            [&](kind_queue const* queue)
+            { return dispatch_late_of_queue(pool, *queue, now, out); });
+    }
     std::vector<kind_entry*> kinds;
     for (auto& kind : pool.m_kinds)
     {
@@ -370,30 +426,10 @@
                      [](kind_entry const* a, kind_entry const* b) {
                          return a->m_config.m_priority < b->m_config.m_priority;
                      });
-    for (auto* kind : kinds)
-    {
-        for (auto const& waiting : kind->m_queue)
-        {
-            auto& request = pool.m_requests.at(waiting.m_request);
-            if (!is_late(pool, request, now))
-            {
-                continue;
-            }
-            auto const best = pick_target(pool, request, now);
-            if (best.m_target == nullptr ||
-                should_wait(pool, best, request, now))
-            {
-                continue;
-            }
-            auto const id = waiting.m_request;
-            remove(kind->m_queue, id);
-            --pool.m_queued_count;
-            dispatch(pool, request, *best.m_target, attempt_reason::first, now,
-                     out);
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(
+        kinds.begin(), kinds.end(),
+        [&](kind_entry const* kind)
+        { return dispatch_late_of_queue(pool, kind->m_queue, now, out); });
 }
 
 void dispatch_retries(pool& pool, int slots, time_point now, pool_effects& out)
@@ -479,19 +515,18 @@
     }
     while (pool.m_queued_count > 0)
     {
-        auto* kind = pick_kind(pool, slots, now);
+        auto const [kind, queue] = pick_queue(pool, slots, now);
         if (kind == nullptr)
         {
             return;
         }
-        auto const next = pick_request(pool, *kind, now);
+        auto const next = pick_request(pool, *kind, *queue, now);
         auto const found = pool.m_requests.find(next.m_request);
         assert(found != pool.m_requests.end());
         auto& request = found->second;
         if (is_overdue(pool, next, *kind, now))
         {
-            remove(kind->m_queue, next.m_request);
-            --pool.m_queued_count;
+            remove_waiting(pool, request.m_arrival);
             request.m_queued = false;
             refuse(pool, found, result_code::deadline_passed_in_queue, out);
             continue;
@@ -499,16 +534,13 @@
         auto const best = pick_target(pool, request, now);
         if (best.m_target != nullptr && !should_wait(pool, best, request, now))
         {
-            remove(kind->m_queue, next.m_request);
-            --pool.m_queued_count;
+            start_waiting(pool, request.m_arrival);
             dispatch(pool, request, *best.m_target, attempt_reason::first, now,
                      out);
             continue;
         }
         if (try_spill(pool, found, best, now, out))
         {
-            remove(kind->m_queue, next.m_request);
-            --pool.m_queued_count;
             continue;
         }
         if (best.m_target == nullptr)
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -1,5 +1,7 @@
 #include "core/pool_state.hpp"
 
+#include "core/pool_sharing.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -89,24 +91,28 @@
 namespace
 {
 
-/// Requests that are served before a new one of this kind.
-std::size_t count_queued_before(pool const& pool, kind_entry const& kind)
+/// Work that goes before a new request of this kind in a pool without
+/// customers.
+work_ahead measure_work_ahead(pool const& pool, kind_entry const& kind)
 {
-    std::size_t count = 0;
+    work_ahead ahead;
     for (auto const& other : pool.m_kinds)
     {
         if (other.m_config.m_priority <= kind.m_config.m_priority)
         {
-            count += other.m_queue.size();
+            ahead.m_requests += other.m_queue.size();
+            ahead.m_seconds += static_cast<double>(other.m_queue.size()) *
+                               other.m_service_time.m_mean_seconds;
         }
     }
-    return count;
+    ahead.m_requests_of_kind = kind.m_queue.size();
+    return ahead;
 }
 
 /// Wait that follows from the rate limits alone, in seconds: zero unless all
 /// usable targets have one. It is also known while no answer has shown how long
 /// requests take.
-double expected_wait_for_token(pool const& pool, kind_entry const& kind,
+double expected_wait_for_token(pool const& pool, work_ahead const& ahead,
                                time_point now)
 {
     double tokens_per_second = 0;
@@ -129,13 +135,11 @@
         return 0;
     }
     return seconds(next - now).count() +
-           static_cast<double>(count_queued_before(pool, kind)) /
-               tokens_per_second;
+           static_cast<double>(ahead.m_requests) / tokens_per_second;
 }
 
-} // namespace
-
-duration expected_wait(pool const& pool, kind_entry const& kind, time_point now)
+duration expected_wait(pool const& pool, kind_entry const& kind,
+                       work_ahead const& ahead, time_point now)
 {
     auto const slots = count_slots(pool, now);
     if (slots.m_limit == 0)
@@ -145,27 +149,37 @@
     double wait = 0;
     if (slots.m_free == 0 || pool.m_queued_count > 0)
     {
-        double ahead = pool.m_service_time.m_mean_seconds;
-        for (auto const& other : pool.m_kinds)
-        {
-            if (other.m_config.m_priority <= kind.m_config.m_priority)
-            {
-                ahead += static_cast<double>(other.m_queue.size()) *
-                         other.m_service_time.m_mean_seconds;
-            }
-        }
-        wait = ahead / slots.m_effective;
+        wait = (pool.m_service_time.m_mean_seconds + ahead.m_seconds) /
+               slots.m_effective;
     }
     auto const cap = kind_cap(pool, kind, slots.m_slots);
     if (kind.m_in_flight >= cap)
     {
-        wait = std::max(wait, static_cast<double>(kind.m_queue.size() + 1) *
-                                  kind.m_service_time.m_mean_seconds / cap);
+        wait =
+            std::max(wait, static_cast<double>(ahead.m_requests_of_kind + 1) *
+                               kind.m_service_time.m_mean_seconds / cap);
     }
-    wait = std::max(wait, expected_wait_for_token(pool, kind, now));
+    wait = std::max(wait, expected_wait_for_token(pool, ahead, now));
     return std::chrono::duration_cast<duration>(seconds(wait));
 }
 
+} // namespace
+
+duration expected_wait(pool const& pool, kind_entry const& kind, time_point now)
+{
+    return expected_wait(pool, kind, measure_work_ahead(pool, kind), now);
+}
+
+duration expected_wait(pool const& pool, arrival const& request, time_point now)
+{
+    auto const& kind = pool.m_kinds[request.m_kind.m_value];
+    return expected_wait(pool, kind,
+                         pool.m_is_shared_by_customer
+                             ? measure_work_ahead(pool, flow_of(request))
+                             : measure_work_ahead(pool, kind),
+                         now);
+}
+
 namespace
 {
 
@@ -236,10 +250,7 @@
         pool.m_retry_queue.erase(retry);
         return;
     }
-    if (remove(pool.m_kinds[request.m_arrival.m_kind.m_value].m_queue, id))
-    {
-        --pool.m_queued_count;
-    }
+    remove_waiting(pool, request.m_arrival);
 }
 
 int count_target_ends(request_entry const& request)
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_CORE_POOL_STATE_HPP
 
 #include "core/advertised_rate.hpp"
+#include "core/fair_share.hpp"
 #include "core/kind_queue.hpp"
 #include "core/outlier_detection.hpp"
 #include "core/pool.hpp"
@@ -111,7 +112,10 @@
     kind_config m_config;
     service_time m_service_time;
     int m_in_flight = 0;
+    /// Empty while the pool shares its slots among customers.
     kind_queue m_queue;
+    /// Requests of this kind that wait in flows of customers.
+    std::size_t m_waiting_in_flows = 0;
 };
 
 struct request_hash
@@ -141,7 +145,11 @@
     /// Requests that wait for a retry. They are dispatched before others, since
     /// they have waited longest; the retry budget bounds their number.
     std::vector<request_id> m_retry_queue;
-    /// Requests in the queues of all kinds.
+    /// Set by the first request that names a customer. Waiting requests are
+    /// then in m_share instead of the queues of their kinds.
+    bool m_is_shared_by_customer = false;
+    fair_share m_share;
+    /// Requests that wait for their first attempt, in all queues.
     std::size_t m_queued_count = 0;
     std::uint64_t m_next_sequence = 0;
     service_time m_service_time;
@@ -202,6 +210,11 @@
 duration expected_wait(pool const& pool, kind_entry const& kind,
                        time_point now);
 
+/// The same for a new request. In a pool that shares its slots among customers,
+/// the requests that go before it by its flow count.
+duration expected_wait(pool const& pool, arrival const& request,
+                       time_point now);
+
 /// Medians over the targets of the pool, which individual targets are compared
 /// with.
 struct pool_median
