Tell refused callers of customers when to return

Refused callers got the expected wait of their kind, the same for all that were refused at a moment, so they returned together. They now get the first interval of 50 ms with free capacity that is not before their wait, by the starts per second measured over the last seconds and by the returns already promised. Returns of less urgent customers do not take capacity from more urgent ones, up to twice the capacity of an interval. If no interval lies before the last useful moment, the delay is 50 ms and nothing is reserved. Callers that have returned before reserve nothing.

The pool counts starts, waits and refusals by priority of the customers, and the returns promised and kept; the metrics page shows them. The description of calls for pools moves to a file of its own.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -4,6 +4,7 @@
 #include "core/pool_admission.hpp"
 #include "core/pool_dispatch.hpp"
 #include "core/pool_probing.hpp"
+#include "core/pool_returns.hpp"
 #include "core/pool_sharing.hpp"
 #include "core/pool_state.hpp"
 #include "core/repeat_decision.hpp"
@@ -22,10 +23,6 @@
 
 constexpr double limit_share_after_crash = 0.5;
 constexpr double mean_free_slots_weight = 0.05;
-// A slot of the pool becomes free within about ten milliseconds. Callers wait
-// for at most a third of their remaining time before they retry.
-constexpr duration min_retry_after = std::chrono::milliseconds(50);
-constexpr duration max_retry_after = std::chrono::seconds(2);
 
 /// Removes timers of finished requests from the top of the heap, so that the
 /// host does not wake up for them.
@@ -394,6 +391,7 @@
     pool.m_last_arrival = now;
     auto const& kind = pool.m_kinds[request.m_kind.m_value];
     record_arrival_of_customer(pool, request, now);
+    record_return(pool, request, now);
     auto const wait = expected_wait(pool, request, now);
     auto const sequence = pool.m_next_sequence++;
     pool.m_mean_free_slots +=
@@ -644,16 +642,6 @@
     return next == time_point::max() ? std::nullopt : std::optional(next);
 }
 
-duration retry_after_delay(pool const& pool, kind_id kind, time_point now)
-{
-    if (kind.m_value >= pool.m_kinds.size())
-    {
-        return min_retry_after;
-    }
-    return std::clamp(expected_wait(pool, pool.m_kinds[kind.m_value], now),
-                      min_retry_after, max_retry_after);
-}
-
 std::size_t queue_length(pool const& pool) noexcept
 {
     return pool.m_queued_count + pool.m_retry_queue.size();
--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -9,7 +9,10 @@
 #include "core/time.hpp"
 #include "core/token_bucket.hpp"
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -259,6 +262,38 @@
 /// expected wait for a slot, clamped to 50 ms to 2 s.
 duration retry_after_delay(pool const& pool, kind_id kind, time_point now);
 
+/// Delay after which the caller of a refused request should retry. If the
+/// request names a customer, the delay follows the measured rate of starts and
+/// the returns promised to others, and the return is promised unless the caller
+/// has returned before; 50 ms if no useful time is free. Otherwise the same as
+/// for the kind.
+duration retry_after_delay(pool& pool, arrival const& request, time_point now);
+
+/// Counters of a pool for customers of one priority, from the start of the pool
+/// on this host.
+struct rank_counters
+{
+    std::uint64_t m_starts = 0;
+    /// Sum of the times that started requests have waited.
+    duration m_waited{0};
+    std::map<result_code, std::uint64_t> m_refusals;
+};
+
+/// Number of priorities of customers; 0 is the most urgent.
+constexpr std::size_t customer_priority_count = 10;
+
+struct sharing_counters
+{
+    std::array<rank_counters, customer_priority_count> m_by_priority;
+    std::uint64_t m_returns_promised = 0;
+    /// Callers that came back within 100 ms of a promised time. Callers are not
+    /// told apart.
+    std::uint64_t m_returns_kept = 0;
+};
+
+/// All zero in a pool whose requests name no customer.
+sharing_counters read_sharing_counters(pool const& pool);
+
 /// Requests waiting for a slot, including retries.
 std::size_t queue_length(pool const& pool) noexcept;
 /// Attempts in flight at all targets.
--- a/src/core/pool_admission.cpp
+++ b/src/core/pool_admission.cpp
@@ -1,6 +1,7 @@
 #include "core/pool_admission.hpp"
 
 #include "core/pool_dispatch.hpp"
+#include "core/pool_returns.hpp"
 #include "core/pool_sharing.hpp"
 
 namespace hawthornspur::core
@@ -139,6 +140,7 @@
     auto const code = check_admission(pool, request, wait, now, out);
     if (code != result_code::ok)
     {
+        count_refusal(pool, request, code);
         out.emplace_back(refuse_effect{request.m_request, code});
         return;
     }
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -392,7 +392,7 @@
         {
             continue;
         }
-        start_waiting(pool, request.m_arrival);
+        start_waiting(pool, request.m_arrival, waiting.m_enqueued_at, now);
         dispatch(pool, request, *best.m_target, attempt_reason::first, now,
                  out);
         return true;
@@ -534,7 +534,7 @@
         auto const best = pick_target(pool, request, now);
         if (best.m_target != nullptr && !should_wait(pool, best, request, now))
         {
-            start_waiting(pool, request.m_arrival);
+            start_waiting(pool, request.m_arrival, next.m_enqueued_at, now);
             dispatch(pool, request, *best.m_target, attempt_reason::first, now,
                      out);
             continue;
--- a/src/core/pool_sharing.cpp
+++ b/src/core/pool_sharing.cpp
@@ -1,5 +1,7 @@
 #include "core/pool_sharing.hpp"
 
+#include "core/pool_returns.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -119,11 +121,14 @@
     return true;
 }
 
-void start_waiting(pool& pool, arrival const& request)
+void start_waiting(pool& pool, arrival const& request, time_point enqueued_at,
+                   time_point now)
 {
     if (pool.m_is_shared_by_customer)
     {
         record_start(pool.m_share, flow_of(request));
+        record_start(pool.m_returns, now);
+        count_start(pool, request, now - enqueued_at);
     }
     remove_waiting(pool, request);
 }
--- a/src/core/pool_sharing.hpp
+++ b/src/core/pool_sharing.hpp
@@ -24,9 +24,10 @@
 /// attempt.
 bool remove_waiting(pool& pool, arrival const& request);
 
-/// Removes a waiting request whose first attempt starts or that is spilled, and
-/// charges its flow.
-void start_waiting(pool& pool, arrival const& request);
+/// Removes a waiting request whose first attempt starts, charges its flow and
+/// counts the start.
+void start_waiting(pool& pool, arrival const& request, time_point enqueued_at,
+                   time_point now);
 
 /// Requests of this kind that wait for their first attempt.
 std::size_t count_waiting(pool const& pool, kind_id kind);
--- a/src/core/pool_sharing_test.cpp
+++ b/src/core/pool_sharing_test.cpp
@@ -102,20 +102,28 @@
 
 void handle_effects(replay& state, pool_effects const& effects);
 
-void send_request(replay& state, caller_request request)
+arrival make_arrival(replay const& state, std::uint64_t id)
 {
+    auto const& request = state.m_requests.at(id);
     auto const& source = state.m_scenario.m_sources[request.m_source];
-    auto const id = state.m_next_request++;
-    request.m_sent = state.m_now;
-    state.m_requests[id] = request;
     arrival call;
     call.m_request = {id};
     call.m_kind = {source.m_kind};
     call.m_deadline = request.m_deadline;
+    call.m_earlier_attempts = request.m_returns;
     call.m_customer = customer_id{source.m_customer};
     call.m_customer_priority = source.m_priority;
+    return call;
+}
+
+void send_request(replay& state, caller_request request)
+{
+    auto const id = state.m_next_request++;
+    request.m_sent = state.m_now;
+    state.m_requests[id] = request;
     pool_effects out;
-    on_arrival(*state.m_pool, call, state.m_now, state.m_budgets, out);
+    on_arrival(*state.m_pool, make_arrival(state, id), state.m_now,
+               state.m_budgets, out);
     handle_effects(state, out);
 }
 
@@ -142,6 +150,8 @@
 void refuse_request(replay& state, std::uint64_t id)
 {
     auto request = state.m_requests.at(id);
+    auto const given_delay =
+        retry_after_delay(*state.m_pool, make_arrival(state, id), state.m_now);
     state.m_requests.erase(id);
     auto const& source = state.m_scenario.m_sources[request.m_source];
     if (request.m_is_measured && state.m_now > request.m_sent)
@@ -151,9 +161,7 @@
     constexpr int max_immediate_returns = 20;
     auto const max_returns = source.m_ignores_delay ? max_immediate_returns : 1;
     auto const delay =
-        source.m_ignores_delay
-            ? duration(milliseconds(5))
-            : retry_after_delay(*state.m_pool, {source.m_kind}, state.m_now);
+        source.m_ignores_delay ? duration(milliseconds(5)) : given_delay;
     if (request.m_returns++ < max_returns &&
         state.m_now + delay < request.m_deadline)
     {
@@ -343,8 +351,9 @@
                                 [&](load_source const& source)
                                 { return source.m_customer == customer; });
         CHECK(share_served(own) >= min_relative_share * share_served(all));
-        CHECK(share_served(results[2 * (customer - 1)]) + kind_tolerance >=
-              share_served(results[2 * (customer - 1) + 1]));
+        auto const first = std::size_t{2} * (customer - 1);
+        CHECK(share_served(results[first]) + kind_tolerance >=
+              share_served(results[first + 1]));
     }
     auto const most_urgent =
         sum_if(step, results,
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -1,5 +1,6 @@
 #include "core/pool_state.hpp"
 
+#include "core/pool_returns.hpp"
 #include "core/pool_sharing.hpp"
 
 #include <algorithm>
@@ -233,6 +234,7 @@
         code = entry.m_may_have_run_code;
     }
     entry.m_answered = true;
+    count_refusal(pool, entry.m_arrival, code);
     out.emplace_back(refuse_effect{request->first, code});
     if (count_live_attempts(entry) == 0)
     {
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -6,6 +6,7 @@
 #include "core/kind_queue.hpp"
 #include "core/outlier_detection.hpp"
 #include "core/pool.hpp"
+#include "core/return_schedule.hpp"
 #include "core/service_time.hpp"
 #include "core/slowness_estimate.hpp"
 #include "core/spill_choice.hpp"
@@ -149,6 +150,8 @@
     /// then in m_share instead of the queues of their kinds.
     bool m_is_shared_by_customer = false;
     fair_share m_share;
+    return_schedule m_returns;
+    std::array<rank_counters, customer_priority_count> m_rank_counters;
     /// Requests that wait for their first attempt, in all queues.
     std::size_t m_queued_count = 0;
     std::uint64_t m_next_sequence = 0;
--- a/src/core/usual_rate.cpp
+++ b/src/core/usual_rate.cpp
@@ -14,7 +14,6 @@
 
 constexpr seconds learning_time{3};
 constexpr seconds min_learning_time{1};
-constexpr seconds recent_time{5};
 // The usual rate changes by a factor of e in this time at most, so a customer
 // at 8 times its load gains a sixth of its share in 10 s.
 constexpr seconds adaptation_time{60};
--- a/src/core/usual_rate.hpp
+++ b/src/core/usual_rate.hpp
@@ -3,10 +3,15 @@
 
 #include "core/time.hpp"
 
+#include <chrono>
+
 namespace hawthornspur::core
 {
 
-/// Number of arrivals, each weighted down by its age.
+/// Time over which recent arrivals are averaged.
+constexpr std::chrono::duration<double> recent_time{5};
+
+/// Number of events, each weighted down by its age.
 struct decaying_count
 {
     time_point m_last{};
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
@@ -94,6 +96,75 @@
         std::move(name), std::move(help), static_cast<double>(value), true, {}};
 }
 
+using labels = std::vector<std::pair<std::string, std::string>>;
+
+/// Shares of customers by priority. Bounded by the pools, ten priorities and
+/// the result codes; customers are not named.
+void add_sharing_samples(core::pool_id const& id,
+                         core::sharing_counters const& counters,
+                         std::vector<metrics::sample>& samples)
+{
+    labels const of_pool{{"service", id.m_service}, {"zone", id.m_zone}};
+    auto const add = [&](std::string name, std::string help, double value,
+                         labels const& further)
+    {
+        auto all = of_pool;
+        all.insert(all.end(), further.begin(), further.end());
+        samples.push_back(
+            {std::move(name), std::move(help), value, true, std::move(all)});
+    };
+    for (std::size_t i = 0; i < counters.m_by_priority.size(); ++i)
+    {
+        auto const& rank = counters.m_by_priority[i];
+        if (rank.m_starts == 0 && rank.m_refusals.empty())
+        {
+            continue;
+        }
+        auto const priority = std::to_string(i);
+        add("hawthornspur_customer_starts_total",
+            "Requests of customers that were sent to a target.",
+            static_cast<double>(rank.m_starts), {{"priority", priority}});
+        add("hawthornspur_customer_wait_seconds_total",
+            "Time that started requests of customers waited for a slot.",
+            std::chrono::duration<double>(rank.m_waited).count(),
+            {{"priority", priority}});
+        for (auto const& [code, count] : rank.m_refusals)
+        {
+            add("hawthornspur_customer_refusals_total",
+                "Requests of customers that the pool refused.",
+                static_cast<double>(count),
+                {{"priority", priority},
+                 {"result", std::string(info(code).m_name)}});
+        }
+    }
+    if (counters.m_returns_promised > 0)
+    {
+        add("hawthornspur_returns_promised_total",
+            "Refused callers that were given a time to return.",
+            static_cast<double>(counters.m_returns_promised), {});
+        add("hawthornspur_returns_kept_total",
+            "Callers that returned within 100 ms of a promised time.",
+            static_cast<double>(counters.m_returns_kept), {});
+    }
+}
+
+/// Appends the samples of all pools, those with the same name in sequence, as
+/// the metrics page requires.
+void add_sharing_samples(entry_host const& host,
+                         std::vector<metrics::sample>& samples)
+{
+    std::vector<metrics::sample> added;
+    for (auto const& [id, pool] : host.m_pools)
+    {
+        add_sharing_samples(id, core::read_sharing_counters(*pool->m_core_pool),
+                            added);
+    }
+    std::stable_sort(added.begin(), added.end(),
+                     [](metrics::sample const& a, metrics::sample const& b)
+                     { return a.m_name < b.m_name; });
+    samples.insert(samples.end(), added.begin(), added.end());
+}
+
 std::vector<metrics::sample> collect_samples(entry_host const& host)
 {
     auto const& peers = host.m_peer_network->counters();
@@ -173,6 +244,7 @@
         make_counter("hawthornspur_datagrams_refused_total",
                      "Datagrams that failed authentication or parsing.",
                      peers.m_datagrams_refused)};
+    add_sharing_samples(host, samples);
     return samples;
 }
 
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -12,6 +12,7 @@
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/pool_arrivals.hpp"
 #include "serve/pools.hpp"
 #include "serve/relay.hpp"
 #include "serve/start_queue.hpp"
@@ -193,19 +194,15 @@
 
 /// Delay after which the caller may retry a refused call. A host that forwarded
 /// the request uses the delay reported by the owner of the pool.
-core::duration retry_after_delay(entry_host& host, active_call const& call)
+core::duration retry_after_delay(entry_host& host, active_call const& call,
+                                 result_code code)
 {
     if (call.m_retry_after > core::duration(0))
     {
         return call.m_retry_after;
     }
-    auto const* pool = find_pool(host, call.m_pool);
-    auto const kind = pool == nullptr || call.m_classified.m_kind == nullptr
-                          ? std::nullopt
-                          : core::find_kind(*pool->m_core_pool,
-                                            call.m_classified.m_kind->m_name);
-    return kind ? core::retry_after_delay(*pool->m_core_pool, *kind, now())
-                : other_host_retry_delay;
+    return retry_delay_in_pool(host, call, code)
+        .value_or(other_host_retry_delay);
 }
 
 /// The code to end a call with. "Not run" must be true: it releases the key and
@@ -252,7 +249,7 @@
     complete_key(host, call, code);
     if (call.m_sink.m_fail)
     {
-        call.m_sink.m_fail(code, retry_after_delay(host, call));
+        call.m_sink.m_fail(code, retry_after_delay(host, call, code));
     }
     end_call(host, call, code);
 }
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -12,6 +12,7 @@
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
+#include "serve/pool_arrivals.hpp"
 #include "serve/probing.hpp"
 #include "serve/quotas.hpp"
 #include "serve/rate_limits.hpp"
@@ -93,74 +94,6 @@
     apply_effects(host, *pool, std::move(effects));
 }
 
-/// The targets of other hosts' attempts that this host knows.
-std::vector<core::target_id> find_tried_targets(entry_host const& host,
-                                                active_call const& call)
-{
-    std::vector<core::target_id> found;
-    for (auto const& name : call.m_prior_attempts.m_targets)
-    {
-        for (auto const& [id, target] : host.m_targets)
-        {
-            if (target.m_name == name &&
-                target.m_service == call.m_classified.m_service->m_name)
-            {
-                found.push_back(id);
-            }
-        }
-    }
-    return found;
-}
-
-/// Names the customer of the call with the priority that the configuration in
-/// force gives it.
-void set_customer(entry_host& host, active_call const& call,
-                  core::arrival& arrival)
-{
-    auto const& table = host.m_configuration.m_in_force->m_customers;
-    auto const* customer = call.m_customer.empty() || table == nullptr
-                               ? nullptr
-                               : core::find_customer(*table, call.m_customer);
-    if (customer == nullptr)
-    {
-        return;
-    }
-    auto const next = core::customer_id{
-        static_cast<std::uint32_t>(host.m_customer_ids.size() + 1)};
-    arrival.m_customer =
-        host.m_customer_ids.try_emplace(call.m_customer, next).first->second;
-    arrival.m_customer_priority = customer->m_priority;
-}
-
-/// Describes the call to its pool. The kind is looked up by name, since the
-/// pool may have newer rules than those under which the call was classified.
-/// The pool refuses a kind that it does not have.
-core::arrival make_arrival(entry_host& host, local_pool const& pool,
-                           active_call const& call)
-{
-    constexpr core::kind_id unknown_kind{
-        std::numeric_limits<std::uint32_t>::max()};
-    core::arrival arrival;
-    arrival.m_request = call.m_id;
-    arrival.m_kind =
-        core::find_kind(*pool.m_core_pool, call.m_classified.m_kind->m_name)
-            .value_or(unknown_kind);
-    arrival.m_may_repeat = call.m_classified.m_kind->m_execution ==
-                           core::execution_rule::idempotent;
-    arrival.m_deadline = call.m_classified.m_deadline;
-    arrival.m_earlier_attempts = call.m_accepted.m_earlier_attempts;
-    arrival.m_decides_on_repeats = decides_on_repeats(call);
-    arrival.m_prior_attempts = call.m_prior_attempts.m_count;
-    arrival.m_tried_targets = find_tried_targets(host, call);
-    arrival.m_spilled = call.m_origin == call_origin::spilled;
-    arrival.m_objective = call.m_classified.m_objective;
-    arrival.m_spill_refusals = call.m_spill_refusals;
-    arrival.m_content = call.m_content;
-    arrival.m_target_ends = call.m_target_ends;
-    set_customer(host, call, arrival);
-    return arrival;
-}
-
 void spill_call(entry_host& host, local_pool& pool,
                 core::spill_effect const& spill)
 {
