Count the requests before a new one without visiting flows

The expected wait of a new request summed the requests of each flow that go before it, which took 110 us for one arrival and one start with 1,000 flows.

--- a/src/core/fair_share.cpp
+++ b/src/core/fair_share.cpp
@@ -14,6 +14,24 @@
 // Ten priorities of customers, each with positions of kinds below 1.
 constexpr double rank_span = max_customer_priority + 1;
 
+/// Ids of the two ramps of a flow.
+std::uint64_t first_ramp(flow_key key)
+{
+    return std::uint64_t{key.m_customer.m_value} * 2;
+}
+
+std::uint64_t last_ramp(flow_key key)
+{
+    return first_ramp(key) + 1;
+}
+
+/// Virtual time at which the last waiting request of the flow starts.
+double last_start(flow const& flow)
+{
+    return flow.m_start +
+           static_cast<double>(flow.m_queue.size() - 1) / flow.m_weight;
+}
+
 /// Enters the flow into the indexes of the flows that wait or are idle.
 void add_to_indexes(fair_share& share, flow_key key, flow& flow)
 {
@@ -27,8 +45,12 @@
     if (key.m_kind.m_value >= share.m_by_start.size())
     {
         share.m_by_start.resize(key.m_kind.m_value + 1);
+        share.m_starts.resize(key.m_kind.m_value + 1);
     }
     share.m_by_start[key.m_kind.m_value].emplace(flow.m_start, key);
+    auto& starts = share.m_starts[key.m_kind.m_value];
+    starts.insert({flow.m_start, flow.m_weight, 1, first_ramp(key)});
+    starts.insert({last_start(flow), -flow.m_weight, 0, last_ramp(key)});
     share.m_by_rank.emplace(std::pair(flow.m_rank, length), key);
     share.m_by_length.emplace(length, key);
 }
@@ -42,6 +64,9 @@
         return;
     }
     share.m_by_start[key.m_kind.m_value].erase({flow.m_start, key});
+    auto& starts = share.m_starts[key.m_kind.m_value];
+    starts.remove(flow.m_start, first_ramp(key));
+    starts.remove(last_start(flow), last_ramp(key));
     share.m_by_rank.erase({{flow.m_rank, length}, key});
     share.m_by_length.erase({length, key});
 }
@@ -162,6 +187,13 @@
            static_cast<double>(entry.m_queue.size()) / entry.m_weight;
 }
 
+double count_before(fair_share const& share, kind_id kind, double start)
+{
+    return kind.m_value < share.m_starts.size()
+               ? share.m_starts[kind.m_value].value_at(start)
+               : 0;
+}
+
 flow_key const* flow_to_shorten(fair_share const& share, flow_key key,
                                 flow_rank rank)
 {
@@ -198,6 +230,7 @@
 {
     auto const flows = std::exchange(share.m_flows, {});
     share.m_by_start.clear();
+    share.m_starts.clear();
     share.m_by_rank.clear();
     share.m_by_length.clear();
     share.m_idle.clear();
@@ -220,13 +253,4 @@
     }
 }
 
-std::size_t detail::count_before(flow const& flow, double start)
-{
-    auto const length = flow.m_queue.size();
-    auto const started = (start - flow.m_start) * flow.m_weight + 1;
-    return started >= static_cast<double>(length)
-               ? length
-               : static_cast<std::size_t>(std::max(0.0, started));
-}
-
 } // namespace hawthornspur::core
--- a/src/core/fair_share.hpp
+++ b/src/core/fair_share.hpp
@@ -3,6 +3,7 @@
 
 #include "core/ids.hpp"
 #include "core/kind_queue.hpp"
+#include "core/ramp_sum.hpp"
 #include "core/time.hpp"
 #include "core/usual_rate.hpp"
 
@@ -89,6 +90,8 @@
     /// Flows with waiting requests by the virtual time of their next start, for
     /// each kind, so that kinds that hold all slots they may have are skipped.
     std::vector<std::set<std::pair<double, flow_key>>> m_by_start;
+    /// Requests that start until a virtual time, for each kind.
+    std::vector<ramp_sum> m_starts;
     /// Flows with waiting requests by rank and length.
     std::set<std::pair<std::pair<flow_rank, std::size_t>, flow_key>> m_by_rank;
     std::set<std::pair<std::size_t, flow_key>> m_by_length;
@@ -123,10 +126,9 @@
 /// Virtual time at which a request that joins the flow now would start.
 double start_of_new_request(fair_share const& share, flow_key key);
 
-/// Calls `visit(kind_id, count)` for the waiting requests of each flow that
-/// start before `start`, until it returns false.
-template <class Visitor>
-void visit_earlier(fair_share const& share, double start, Visitor const& visit);
+/// Waiting requests of this kind, of all flows, that start until the virtual
+/// time `start`. Flows are taken as fluid, so the number may have a fraction.
+double count_before(fair_share const& share, kind_id kind, double start);
 
 /// The flow that gives up its last request so that one of the flow `key` can
 /// wait: the longest flow of the least urgent rank if that is less urgent,
@@ -144,33 +146,6 @@
 void renumber_kinds(fair_share& share,
                     std::vector<std::size_t> const& new_indices);
 
-namespace detail
-{
-/// Requests of the flow that start before the virtual time `start`.
-std::size_t count_before(flow const& flow, double start);
-} // namespace detail
-
-template <class Visitor>
-void visit_earlier(fair_share const& share, double start, Visitor const& visit)
-{
-    for (std::size_t kind = 0; kind < share.m_by_start.size(); ++kind)
-    {
-        for (auto const& [flow_start, key] : share.m_by_start[kind])
-        {
-            if (flow_start > start)
-            {
-                break;
-            }
-            auto const count =
-                detail::count_before(share.m_flows.at(key), start);
-            if (!visit(key.m_kind, count))
-            {
-                return;
-            }
-        }
-    }
-}
-
 } // namespace hawthornspur::core
 
 #endif
--- a/src/core/pool_sharing.cpp
+++ b/src/core/pool_sharing.cpp
@@ -15,10 +15,6 @@
 // default of customers. Hosts number customers from 1.
 constexpr customer_id no_customer{0};
 constexpr int default_customer_priority = 4;
-// A request behind more work than this, in seconds of one slot, is refused in
-// pools of any size that the deployments have (362 slots, deadlines of a few
-// seconds).
-constexpr double max_counted_seconds = 2000;
 
 flow_rank rank_of(pool const& pool, arrival const& request)
 {
@@ -142,18 +138,16 @@
 
 work_ahead measure_work_ahead(pool const& pool, flow_key flow)
 {
+    auto const start = start_of_new_request(pool.m_share, flow);
     work_ahead ahead;
-    visit_earlier(
-        pool.m_share, start_of_new_request(pool.m_share, flow),
-        [&](kind_id kind, std::size_t count)
-        {
-            ahead.m_requests += count;
-            ahead.m_requests_of_kind += kind == flow.m_kind ? count : 0;
-            ahead.m_seconds +=
-                static_cast<double>(count) *
-                pool.m_kinds[kind.m_value].m_service_time.m_mean_seconds;
-            return ahead.m_seconds < max_counted_seconds;
-        });
+    for (std::uint32_t i = 0; i < pool.m_kinds.size(); ++i)
+    {
+        auto const count = count_before(pool.m_share, {i}, start);
+        ahead.m_requests += count;
+        ahead.m_requests_of_kind += i == flow.m_kind.m_value ? count : 0;
+        ahead.m_seconds +=
+            count * pool.m_kinds[i].m_service_time.m_mean_seconds;
+    }
     return ahead;
 }
 
--- a/src/core/pool_sharing.hpp
+++ b/src/core/pool_sharing.hpp
@@ -35,15 +35,14 @@
 /// Waiting requests that go before a new one.
 struct work_ahead
 {
-    std::size_t m_requests = 0;
+    double m_requests = 0;
     /// Of the same kind.
-    std::size_t m_requests_of_kind = 0;
+    double m_requests_of_kind = 0;
     /// Sum of their usual service times.
     double m_seconds = 0;
 };
 
-/// Work before a new request of this flow. Stops to count when the sum exceeds
-/// a bound, beyond which the request could not be served anyway.
+/// Work before a new request of this flow.
 work_ahead measure_work_ahead(pool const& pool, flow_key flow);
 
 /// The flow of a request in a pool that shares its slots among customers.
--- a/src/core/pool_sharing_test.cpp
+++ b/src/core/pool_sharing_test.cpp
@@ -463,6 +463,48 @@
     CHECK(*next_flow(share, {0}) == waiting);
 }
 
+// Guards against a count of earlier requests that loses or keeps requests of
+// flows that have changed: compares it with a visit of all flows.
+TEST_CASE("the requests before a start are counted as by a visit of all flows")
+{
+    fair_share share;
+    std::mt19937_64 random{20261206};
+    time_point now{seconds(1)};
+    std::map<flow_key, std::vector<request_id>> waiting;
+    for (std::uint64_t step = 0; step < 2000; ++step)
+    {
+        now += milliseconds(random() % 20);
+        flow_key const key{{static_cast<std::uint32_t>(random() % 40)}, {0}};
+        auto& own = waiting[key];
+        if (random() % 2 == 0)
+        {
+            auto const priority = static_cast<int>(random() % 10);
+            record_arrival(share, key, {priority, 0}, rank_weight(priority, 0),
+                           now);
+            push(share, key, {{step}, step, now, now}, queue_order::first_come);
+            own.push_back({step});
+        }
+        else if (!own.empty())
+        {
+            record_start(share, key);
+            CHECK(remove(share, key, own.back()));
+            own.pop_back();
+        }
+        auto const start = start_of_new_request(share, key);
+        double expected = 0;
+        for (auto const& [other, entry] : share.m_flows)
+        {
+            auto const length = static_cast<double>(entry.m_queue.size());
+            expected += entry.m_start > start
+                            ? 0
+                            : std::min(length, 1 + (start - entry.m_start) *
+                                                       entry.m_weight);
+        }
+        CHECK(count_before(share, {0}, start) ==
+              doctest::Approx(expected).epsilon(1e-6));
+    }
+}
+
 // Guards against ranks whose weights differ so much that a flow gets less than
 // a quarter of what it would get without priorities.
 TEST_CASE("weights fall with each rank and stay within the ratio")
--- a/src/core/pool_state.cpp
+++ b/src/core/pool_state.cpp
@@ -101,12 +101,12 @@
     {
         if (other.m_config.m_priority <= kind.m_config.m_priority)
         {
-            ahead.m_requests += other.m_queue.size();
-            ahead.m_seconds += static_cast<double>(other.m_queue.size()) *
-                               other.m_service_time.m_mean_seconds;
+            auto const waiting = static_cast<double>(other.m_queue.size());
+            ahead.m_requests += waiting;
+            ahead.m_seconds += waiting * other.m_service_time.m_mean_seconds;
         }
     }
-    ahead.m_requests_of_kind = kind.m_queue.size();
+    ahead.m_requests_of_kind = static_cast<double>(kind.m_queue.size());
     return ahead;
 }
 
@@ -135,8 +135,7 @@
     {
         return 0;
     }
-    return seconds(next - now).count() +
-           static_cast<double>(ahead.m_requests) / tokens_per_second;
+    return seconds(next - now).count() + ahead.m_requests / tokens_per_second;
 }
 
 duration expected_wait(pool const& pool, kind_entry const& kind,
@@ -156,9 +155,8 @@
     auto const cap = kind_cap(pool, kind, slots.m_slots);
     if (kind.m_in_flight >= cap)
     {
-        wait =
-            std::max(wait, static_cast<double>(ahead.m_requests_of_kind + 1) *
-                               kind.m_service_time.m_mean_seconds / cap);
+        wait = std::max(wait, (ahead.m_requests_of_kind + 1) *
+                                  kind.m_service_time.m_mean_seconds / cap);
     }
     wait = std::max(wait, expected_wait_for_token(pool, ahead, now));
     return std::chrono::duration_cast<duration>(seconds(wait));
