Give reads that run long a second run where it is usually shorter

A read that runs for 1.75 medians, or as late as a second run can still meet the objective, now gets a second attempt, with a spare slot and within the repeat budget. Each kind remembers whether second attempts answer first; if fewer than a quarter do, only every sixteenth long run gets one.

--- a/src/core/pool.cpp
+++ b/src/core/pool.cpp
@@ -420,6 +420,12 @@
         return;
     }
     found->second.m_answered = true;
+    if (found->second.m_has_second_run)
+    {
+        auto const kind = found->second.m_arrival.m_kind;
+        record_second_run(pool.m_kinds[kind.m_value].m_second_runs,
+                          attempt > 1);
+    }
     out.emplace_back(relay_effect{request, attempt});
     cancel_attempts(found->second, attempt, out);
 }
--- a/src/core/pool_dispatch.cpp
+++ b/src/core/pool_dispatch.cpp
@@ -571,13 +571,20 @@
     {
         return;
     }
-    auto const best = is_at_slow_target(pool, request, now)
-                          ? pick_spare_target(pool, request, now)
-                          : candidate{};
+    auto const& attempt = request.m_attempts[request.m_attempt_count - 1];
+    bool const is_long = now >= second_run_time(attempt.m_dispatched_at,
+                                                request.m_arrival.m_objective,
+                                                median_time(pool, request));
+    bool const is_slow = is_at_slow_target(pool, request, now);
+    auto const best = is_slow || is_long ? pick_spare_target(pool, request, now)
+                                         : candidate{};
     if (best.m_target != nullptr && !best.m_is_slow)
     {
-        if (try_spend(budgets.m_repeat, now))
+        auto& kind = pool.m_kinds[request.m_arrival.m_kind.m_value];
+        if ((is_slow || allow_second_run(kind.m_second_runs)) &&
+            try_spend(budgets.m_repeat, now))
         {
+            request.m_has_second_run = !is_slow;
             dispatch(pool, request, *best.m_target, attempt_reason::hedge, now,
                      out);
         }
--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -5,6 +5,7 @@
 #include "core/kind_queue.hpp"
 #include "core/outlier_detection.hpp"
 #include "core/pool.hpp"
+#include "core/second_run.hpp"
 #include "core/service_time.hpp"
 #include "core/slowness_estimate.hpp"
 #include "core/spill_choice.hpp"
@@ -88,6 +89,8 @@
     bool m_hedge_on_delay = false;
     /// Gets a second attempt when the target of the first one becomes slow.
     bool m_hedge_on_slow_target = false;
+    /// Has a second attempt because the first one runs long.
+    bool m_has_second_run = false;
     bool m_queued = false;
     bool m_answered = false;
     /// Reason of the next attempt while the request waits for a retry.
@@ -112,6 +115,7 @@
     service_time m_service_time;
     int m_in_flight = 0;
     kind_queue m_queue;
+    second_run_record m_second_runs;
 };
 
 struct request_hash
