--- a/src/core/pool_state.hpp
+++ b/src/core/pool_state.hpp
@@ -7,6 +7,7 @@
 #include "core/outlier_detection.hpp"
 #include "core/pool.hpp"
 #include "core/return_schedule.hpp"
+#include "core/second_run.hpp"
 #include "core/service_time.hpp"
 #include "core/slowness_estimate.hpp"
 #include "core/spill_choice.hpp"
@@ -90,6 +91,8 @@
     bool m_hedge_on_delay = false;
     /// Gets a second attempt when the target of the first one becomes slow.
     bool m_hedge_on_slow_target = false;
+    /// Has a second attempt because the first one runs long.
+    bool m_has_second_run = false;
     bool m_queued = false;
     bool m_answered = false;
     /// Reason of the next attempt while the request waits for a retry.
@@ -117,6 +120,7 @@
     kind_queue m_queue;
     /// Requests of this kind that wait in flows of customers.
     std::size_t m_waiting_in_flows = 0;
+    second_run_record m_second_runs;
 };
 
 struct request_hash
