--- a/fuzz/peer_frames.cpp
+++ b/fuzz/peer_frames.cpp
@@ -45,34 +45,32 @@
                              99},
              body_chunk{7, "body"},
              answer_head{7, {200, {{"Content-Type", "text/plain"}}}, 42},
-             answer_chunk{7, "answer"}, answer_end{7},
-             refusal{7, result_code::queue_full}, cancel_request{7},
+             answer_chunk{7, "answer"},
+             answer_end{7},
+             refusal{7, result_code::queue_full},
+             cancel_request{7},
              window_update{7, 65536},
              pool_summary_message{"map", "west", 3, 18, 5, milliseconds(4)},
-             configuration_request{12}, configuration_reply{12, "{}"},
+             configuration_request{12},
+             configuration_reply{12, "{}"},
              handover_message{"map", "west", {{"t1", 2, 2.5}}},
              target_leaving{"map", "t1"},
              rate_limits_message{"map", "west", {{"t1", 1.5}}},
              crash_suspects_message{
                  {{{77}, {{5, milliseconds(3), 0.5}}, milliseconds(9)}}},
              quota_request{5, {{"harbour", 4, 2, 1}}},
-             quota_grant{5, {{"harbour", 4, milliseconds(8)}}}},
+             quota_grant{5, {{"harbour", 4, milliseconds(8)}}},
              configuration_proof_request{5},
              configuration_proof_message{5, 12, milliseconds(900)},
-             evacuated_zones_message{
-        2, 1700,
-        {
-            "east", "west"
-        }}
-})
-{
-    messages.push_back(encode(message));
-}
-messages.push_back(encode_fragment({1, false, "part"}));
-messages.push_back(encode_hello({"a", 1, std::string(nonce_bytes, 'n'), "b",
-                                 3}));
-messages.push_back(encode_proof(std::string(32, 'p')));
-return messages;
+             evacuated_zones_message{2, 1700, {"east", "west"}}})
+    {
+        messages.push_back(encode(message));
+    }
+    messages.push_back(encode_fragment({1, false, "part"}));
+    messages.push_back(
+        encode_hello({"a", 1, std::string(nonce_bytes, 'n'), "b", 3}));
+    messages.push_back(encode_proof(std::string(32, 'p')));
+    return messages;
 }
 
 } // namespace
--- a/src/config/document_property_test.cpp
+++ b/src/config/document_property_test.cpp
@@ -184,10 +184,9 @@
 
 auto tie_members(core::target_config const& target)
 {
-    // The last two are set for registered targets only, which documents do not
-    // have.
+    // The last three are set in the document in force only.
     auto const& [name, zone, address, port, slots, connections, state,
-                 cold_until, incarnation] = target;
+                 is_evacuated, cold_until, incarnation] = target;
     return std::tie(name, zone, address, port, slots, connections, state);
 }
 
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -58,14 +58,11 @@
                   milliseconds(2)},
                  {{78}, {}, milliseconds(9), std::nullopt}}},
             quota_request{5, {{"harbour", 4, 2, 1}, {"market", 0, 0, 3}}},
-            quota_grant{5, {{"market", 0, milliseconds(8)}}}},
-           configuration_proof_request{5},
-           configuration_proof_message{5, 12, milliseconds(900)},
-           evacuated_zones_message{2, 1700, {"east", "west"}},
-           evacuated_zones_message
-    {
-    }
-};
+            quota_grant{5, {{"market", 0, milliseconds(8)}}},
+            configuration_proof_request{5},
+            configuration_proof_message{5, 12, milliseconds(900)},
+            evacuated_zones_message{2, 1700, {"east", "west"}},
+            evacuated_zones_message{}};
 }
 
 core::membership_message sample_datagram()
