Grant quotas in full from the start of the whole fleet on

A home that takes a customer over starts without tokens and at half the rate for 2 s, since hosts may still ask the former home, and grants nothing before it reaches another zone's owner. If no other host served when this process joined, there is no former home: the bucket now holds what arose since the start of the process, at the full rate, and before any contact at the share of one zone.

--- a/src/core/configuration_proof.cpp
+++ b/src/core/configuration_proof.cpp
@@ -17,6 +17,10 @@
 /// Without a fresh proof requests are refused, so the host asks more often.
 constexpr int urgent_store_questions_per_bound = 10;
 
+/// Hosts that do not confirm for a zone ask the store only after all other
+/// hosts. Hundreds of them may be cut off from each other at the same time.
+constexpr int standby_store_questions_per_bound = 3;
+
 /// Other hosts' confirmations are as old as a question to the store is rare. A
 /// younger proof than this is therefore not worth a question to them.
 constexpr int sufficient_age_divisor = 5;
@@ -90,7 +94,7 @@
 
 /// Asks the next host in turn, or the store after all of them.
 void take_turn(proof_schedule& schedule, proof_inputs const& inputs,
-               bool has_fresh_proof, proof_step& step)
+               proof_step& step)
 {
     auto const choices =
         inputs.m_peers.size() + (inputs.m_confirms_for_zone ? 0 : 1);
@@ -105,7 +109,7 @@
         ask_peer(schedule, inputs.m_peers[chosen], inputs.m_now, step);
     }
     else if (is_due(schedule.m_last_store_question, inputs.m_now,
-                    store_interval(has_fresh_proof, inputs.m_bound)))
+                    inputs.m_bound / standby_store_questions_per_bound))
     {
         ask_store(schedule, inputs.m_now, step);
     }
@@ -180,7 +184,7 @@
     }
     else if (is_peer_turn_due(schedule, proof, inputs))
     {
-        take_turn(schedule, inputs, has_fresh_proof, step);
+        take_turn(schedule, inputs, step);
     }
     return step;
 }
--- a/src/core/quota_home.cpp
+++ b/src/core/quota_home.cpp
@@ -91,8 +91,13 @@
 }
 
 double quota_share(quota_contact const& contact,
-                   std::optional<time_point> lost_since, time_point now)
+                   std::optional<time_point> lost_since, time_point now,
+                   bool is_joint_start)
 {
+    if (has_lost_contact(contact) && is_joint_start)
+    {
+        return 1.0 / contact.m_zones;
+    }
     if (has_lost_contact(contact))
     {
         return lost_since && now >= *lost_since + isolation_delay
--- a/src/core/quota_home.hpp
+++ b/src/core/quota_home.hpp
@@ -51,8 +51,11 @@
 /// the homes on all sides of a partition stay within the limits together.
 /// `lost_since` is when has_lost_contact() became true; a host that lost
 /// contact grants nothing for 5 s, until the others have reduced their share.
+/// While the whole fleet starts (`is_joint_start`), it grants the part of its
+/// zone instead: no other host grants more yet.
 double quota_share(quota_contact const& contact,
-                   std::optional<time_point> lost_since, time_point now);
+                   std::optional<time_point> lost_since, time_point now,
+                   bool is_joint_start = false);
 
 } // namespace hawthornspur::core
 
--- a/src/core/quota_ledger.cpp
+++ b/src/core/quota_ledger.cpp
@@ -146,6 +146,23 @@
         duration(std::chrono::milliseconds(1)), max_next_token);
 }
 
+/// Starts the account of a customer that had another home or none.
+void start_account(quota_ledger const& ledger, quota_account& account,
+                   time_point now)
+{
+    if (!ledger.m_joint_start)
+    {
+        account.m_bucket = make_token_bucket(0, 0, now);
+        account.m_home_since = now;
+        return;
+    }
+    auto const start = *ledger.m_joint_start;
+    account.m_bucket = make_token_bucket(
+        ledger.m_share * quota_rate(account.m_limits, ledger.m_margin),
+        free_capacity(ledger, account), start);
+    account.m_home_since = start - home_overlap;
+}
+
 } // namespace
 
 bool is_home_of(quota_ledger const& ledger, std::string_view customer)
@@ -163,16 +180,15 @@
     {
         auto kept = former.extract(customer.m_name);
         auto& account = ledger.m_accounts[customer.m_name];
-        if (kept.empty())
-        {
-            account.m_bucket = make_token_bucket(0, 0, now);
-            account.m_home_since = now;
-        }
-        else
+        if (!kept.empty())
         {
             account = std::move(kept.mapped());
         }
         account.m_limits = customer.m_limits;
+        if (kept.empty())
+        {
+            start_account(ledger, account, now);
+        }
         update(ledger, account, now);
     }
 }
--- a/src/core/quota_ledger.hpp
+++ b/src/core/quota_ledger.hpp
@@ -6,6 +6,7 @@
 #include "core/time.hpp"
 #include "core/token_bucket.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,9 @@
     quota_margin m_margin;
     /// The part of the limits that this host may grant, from 0 to 1.
     double m_share = 0;
+    /// Start of this process while the whole fleet starts with it; see
+    /// core::fleet_start.
+    std::optional<time_point> m_joint_start;
     name_map<detail::quota_account> m_accounts;
 };
 
@@ -81,7 +85,9 @@
 
 /// Sets the customers whose home is this host. A customer that is new here
 /// starts without tokens, and at half its rate for 2 s, because other hosts may
-/// still ask the former home. Lower limits truncate the tokens at once.
+/// still ask the former home. If the whole fleet starts, there is no former
+/// home: the customer has what arose since the start of this process. Lower
+/// limits truncate the tokens at once.
 void set_limits(quota_ledger& ledger,
                 std::vector<quota_customer> const& customers,
                 quota_margin const& margin, time_point now);
--- a/src/core/quota_test.cpp
+++ b/src/core/quota_test.cpp
@@ -1,9 +1,12 @@
+#include "core/fleet_start.hpp"
 #include "core/quota_allowance.hpp"
 #include "core/quota_home.hpp"
 #include "core/quota_ledger.hpp"
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 namespace hawthornspur::core
 {
 
@@ -55,6 +58,40 @@
     CHECK(grant_all(ledger, "b", start + seconds(3)) == 31);
 }
 
+// Guards against callers within their quota that are refused for seconds after
+// all hosts were lost, because each home waits for a former one.
+TEST_CASE("a home grants its full rate from the start of the whole fleet on")
+{
+    fleet_start fleet{start, {}};
+    observe_start(fleet, {});
+    CHECK(!joint_start(fleet, start));
+    std::vector<host_record> others(2);
+    observe_start(fleet, others);
+    CHECK(joint_start(fleet, start + milliseconds(400)) == start);
+    CHECK(!joint_start(fleet, start + seconds(5)));
+
+    quota_ledger ledger;
+    ledger.m_joint_start = start;
+    set_share(ledger, 1, start);
+    set_limits(ledger, {{"harbour", {100, 100}}}, margin,
+               start + milliseconds(400));
+    CHECK(grant_all(ledger, "a", start + milliseconds(400)) == 42);
+    report_unused(ledger, {"harbour", "a", 0, 42, 0},
+                  start + milliseconds(1400));
+    CHECK(grant_all(ledger, "a", start + milliseconds(1400)) == 105);
+}
+
+// Guards against a process that takes its own restart for that of the fleet,
+// and grants what the former home has granted.
+TEST_CASE("a host that starts beside serving hosts is no fleet start")
+{
+    fleet_start fleet{start, {}};
+    std::vector<host_record> others(2);
+    others[1].m_state = host_state::live;
+    observe_start(fleet, others);
+    CHECK(!joint_start(fleet, start));
+}
+
 // Guards against a successor, or a home that was paused, that grants credit
 // which another home has granted too.
 TEST_CASE("a new home and a paused one start without tokens at half the rate")
@@ -168,6 +205,7 @@
     contact.m_reaches_other_owner = false;
     CHECK(quota_share(contact, start, start + milliseconds(4999)) == 0);
     CHECK(quota_share(contact, start, start + seconds(5)) == 0.125);
+    CHECK(quota_share(contact, start, start, true) == 0.25);
     contact.m_knows_other_zones = false;
     contact.m_fleet = {8, 0};
     contact.m_zones = 1;
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -219,6 +219,7 @@
     host->m_deployment_bounds =
         host->m_adapter.m_read_bounds(host->m_settings.m_platform_bounds);
     host->m_loop = &loop;
+    host->m_fleet_start.m_process_start = now();
     host->m_random.seed(make_random_seed());
     host->m_incarnation = host->m_random();
     auto client = net::http_client::create(loop);
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -5,6 +5,7 @@
 #include "config/settings.hpp"
 #include "core/configuration_state.hpp"
 #include "core/crash_suspects.hpp"
+#include "core/fleet_start.hpp"
 #include "core/membership.hpp"
 #include "core/once_table.hpp"
 #include "core/pool.hpp"
@@ -130,6 +131,7 @@
     core::routing_table m_routing;
     core::part_selector m_part_selector;
     core::membership_ptr m_membership;
+    core::fleet_start m_fleet_start;
     core::once_table_ptr m_once_table;
     bool m_is_isolated = false;
     /// The host has had the newest known configuration, its targets and the
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -338,6 +338,7 @@
     host.m_is_routing_update_pending = false;
     update_peer_links(host);
     auto records = core::hosts(*host.m_membership);
+    core::observe_start(host.m_fleet_start, records);
     records.push_back(core::self(*host.m_membership));
     core::reset(host.m_routing, std::move(records));
     update_pools(host);
--- a/src/serve/quotas.cpp
+++ b/src/serve/quotas.cpp
@@ -88,11 +88,16 @@
     return due.has_value();
 }
 
-void update_share(quota_state& quotas)
+void update_share(entry_host& host)
 {
+    auto& quotas = *host.m_quotas;
+    quotas.m_ledger.m_joint_start =
+        core::joint_start(host.m_fleet_start, now());
     core::set_share(
         quotas.m_ledger,
-        core::quota_share(quotas.m_contact, quotas.m_lost_since, now()), now());
+        core::quota_share(quotas.m_contact, quotas.m_lost_since, now(),
+                          quotas.m_ledger.m_joint_start.has_value()),
+        now());
 }
 
 /// Grants what a host asks for; nothing if this host is not the home.
@@ -112,7 +117,7 @@
               limited_customer& customer, std::size_t waiting)
 {
     auto& quotas = *host.m_quotas;
-    update_share(quotas);
+    update_share(host);
     auto const need = core::make_question(customer.m_allowance, waiting, now());
     auto const granted =
         answer(quotas, {name, host.m_settings.m_name, need.m_wanted,
@@ -454,7 +459,7 @@
     {
         quotas.m_lost_since = now();
     }
-    update_share(quotas);
+    update_share(host);
     core::quota_margin const margin{host.m_deployment_bounds.m_quota_overage,
                                     host.m_deployment_bounds.m_quota_slack};
     auto homes = core::quota_homes(host.m_routing, *document);
@@ -484,7 +489,7 @@
     {
         return;
     }
-    update_share(*host.m_quotas);
+    update_share(host);
     net::quota_grant reply{message.m_sequence, {}};
     for (auto const& question : message.m_questions)
     {
