Answer the review of keys, quotas, shares and evacuations

- A request that another host forwarded without a customer is refused with a code that the sender passes on; before, a host with a document without customers could run it itself after all owners had refused it.
- A joint start of the fleet is decided 60 ms after the first contact; one zone that restarted alone saw only its own hosts at first.
- Two evacuation keys that change in one transaction have the same revision; the second change was dropped.
- A paused home drops its credit also when its isolation ends, since a second pause within the isolation is not reported.
- Calls that wait for a token are not continued on an isolated host or after their wait, and do not use up a trial of a suspected content.
- A spilled request that comes back forgets the other zone's retry delay.
- Flows are renumbered only if the kinds have changed.

--- a/src/core/evacuated_zones.cpp
+++ b/src/core/evacuated_zones.cpp
@@ -30,8 +30,9 @@
                   std::uint64_t epoch)
 {
     store_position const position{epoch, change.m_revision};
+    // Changes of one transaction have the same revision.
     if (known.m_position.m_revision &&
-        order_of(position) <= order_of(known.m_position))
+        order_of(position) < order_of(known.m_position))
     {
         return false;
     }
--- a/src/core/fleet_start.hpp
+++ b/src/core/fleet_start.hpp
@@ -16,16 +16,21 @@
 struct fleet_start
 {
     time_point m_process_start{};
-    /// Nothing before the first other host is known.
-    std::optional<bool> m_is_joint;
+    /// When the first other host was known that is not dead.
+    std::optional<time_point> m_first_contact;
+    /// A host that served already is known, so this process started alone or
+    /// with a part of the fleet.
+    bool m_has_seen_serving_host = false;
 };
 
-/// Decides when the first other hosts are known: a host that serves already
-/// started earlier.
-void observe_start(fleet_start& start, std::span<host_record const> others);
+/// Takes note of the hosts that are known now. Hosts of other zones may answer
+/// after those of the own zone, which may have started with this process.
+void observe_start(fleet_start& start, std::span<host_record const> others,
+                   time_point now);
 
 /// The start of this process if the fleet started together with it and not more
-/// than 5 s ago, after which the start makes no difference.
+/// than 5 s ago, after which the start makes no difference. Known 60 ms after
+/// the first contact.
 std::optional<time_point> joint_start(fleet_start const& start, time_point now);
 
 } // namespace hawthornspur::core
--- a/src/core/pool_sharing.cpp
+++ b/src/core/pool_sharing.cpp
@@ -208,7 +208,16 @@
 
 void renumber_flows(pool& pool, std::vector<std::size_t> const& new_indices)
 {
-    renumber_kinds(pool.m_share, new_indices);
+    bool is_changed = false;
+    for (std::size_t i = 0; i < new_indices.size(); ++i)
+    {
+        is_changed = is_changed || new_indices[i] != i;
+    }
+    // The rules are set at each change of the targets, mostly unchanged.
+    if (is_changed)
+    {
+        renumber_kinds(pool.m_share, new_indices);
+    }
 }
 
 } // namespace hawthornspur::core
--- a/src/core/quota_ledger.cpp
+++ b/src/core/quota_ledger.cpp
@@ -193,6 +193,22 @@
     }
 }
 
+void set_joint_start(quota_ledger& ledger, std::optional<time_point> start,
+                     time_point now)
+{
+    bool const is_found_out = start && !ledger.m_joint_start;
+    ledger.m_joint_start = start;
+    if (!is_found_out)
+    {
+        return;
+    }
+    for (auto& [name, account] : ledger.m_accounts)
+    {
+        start_account(ledger, account, now);
+        update(ledger, account, now);
+    }
+}
+
 void set_share(quota_ledger& ledger, double share, time_point now)
 {
     if (share == ledger.m_share)
--- a/src/core/quota_ledger.hpp
+++ b/src/core/quota_ledger.hpp
@@ -92,6 +92,11 @@
                 std::vector<quota_customer> const& customers,
                 quota_margin const& margin, time_point now);
 
+/// Sets the start of the whole fleet, or that it did not start now. If it is
+/// found out after accounts were created, they are started again.
+void set_joint_start(quota_ledger& ledger, std::optional<time_point> start,
+                     time_point now);
+
 /// Sets the part of the rates and capacities that this host may grant.
 void set_share(quota_ledger& ledger, double share, time_point now);
 
--- a/src/core/quota_test.cpp
+++ b/src/core/quota_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <span>
 #include <vector>
 
 namespace hawthornspur::core
@@ -63,21 +64,22 @@
 TEST_CASE("a home grants its full rate from the start of the whole fleet on")
 {
     fleet_start fleet{start, {}};
-    observe_start(fleet, {});
-    CHECK(!joint_start(fleet, start));
+    observe_start(fleet, {}, start);
+    CHECK(!joint_start(fleet, start + seconds(1)));
     std::vector<host_record> others(2);
-    observe_start(fleet, others);
+    observe_start(fleet, others, start);
+    CHECK(!joint_start(fleet, start + milliseconds(59)));
     CHECK(joint_start(fleet, start + milliseconds(400)) == start);
     CHECK(!joint_start(fleet, start + seconds(5)));
 
     quota_ledger ledger;
-    ledger.m_joint_start = start;
     set_share(ledger, 1, start);
     set_limits(ledger, {{"harbour", {100, 100}}}, margin,
-               start + milliseconds(400));
+               start + milliseconds(30));
+    set_joint_start(ledger, start, start + milliseconds(60));
     CHECK(grant_all(ledger, "a", start + milliseconds(400)) == 42);
     report_unused(ledger, {"harbour", "a", 0, 42, 0},
-                  start + milliseconds(1400));
+                  start + milliseconds(450));
     CHECK(grant_all(ledger, "a", start + milliseconds(1400)) == 105);
 }
 
@@ -87,9 +89,13 @@
 {
     fleet_start fleet{start, {}};
     std::vector<host_record> others(2);
+    others[0].m_state = host_state::dead;
+    observe_start(fleet, std::span(others).first(1), start);
+    CHECK(!joint_start(fleet, start + seconds(1)));
+    observe_start(fleet, others, start);
     others[1].m_state = host_state::live;
-    observe_start(fleet, others);
-    CHECK(!joint_start(fleet, start));
+    observe_start(fleet, others, start + milliseconds(20));
+    CHECK(!joint_start(fleet, start + seconds(1)));
 }
 
 // Guards against a successor, or a home that was paused, that grants credit
--- a/src/serve/authorize.cpp
+++ b/src/serve/authorize.cpp
@@ -13,14 +13,15 @@
 {
 
 /// Refuses a request that another host forwarded without a customer: that host
-/// has a configuration in which its kind needs no key.
+/// has a configuration in which its kind needs no key. The code tells that host
+/// not to try a third one, or to run the request itself.
 bool check_forwarded_call(entry_host& host, active_call& call)
 {
     if (!call.m_customer.empty())
     {
         return true;
     }
-    fail_call(host, call, result_code::not_pool_owner);
+    fail_call(host, call, result_code::access_keys_unconfirmed);
     return false;
 }
 
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -41,10 +41,9 @@
 void set_isolated(entry_host& host, bool is_isolated)
 {
     host.m_is_isolated = is_isolated;
-    if (is_isolated)
-    {
-        reset_quotas_after_pause(host);
-    }
+    // Also at the end, since a second pause within the isolation is not
+    // reported.
+    reset_quotas_after_pause(host);
     host.m_metrics.count_event(is_isolated ? "isolated" : "isolation_ended");
     logging::write(logging::level::warn, "serve.membership",
                    is_isolated ? "isolated after a pause" : "isolation ended");
@@ -338,7 +337,7 @@
     host.m_is_routing_update_pending = false;
     update_peer_links(host);
     auto records = core::hosts(*host.m_membership);
-    core::observe_start(host.m_fleet_start, records);
+    core::observe_start(host.m_fleet_start, records, now());
     records.push_back(core::self(*host.m_membership));
     core::reset(host.m_routing, std::move(records));
     update_pools(host);
--- a/src/serve/pools.cpp
+++ b/src/serve/pools.cpp
@@ -456,7 +456,9 @@
         fail_call(host, call, result_code::unknown_service);
         return;
     }
-    if (refuse_if_suspect(host, call) || !admit_to_quota(host, call))
+    // A call that waits for its quota comes here twice, and each judgement of a
+    // suspected content counts as a trial.
+    if (!admit_to_quota(host, call) || refuse_if_suspect(host, call))
     {
         return;
     }
@@ -522,6 +524,8 @@
     }
     auto arrival = pool->m_spilled.at(call.m_id);
     pool->m_spilled.erase(call.m_id);
+    // The delay of the other zone says nothing about this one.
+    call.m_retry_after = core::duration(0);
     if (refuse_if_suspect(host, call))
     {
         return;
--- a/src/serve/quotas.cpp
+++ b/src/serve/quotas.cpp
@@ -91,13 +91,12 @@
 void update_share(entry_host& host)
 {
     auto& quotas = *host.m_quotas;
-    quotas.m_ledger.m_joint_start =
-        core::joint_start(host.m_fleet_start, now());
-    core::set_share(
-        quotas.m_ledger,
-        core::quota_share(quotas.m_contact, quotas.m_lost_since, now(),
-                          quotas.m_ledger.m_joint_start.has_value()),
-        now());
+    auto const start = core::joint_start(host.m_fleet_start, now());
+    core::set_share(quotas.m_ledger,
+                    core::quota_share(quotas.m_contact, quotas.m_lost_since,
+                                      now(), start.has_value()),
+                    now());
+    core::set_joint_start(quotas.m_ledger, start, now());
 }
 
 /// Grants what a host asks for; nothing if this host is not the home.
@@ -176,6 +175,12 @@
             state.m_waiting.pop_front();
             continue;
         }
+        if (host.m_is_isolated)
+        {
+            state.m_waiting.pop_front();
+            fail_call(host, *call, result_code::host_paused);
+            continue;
+        }
         auto const* limited = find_limited(host, name);
         auto const decision = limited == nullptr
                                   ? core::quota_decision::admitted
@@ -287,7 +292,12 @@
         if (found != quotas.m_customers.end())
         {
             expire_waiting(host, found->second);
-            collect_question(host, name, found->second, questions);
+        }
+        // Looked up again, since refusals may change the customers.
+        auto const kept = quotas.m_customers.find(name);
+        if (kept != quotas.m_customers.end())
+        {
+            collect_question(host, name, kept->second, questions);
             release_waiting(host, name);
         }
     }
@@ -532,6 +542,7 @@
         }
         core::on_grant(found->second.m_allowance, asked_at, granted.m_tokens,
                        granted.m_next_token, now());
+        expire_waiting(host, found->second);
         quotas.m_active.insert(granted.m_customer);
         start_timer(quotas, now());
         release_waiting(host, granted.m_customer);
