Leave out a faulty entry, not its whole document

Cause: the operators' document was read as a whole, so one entry that could not be read kept all others from taking effect.

Change: each entry is read for itself. Where a document does not tell what holds, requests are refused with 503 and a time: those for the path of a route that was left out (entry_left_out), and the keys of a tenant that was left out or that two tenants hold. Left-out entries are logged by name and reason, counted and listed by status.

--- a/include/hawthornspur/result_code.hpp
+++ b/include/hawthornspur/result_code.hpp
@@ -55,6 +55,7 @@
     request_suspected = 2019,
     access_keys_unconfirmed = 2020,
     quota_exceeded = 2021,
+    entry_left_out = 2022,
 
     // 3xxx: the request may have run.
     target_silent = 3001,
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -94,6 +94,8 @@
      "The host cannot confirm that its list of access keys is recent."},
     {quota_exceeded, not_run, 429, "quota_exceeded",
      "The customer has used its quota."},
+    {entry_left_out, not_run, 503, "entry_left_out",
+     "The entry of the configuration for this request cannot be read."},
     {target_silent, unknown, 504, "target_silent",
      "The target did not answer in time."},
     {target_closed, unknown, 502, "target_closed",
--- a/src/core/configuration.hpp
+++ b/src/core/configuration.hpp
@@ -66,6 +66,8 @@
     std::string m_host;
     /// Begins and ends with a slash; the longest match applies.
     std::string m_path_prefix;
+    /// Empty for a route of an entry that was left out: what it asks for its
+    /// requests is unknown.
     std::vector<route_part> m_parts;
 };
 
@@ -143,6 +145,17 @@
     bool m_is_evacuated = false;
 };
 
+/// An entry of a document that a host cannot take, wholly or in part. Contains
+/// no access key.
+struct left_out_entry
+{
+    /// What the entry describes; empty if it does not say.
+    std::string m_kind;
+    /// Empty if it cannot be read.
+    std::string m_name;
+    std::string m_reason;
+};
+
 /// A complete configuration document.
 struct configuration
 {
@@ -168,6 +181,14 @@
     std::vector<route_config> m_routes;
     /// Null if requests need no access keys.
     customer_table_ptr m_customers;
+    /// Entries without effect. They do not keep the others from taking effect.
+    std::vector<left_out_entry> m_left_out;
+    /// A route was left out whose paths are unknown. Requests that match no
+    /// route may belong to it.
+    bool m_has_unknown_routes = false;
+    /// An entry that does not say what it describes may be a customer, and
+    /// there is no other sign that requests need keys.
+    bool m_may_need_keys = false;
 };
 
 /// Returns the service with this name, or null.
--- a/src/core/customers.cpp
+++ b/src/core/customers.cpp
@@ -3,6 +3,7 @@
 #include "core/name_map.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <xxhash.h>
 
 #include <cstddef>
@@ -56,6 +57,10 @@
     /// The last entry with each digest.
     absl::flat_hash_map<std::uint64_t, std::size_t> m_keys;
     name_map<std::size_t> m_names;
+    /// Digests of undecided keys. A right key with the digest of another one is
+    /// refused as undecided.
+    absl::flat_hash_set<std::uint64_t> m_undecided;
+    bool m_may_hold_others = false;
 };
 
 namespace
@@ -130,11 +135,17 @@
     return repeated;
 }
 
-customer_table_ptr make_customer_table(std::vector<customer_config> customers)
+customer_table_ptr make_customer_table(std::vector<customer_config> customers,
+                                       undecided_keys undecided)
 {
     auto table =
         index_customers(std::move(customers),
                         [](std::size_t, std::size_t, key_entry const&) {});
+    table.m_may_hold_others = undecided.m_may_be_others;
+    for (auto const& key : undecided.m_keys)
+    {
+        table.m_undecided.insert(digest(key));
+    }
     return std::make_shared<customer_table const>(std::move(table));
 }
 
@@ -144,9 +155,24 @@
     return table.m_customers;
 }
 
+bool is_undecided(customer_table const& table, std::string_view key)
+{
+    if (key.empty())
+    {
+        // Without any customer, the unread entries may not be customers.
+        return table.m_may_hold_others && table.m_customers.empty();
+    }
+    return table.m_undecided.contains(digest(key)) ||
+           (table.m_may_hold_others && find_entry(table, key) == nullptr);
+}
+
 customer_config const* find_customer_by_key(customer_table const& table,
                                             std::string_view key)
 {
+    if (table.m_undecided.contains(digest(key)))
+    {
+        return nullptr;
+    }
     auto const* entry = find_entry(table, key);
     return entry == nullptr ? nullptr : &table.m_customers[entry->m_customer];
 }
--- a/src/core/customers_test.cpp
+++ b/src/core/customers_test.cpp
@@ -44,6 +44,26 @@
     CHECK(find_customer_by_key(*make_customer_table(list), "") == nullptr);
 }
 
+// Guards against a key that is used, or refused for good, although the document
+// does not tell who holds it.
+TEST_CASE("an undecided key is neither held nor unknown")
+{
+    auto const table = make_customer_table(two_customers(), {{"key-b"}, false});
+    CHECK(is_undecided(*table, "key-b"));
+    CHECK(find_customer_by_key(*table, "key-b") == nullptr);
+    CHECK(!is_undecided(*table, "key-a"));
+    CHECK(!is_undecided(*table, "key-x"));
+
+    auto const open = make_customer_table(two_customers(), {{}, true});
+    CHECK(is_undecided(*open, "key-x"));
+    CHECK(!is_undecided(*open, "key-a"));
+    CHECK(find_customer_by_key(*open, "key-a") != nullptr);
+    // A request without a key needs one, whatever the others are.
+    CHECK(!is_undecided(*open, ""));
+    CHECK(is_undecided(*make_customer_table({}, {{}, true}), ""));
+    CHECK(!is_undecided(*make_customer_table({}), ""));
+}
+
 // Guards against a document in which the holder of a key depends on the order
 // of its customers.
 TEST_CASE("repeated keys are found within a customer and across customers")
--- a/src/core/fair_share.hpp
+++ b/src/core/fair_share.hpp
@@ -40,7 +40,7 @@
     friend auto operator<=>(flow_rank const&, flow_rank const&) = default;
 };
 
-/// Least urgent priority of a customer.
+/// Least urgent priority of a customer that is distinguished.
 constexpr int max_customer_priority = 9;
 
 /// Largest ratio of the weights of two flows with the same usual rate. If both
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -104,6 +104,32 @@
     return list;
 }
 
+/// The first of the entries that the document in force lacks.
+nlohmann::json describe_left_out_entries(entry_host const& host)
+{
+    constexpr std::size_t max_entries = 20;
+    auto list = nlohmann::json::array();
+    if (auto const& document = host.m_configuration.m_in_force)
+    {
+        for (auto const& entry : document->m_left_out)
+        {
+            if (list.size() < max_entries)
+            {
+                list.push_back({{"kind", entry.m_kind},
+                                {"name", entry.m_name},
+                                {"reason", entry.m_reason}});
+            }
+        }
+    }
+    return list;
+}
+
+std::size_t count_left_out_entries(entry_host const& host)
+{
+    auto const& document = host.m_configuration.m_in_force;
+    return document == nullptr ? 0 : document->m_left_out.size();
+}
+
 std::string describe_status(entry_host& host)
 {
     auto const& configuration = host.m_configuration;
@@ -131,6 +157,8 @@
         {"newest_generation_heard", configuration.m_newest_generation},
         {"rejected_generation", configuration.m_rejected_generation},
         {"rejected_documents", configuration.m_rejected_documents},
+        {"left_out_entries", count_left_out_entries(host)},
+        {"left_out", describe_left_out_entries(host)},
         {"configuration_proof_age_ms", describe_proof_age(host)},
         {"calls_in_flight", host.m_calls.size()},
         {"once_keys",
@@ -237,6 +265,12 @@
              : static_cast<double>(configuration.m_in_force->m_generation),
          false,
          {}},
+        {"hawthornspur_left_out_entries",
+         "Entries that the configuration in force lacks, since they cannot be "
+         "read.",
+         static_cast<double>(count_left_out_entries(host)),
+         false,
+         {}},
         {"hawthornspur_caller_connections",
          "Open connections of callers.",
          static_cast<double>(
--- a/src/serve/classify.cpp
+++ b/src/serve/classify.cpp
@@ -55,9 +55,16 @@
         core::match_route(document, host.value_or(""), request.m_uri);
     if (route == nullptr)
     {
-        return make_error(result_code::unknown_kind,
+        return make_error(document.m_has_unknown_routes
+                              ? result_code::entry_left_out
+                              : result_code::unknown_kind,
                           "no route matches " + request.m_uri);
     }
+    if (route->m_parts.empty())
+    {
+        return make_error(result_code::entry_left_out,
+                          "the route of " + request.m_uri + " was left out");
+    }
     return find_by_kind(document, core::choose_part(selector, *route),
                         route->m_name);
 }
@@ -112,9 +119,10 @@
     {
         return lookup_method::by_kind;
     }
-    return accepted.m_service.empty() && !document.m_routes.empty()
-               ? lookup_method::by_route
-               : lookup_method::by_service;
+    bool const has_routes =
+        !document.m_routes.empty() || document.m_has_unknown_routes;
+    return accepted.m_service.empty() && has_routes ? lookup_method::by_route
+                                                    : lookup_method::by_service;
 }
 
 result<classified_request>
--- a/src/serve/classify_test.cpp
+++ b/src/serve/classify_test.cpp
@@ -109,4 +109,33 @@
     }
 }
 
+// Guards against a final 404, or another service, for a request of a route
+// whose entry could not be read.
+TEST_CASE("requests of a route that was left out are told to return")
+{
+    auto document = *make_configuration();
+    document.m_services.front().m_kinds.front().m_name = "wide";
+    document.m_routes = {{"wide", "", "/", {{"bookings", 1}}},
+                         {"left-out", "", "/squares/", {}}};
+    auto const classify = [&](std::string const& uri)
+    {
+        accepted_request accepted;
+        accepted.m_request = {"GET", uri, {}, {}};
+        core::part_selector parts;
+        auto const classified = classify_request(
+            accepted, std::make_shared<core::configuration const>(document),
+            parts, "a", {});
+        return has_value(classified) ? result_code::ok
+                                     : failure(classified).m_code;
+    };
+    CHECK(classify("/other") == result_code::ok);
+    CHECK(classify("/squares/7") == result_code::entry_left_out);
+    document.m_routes.erase(document.m_routes.begin());
+    CHECK(classify("/other") == result_code::unknown_kind);
+    document.m_has_unknown_routes = true;
+    CHECK(classify("/other") == result_code::entry_left_out);
+    document.m_routes.clear();
+    CHECK(classify("/other") == result_code::entry_left_out);
+}
+
 } // namespace hawthornspur::serve
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -152,6 +152,40 @@
     }
 }
 
+/// Requests need keys if they did before, and an entry that cannot be read may
+/// be that of the customers.
+void keep_need_of_keys(entry_host const& host, core::configuration& document)
+{
+    auto const& in_force = host.m_configuration.m_in_force;
+    if (document.m_may_need_keys && in_force != nullptr &&
+        in_force->m_customers != nullptr)
+    {
+        document.m_customers = core::make_customer_table({}, {{}, true});
+    }
+}
+
+/// Reports the entries of a document that has come in force without them.
+void report_left_out_entries(entry_host& host,
+                             core::configuration const& document)
+{
+    constexpr std::size_t max_lines = 20;
+    auto const& entries = document.m_left_out;
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        host.m_metrics.count_event("entry_left_out");
+        if (i < max_lines)
+        {
+            logging::write(
+                logging::level::warn, "serve.configuration", "entry left out",
+                {{"generation", std::to_string(document.m_generation)},
+                 {"kind", entries[i].m_kind},
+                 {"name", entries[i].m_name},
+                 {"reason", entries[i].m_reason},
+                 {"entries", std::to_string(entries.size())}});
+        }
+    }
+}
+
 /// `text` is the document as peers receive it; empty if it is to be printed.
 void apply_document(entry_host& host, core::configuration document,
                     core::configuration_source source,
@@ -161,6 +195,7 @@
     {
         complete_document(host, document);
     }
+    keep_need_of_keys(host, document);
     auto const evacuation = evacuation_under(host, document);
     if (host.m_store_sync != nullptr && has_target_list(host))
     {
@@ -191,6 +226,7 @@
     host.m_configuration_sync->m_peer_document_text = text;
     log_document(*shared, source, "configuration in force");
     host.m_metrics.count_event("configuration_in_force");
+    report_left_out_entries(host, *shared);
     update_evacuations(host);
     core::remove_missing_routes(host.m_part_selector, *shared);
     if (host.m_once_table == nullptr)
