Neither use nor confirm keys while the newest document is not in force

Callers would have seen: a withdrawn key goes on working for as long as the newest document in the store cannot be put in force (unreadable, removed, another text of its version, or older than the one in force), on all hosts.

Cause: confirm_configuration() took each answer of the store for a confirmation of the document in force, whatever the answer held, and without a bound nothing ended the use of keys.

Change: core/newest_document records the newest version that a host has read, by its position in the store, and whether it is in force. A host in doubt refuses keys with 503 and a delay of 1 s, confirms nothing, tells its zone in the announcement of generations, and reads the store again. Hosts that do not read the store are in doubt from a report until their own read, a later version in force elsewhere and here, or a younger confirmation. In the own format hosts in doubt refuse keys as well.

Price: after a restore to an older version, keys are refused until operators write a version above the one in force.

--- a/src/core/missed_change.cpp
+++ b/src/core/missed_change.cpp
@@ -19,11 +19,11 @@
 } // namespace
 
 bool is_own_read_due(missed_change& state, configuration_state const& known,
-                     time_point now)
+                     bool is_in_doubt, time_point now)
 {
     auto const in_force =
         known.m_in_force == nullptr ? 0 : known.m_in_force->m_generation;
-    if (known.m_newest_generation <= in_force)
+    if (!is_in_doubt && known.m_newest_generation <= in_force)
     {
         state = {};
         return false;
--- a/src/net/peer_messages.cpp
+++ b/src/net/peer_messages.cpp
@@ -603,7 +603,28 @@
 
 void write(std::string& out, generation_announcement const& message)
 {
-    begin(out, wire_type::generation, 1).put(message.m_generation);
+    auto const& newest = message.m_newest;
+    auto writer = begin(out, wire_type::generation, newest ? 4 : 1);
+    writer.put(message.m_generation);
+    if (newest)
+    {
+        writer.put(newest->m_epoch);
+        writer.put(newest->m_revision);
+        writer.put(message.m_is_newest_used);
+    }
+}
+
+peer_message read_generation_announcement(field_reader& reader)
+{
+    generation_announcement message;
+    message.m_generation = reader.get<std::uint64_t>();
+    if (!reader.is_at_end())
+    {
+        auto const epoch = reader.get<std::uint64_t>();
+        message.m_newest = {epoch, reader.get<std::uint64_t>()};
+        message.m_is_newest_used = reader.get<bool>();
+    }
+    return message;
 }
 
 peer_message read_leaving(field_reader& reader)
@@ -649,8 +670,7 @@
     case wire_type::leaving:
         return read_leaving(reader);
     case wire_type::generation:
-        return peer_message(
-            generation_announcement{reader.get<std::uint64_t>()});
+        return read_generation_announcement(reader);
     case wire_type::rate_limits:
         return read_rate_limits(reader);
     case wire_type::crash_suspects:
--- a/src/net/peer_messages.hpp
+++ b/src/net/peer_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "base/result.hpp"
 #include "core/ids.hpp"
+#include "core/newest_document.hpp"
 #include "core/time.hpp"
 #include "net/http_message.hpp"
 
@@ -133,7 +134,12 @@
 /// Reports the generation that is in force at the sender.
 struct generation_announcement
 {
+    /// 0 if there is none.
     std::uint64_t m_generation = 0;
+    /// The newest version in the store that the sender knows of, and whether it
+    /// is the one in force there. Nothing if the sender has not read any.
+    std::optional<core::document_position> m_newest = {};
+    bool m_is_newest_used = false;
 };
 
 struct configuration_request
--- a/src/net/peer_messages_test.cpp
+++ b/src/net/peer_messages_test.cpp
@@ -50,6 +50,7 @@
             handover_message{"map", "west", {{"t1", 2, 2.5}, {"t2", 0, 1}}},
             target_leaving{"map", "t1", 1700},
             generation_announcement{7},
+            generation_announcement{7, core::document_position{2, 90}, true},
             rate_limits_message{"map", "west", {{"t1", 1.5}, {"t2", 0}}},
             crash_suspects_message{
                 {{{77},
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -3,6 +3,7 @@
 #include "core/once_table.hpp"
 #include "net/http_refusal.hpp"
 #include "serve/configuration_proofs.hpp"
+#include "serve/document_doubt.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/quotas.hpp"
@@ -157,6 +158,7 @@
         {"newest_generation_heard", configuration.m_newest_generation},
         {"rejected_generation", configuration.m_rejected_generation},
         {"rejected_documents", configuration.m_rejected_documents},
+        {"document_in_doubt", is_document_in_doubt(host)},
         {"left_out_entries", count_left_out_entries(host)},
         {"left_out", describe_left_out_entries(host)},
         {"configuration_proof_age_ms", describe_proof_age(host)},
--- a/src/serve/authorize.cpp
+++ b/src/serve/authorize.cpp
@@ -12,10 +12,6 @@
 namespace
 {
 
-/// Operators have to replace the document first. Callers share one delay, since
-/// all hosts have the same document.
-constexpr auto undecided_key_retry_delay = std::chrono::seconds(1);
-
 /// Refuses a request that another host forwarded without a customer: that host
 /// has a configuration in which its kind needs no key. The code tells that host
 /// not to try a third one, or to run the request itself.
@@ -67,7 +63,7 @@
     if (customer == nullptr && core::is_undecided(*customers, key))
     {
         host.m_metrics.count_event("access_key_undecided");
-        call.m_retry_after = undecided_key_retry_delay;
+        call.m_retry_after = unreadable_document_retry_delay;
         fail_call(host, call, result_code::access_keys_unconfirmed);
         return false;
     }
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -9,6 +9,7 @@
 #include "platform/configuration_store.hpp"
 #include "platform/scheduler.hpp"
 #include "serve/configuration_sync.hpp"
+#include "serve/document_doubt.hpp"
 #include "serve/evacuations.hpp"
 #include "serve/host.hpp"
 #include "serve/limits.hpp"
@@ -131,27 +132,6 @@
     }
 }
 
-std::uint64_t generation_in_force(entry_host const& host)
-{
-    auto const& document = host.m_configuration.m_in_force;
-    return document == nullptr ? 0 : document->m_generation;
-}
-
-/// Announces a new generation to the hosts of the zone that keep a link to this
-/// one. Gossip alone takes longer and reaches some of them late.
-void announce_to_zone(entry_host& host)
-{
-    for (auto const& other : core::hosts(*host.m_membership))
-    {
-        if (other.m_zone == host.m_settings.m_zone &&
-            other.m_generation < generation_in_force(host) &&
-            host.m_peer_network->is_linked(other.m_name))
-        {
-            announce_generation(host, other.m_name);
-        }
-    }
-}
-
 /// Requests need keys if they did before, and an entry that cannot be read may
 /// be that of the customers.
 void keep_need_of_keys(entry_host const& host, core::configuration& document)
@@ -186,10 +166,19 @@
     }
 }
 
+/// Whether the document in force came from another text of the same generation,
+/// which operators are not to write.
+bool is_other_text(entry_host const& host, std::string const& text)
+{
+    return !text.empty() &&
+           text != host.m_configuration_sync->m_peer_document_text;
+}
+
 /// `text` is the document as peers receive it; empty if it is to be printed.
-void apply_document(entry_host& host, core::configuration document,
-                    core::configuration_source source,
-                    std::string const& text = {})
+core::offer_result apply_document(entry_host& host,
+                                  core::configuration document,
+                                  core::configuration_source source,
+                                  std::string const& text = {})
 {
     if (host.m_store_sync != nullptr)
     {
@@ -208,7 +197,12 @@
     }
     auto shared =
         std::make_shared<core::configuration const>(std::move(document));
-    switch (core::offer(host.m_configuration, shared, source))
+    auto use = core::offer(host.m_configuration, shared, source);
+    if (use == core::offer_result::same && is_other_text(host, text))
+    {
+        use = core::offer_result::conflicting;
+    }
+    switch (use)
     {
     case core::offer_result::in_force:
         break;
@@ -216,14 +210,17 @@
         log_document(*shared, source,
                      "document rejected: same generation, other change id");
         host.m_metrics.count_event("configuration_conflicting");
-        return;
+        return use;
     case core::offer_result::stale:
         host.m_metrics.count_event("configuration_stale");
-        return;
+        return use;
     case core::offer_result::same:
-        return;
+        return use;
     }
-    host.m_configuration_sync->m_peer_document_text = text;
+    auto& sync = *host.m_configuration_sync;
+    sync.m_peer_document_text = text;
+    sync.m_in_force_since = now();
+    sync.m_last_rejection_reason.clear();
     log_document(*shared, source, "configuration in force");
     host.m_metrics.count_event("configuration_in_force");
     report_left_out_entries(host, *shared);
@@ -239,7 +236,9 @@
                            host.m_configuration.m_in_force->m_key_lifetime,
                            now());
     announce_self(host);
-    announce_to_zone(host);
+    announce_to_zone(host, announcement_scope::outdated);
+    on_generation_in_force(host);
+    return use;
 }
 
 bool is_configuration_watcher(entry_host const& host)
@@ -263,19 +262,26 @@
     host.m_configuration_sync->m_timer->start(delay);
 }
 
-/// Counts and logs a rejected document once, although it is read repeatedly
-/// until it is replaced.
-void report_rejected_document(entry_host& host, std::string const& reason)
+/// Handles an answer of the store in the own document format. Its reads follow
+/// one another, so that their number is the position of what they show.
+void record_own_read(entry_host& host,
+                     result<platform::loaded_configuration> const& loaded,
+                     std::optional<core::offer_result> use)
 {
-    auto& last_reason = host.m_configuration_sync->m_last_rejection_reason;
-    if (last_reason == reason)
-    {
-        return;
+    auto& sync = *host.m_configuration_sync;
+    auto const code =
+        has_value(loaded) ? result_code::ok : failure(loaded).m_code;
+    // A watch ends with not_found if nothing has changed.
+    bool const is_removed = code == result_code::not_found &&
+                            !sync.m_is_watching &&
+                            host.m_configuration.m_in_force != nullptr;
+    if (has_value(loaded) || is_removed ||
+        code == result_code::store_answer_malformed)
+    {
+        record_document_read(
+            host, {{0, ++sync.m_read_count}, sync.m_read_time, use},
+            has_value(loaded) ? std::string() : failure(loaded).m_message);
     }
-    last_reason = reason;
-    core::record_rejected_document(host.m_configuration, 0);
-    logging::write(logging::level::error, "serve.configuration",
-                   "stored document not taken", {{"reason", reason}});
 }
 
 void on_loaded(entry_host& host,
@@ -283,16 +289,18 @@
 {
     auto& sync = *host.m_configuration_sync;
     sync.m_is_head_unconfirmed = !has_value(loaded);
+    std::optional<core::offer_result> use;
     if (has_value(loaded))
     {
         sync.m_head_revision = value(loaded).m_head_revision;
-        apply_document(host, value(loaded).m_document,
-                       core::configuration_source::store);
+        use = apply_document(host, value(loaded).m_document,
+                             core::configuration_source::store);
     }
     else if (failure(loaded).m_code == result_code::store_answer_malformed)
     {
         report_rejected_document(host, failure(loaded).m_message);
     }
+    record_own_read(host, loaded, use);
     bool const is_not_found =
         !has_value(loaded) && failure(loaded).m_code == result_code::not_found;
     if (!has_value(loaded) && !is_not_found)
@@ -332,8 +340,11 @@
         on_loaded(host, loaded);
     };
     auto& sync = *host.m_configuration_sync;
-    if (host.m_configuration.m_in_force != nullptr &&
-        !sync.m_is_head_unconfirmed && is_configuration_watcher(host))
+    sync.m_read_time = now();
+    sync.m_is_watching = host.m_configuration.m_in_force != nullptr &&
+                         !sync.m_is_head_unconfirmed &&
+                         is_configuration_watcher(host);
+    if (sync.m_is_watching)
     {
         sync.m_store->watch(sync.m_head_revision, watch_wait, on_result);
     }
@@ -345,6 +356,39 @@
 
 } // namespace
 
+std::uint64_t generation_in_force(entry_host const& host) noexcept
+{
+    auto const& document = host.m_configuration.m_in_force;
+    return document == nullptr ? 0 : document->m_generation;
+}
+
+void announce_to_zone(entry_host& host, announcement_scope scope)
+{
+    for (auto const& other : core::hosts(*host.m_membership))
+    {
+        if (other.m_zone == host.m_settings.m_zone &&
+            (scope == announcement_scope::all ||
+             other.m_generation < generation_in_force(host)) &&
+            host.m_peer_network->is_linked(other.m_name))
+        {
+            announce_generation(host, other.m_name);
+        }
+    }
+}
+
+void report_rejected_document(entry_host& host, std::string const& reason)
+{
+    auto& last_reason = host.m_configuration_sync->m_last_rejection_reason;
+    if (last_reason == reason)
+    {
+        return;
+    }
+    last_reason = reason;
+    core::record_rejected_document(host.m_configuration, 0);
+    logging::write(logging::level::error, "serve.configuration",
+                   "stored document not taken", {{"reason", reason}});
+}
+
 status start_configuration_sync(entry_host& host)
 {
     auto timer =
@@ -372,16 +416,16 @@
     return success();
 }
 
-status apply_operator_document(entry_host& host, std::string const& text,
-                               core::configuration_source source)
+result<core::offer_result>
+apply_operator_document(entry_host& host, std::string const& text,
+                        core::configuration_source source)
 {
     auto document = host.m_adapter.m_store_layout->m_read_configuration(text);
     if (!has_value(document))
     {
         return failure(document);
     }
-    apply_document(host, take(std::move(document)), source, text);
-    return success();
+    return apply_document(host, take(std::move(document)), source, text);
 }
 
 void refresh_targets(entry_host& host)
@@ -432,10 +476,11 @@
 void announce_generation(entry_host& host, std::string const& peer)
 {
     auto const generation = generation_in_force(host);
-    if (generation > 0)
+    if (generation > 0 || is_document_in_doubt(host))
     {
-        static_cast<void>(host.m_peer_network->send(
-            peer, net::generation_announcement{generation}));
+        net::generation_announcement message{generation};
+        add_newest_document(host, message);
+        static_cast<void>(host.m_peer_network->send(peer, message));
     }
 }
 
@@ -482,6 +527,11 @@
     if (auto const* faults = std::get_if<config::fault_list>(&parsed))
     {
         reject_peer_document(host, reply, config::describe(*faults));
+        // The next read of the store shows whether it is the newest one.
+        record_document_read(
+            host,
+            {{0, host.m_configuration_sync->m_read_count}, now(), std::nullopt},
+            "the document of another host cannot be read");
         return;
     }
     auto& document = std::get<core::configuration>(parsed);
--- a/src/serve/configuration_proofs.cpp
+++ b/src/serve/configuration_proofs.cpp
@@ -5,6 +5,7 @@
 #include "core/ownership.hpp"
 #include "core/routing.hpp"
 #include "serve/configuration_driver.hpp"
+#include "serve/document_doubt.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/pipeline.hpp"
@@ -47,7 +48,8 @@
 
 bool is_fresh(entry_host const& host, core::duration bound)
 {
-    return core::is_fresh(host.m_configuration_proofs->m_proof,
+    return !is_document_in_doubt(host) &&
+           core::is_fresh(host.m_configuration_proofs->m_proof,
                           host.m_configuration.m_in_force->m_generation, now(),
                           bound);
 }
@@ -192,14 +194,10 @@
     {
         return;
     }
-    auto const bound = effective_bound(host);
-    if (!bound || is_fresh(host, *bound))
+    if (is_configuration_proved(host))
     {
         release_held_calls(host);
-        return;
     }
-    request_confirmations(host, *bound);
-    start_wait_timer(host);
 }
 
 } // namespace
@@ -222,7 +220,12 @@
     auto const bound = effective_bound(host);
     if (!bound)
     {
-        return true;
+        bool const is_in_doubt = is_document_in_doubt(host);
+        if (is_in_doubt)
+        {
+            start_wait_timer(host);
+        }
+        return !is_in_doubt;
     }
     auto& proofs = *host.m_configuration_proofs;
     core::record_proof_demand(proofs.m_schedule, now());
@@ -246,7 +249,7 @@
 void confirm_configuration(entry_host& host, core::time_point asked)
 {
     auto const& document = host.m_configuration.m_in_force;
-    if (document != nullptr &&
+    if (document != nullptr && !is_document_in_doubt(host) &&
         core::record_store_confirmation(host.m_configuration_proofs->m_proof,
                                         asked, document->m_generation))
     {
@@ -256,12 +259,19 @@
 
 void refuse_unconfirmed_call(entry_host& host, active_call& call)
 {
-    report_lost_proof(host);
-    auto const bound = effective_bound(host).value_or(core::duration(0));
-    call.m_retry_after = std::max<core::duration>(
-        min_retry_delay,
-        core::until_next_question(host.m_configuration_proofs->m_schedule,
-                                  now(), bound));
+    if (is_document_in_doubt(host))
+    {
+        call.m_retry_after = unreadable_document_retry_delay;
+    }
+    else
+    {
+        report_lost_proof(host);
+        auto const bound = effective_bound(host).value_or(core::duration(0));
+        call.m_retry_after = std::max<core::duration>(
+            min_retry_delay,
+            core::until_next_question(host.m_configuration_proofs->m_schedule,
+                                      now(), bound));
+    }
     fail_call(host, call, result_code::access_keys_unconfirmed);
 }
 
@@ -278,6 +288,11 @@
 {
     auto& proofs = *host.m_configuration_proofs;
     core::record_proof_demand(proofs.m_schedule, now());
+    if (is_document_in_doubt(host))
+    {
+        announce_generation(host, from);
+        return;
+    }
     auto const bound = effective_bound(host);
     auto const age = core::proof_age(proofs.m_proof, now());
     if (bound && age && *age < std::min<core::duration>(*bound, max_sent_age))
@@ -297,6 +312,14 @@
     {
         return;
     }
+    on_document_confirmed(host, *asked - message.m_age, message.m_generation);
+    if (is_document_in_doubt(host))
+    {
+        // An older confirmation than the doubt would keep this host from asking
+        // for a newer one.
+        on_newer_generation(host, from, message.m_generation);
+        return;
+    }
     bool const is_renewed = core::record_peer_confirmation(
         proofs.m_proof, *asked, message.m_age, message.m_generation);
     on_newer_generation(host, from, message.m_generation);
--- a/src/serve/configuration_proofs.hpp
+++ b/src/serve/configuration_proofs.hpp
@@ -17,6 +17,11 @@
 struct active_call;
 struct entry_host;
 
+/// Retry delay of a request whose key cannot be checked because of what stands
+/// in the store. Operators have to write another document first. Callers share
+/// the delay, since all hosts read the same document.
+inline constexpr std::chrono::seconds unreadable_document_retry_delay{1};
+
 /// State for the confirmations that the configuration in force is recent. Lives
 /// as long as the host and is not stored: a new process starts without a proof.
 struct configuration_proofs
--- a/src/serve/configuration_sync.hpp
+++ b/src/serve/configuration_sync.hpp
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNSPUR_SERVE_CONFIGURATION_SYNC_HPP
 #define HAWTHORNSPUR_SERVE_CONFIGURATION_SYNC_HPP
 
+#include "core/newest_document.hpp"
 #include "core/time.hpp"
 #include "net/event_loop.hpp"
 #include "platform/call_limiter.hpp"
@@ -26,6 +27,14 @@
     bool m_is_head_unconfirmed = false;
     /// Why the stored document was rejected, to report each reason only once.
     std::string m_last_rejection_reason;
+    core::newest_document m_newest;
+    /// Time at which the generation in force was put in force.
+    core::time_point m_in_force_since{};
+    /// Reads of the own document format, whose store has no positions that all
+    /// reads tell.
+    std::uint64_t m_read_count = 0;
+    core::time_point m_read_time{};
+    bool m_is_watching = false;
     /// Generation last requested from a peer, the time of the request and the
     /// number of requests for it.
     std::uint64_t m_requested_generation = 0;
--- a/src/serve/peer_driver.cpp
+++ b/src/serve/peer_driver.cpp
@@ -5,6 +5,7 @@
 #include "serve/configuration_driver.hpp"
 #include "serve/configuration_proofs.hpp"
 #include "serve/crash_reports.hpp"
+#include "serve/document_doubt.hpp"
 #include "serve/evacuations.hpp"
 #include "serve/forwarding.hpp"
 #include "serve/host.hpp"
@@ -115,6 +116,10 @@
     void operator()(net::generation_announcement const& message) const
     {
         on_newer_generation(m_host, m_from, message.m_generation);
+        if (message.m_newest)
+        {
+            on_newest_document(m_host, m_from, message);
+        }
     }
 };
 
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -5,6 +5,8 @@
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
 #include "serve/configuration_proofs.hpp"
+#include "serve/configuration_sync.hpp"
+#include "serve/document_doubt.hpp"
 #include "serve/evacuations.hpp"
 #include "serve/host.hpp"
 #include "serve/host_registration.hpp"
@@ -107,6 +109,7 @@
             other->m_timer->start(reserve_start_delay);
         }
     }
+    core::record_restored_store(host.m_configuration_sync->m_newest);
     core::record_registry_restore(sync.m_target_directory, now());
     sync.m_restore_timer->start(core::lapsed_entry_grace);
     sync.m_lease.clear();
@@ -197,46 +200,70 @@
     range.m_timer->start(store_retry_interval);
 }
 
-void apply_configuration_value(entry_host& host, std::string const& value)
+/// Applies a version of the document. `read` says where it was found, and is
+/// completed with what became of it.
+void apply_configuration_value(entry_host& host,
+                               std::optional<std::string> const& text,
+                               document_read read)
 {
+    if (!text)
+    {
+        record_document_read(host, read, "the document was removed");
+        return;
+    }
     auto const applied =
-        apply_operator_document(host, value, core::configuration_source::store);
-    if (!has_value(applied))
+        apply_operator_document(host, *text, core::configuration_source::store);
+    if (has_value(applied))
     {
-        core::record_rejected_document(host.m_configuration, 0);
-        logging::write(logging::level::error, "serve.store",
-                       "stored document not taken",
-                       {{"reason", failure(applied).m_message}});
+        read.m_use = value(applied);
+        record_document_read(host, read);
+        return;
     }
+    auto const& reason = failure(applied).m_message;
+    report_rejected_document(host, reason);
+    record_document_read(host, read, reason);
 }
 
 void apply_configuration_snapshot(entry_host& host,
                                   platform::stored_range const& snapshot,
-                                  bool is_latest)
+                                  bool is_latest, core::time_point asked)
 {
     apply_evacuation_snapshot(host, snapshot, is_latest);
-    for (auto const& item : snapshot.m_items)
+    auto const& key = host.m_adapter.m_store_layout->m_configuration_key;
+    auto const item =
+        std::find_if(snapshot.m_items.begin(), snapshot.m_items.end(),
+                     [&](platform::stored_item const& candidate)
+                     { return candidate.m_key == key; });
+    document_read read;
+    read.m_asked = asked;
+    read.m_may_be_stale = !is_latest;
+    if (item != snapshot.m_items.end())
     {
-        if (item.m_key == host.m_adapter.m_store_layout->m_configuration_key)
-        {
-            apply_configuration_value(host, item.m_value);
-        }
+        read.m_position = {snapshot.m_epoch, item->m_revision};
+        apply_configuration_value(host, item->m_value, read);
+    }
+    else if (is_latest && host.m_configuration.m_in_force != nullptr)
+    {
+        read.m_position = {snapshot.m_epoch, snapshot.m_store_revision};
+        apply_configuration_value(host, std::nullopt, read);
     }
 }
 
 void apply_snapshot(entry_host& host, range_watch& range,
-                    platform::stored_range const& snapshot, bool is_latest)
+                    platform::stored_range const& snapshot, bool is_latest,
+                    core::time_point asked)
 {
     if (&range == &host.m_store_sync->m_targets)
     {
         apply_target_snapshot(host, snapshot);
         return;
     }
-    apply_configuration_snapshot(host, snapshot, is_latest);
+    apply_configuration_snapshot(host, snapshot, is_latest, asked);
 }
 
 void apply_changes(entry_host& host, range_watch& range,
-                   platform::range_changes const& changes)
+                   platform::range_changes const& changes,
+                   core::time_point asked)
 {
     if (&range == &host.m_store_sync->m_targets)
     {
@@ -246,10 +273,12 @@
     apply_evacuation_changes(host, changes);
     for (auto const& event : changes.m_events)
     {
-        if (event.m_key == host.m_adapter.m_store_layout->m_configuration_key &&
-            event.m_value)
+        if (event.m_key == host.m_adapter.m_store_layout->m_configuration_key)
         {
-            apply_configuration_value(host, *event.m_value);
+            document_read read;
+            read.m_position = {changes.m_epoch, event.m_revision};
+            read.m_asked = asked;
+            apply_configuration_value(host, event.m_value, read);
         }
     }
 }
@@ -348,7 +377,7 @@
             {
                 range.m_catching_up_since.reset();
             }
-            apply_snapshot(host, range, snapshot, is_latest);
+            apply_snapshot(host, range, snapshot, is_latest, asked);
             schedule_next_read(host, range, watch_start_delay);
             if (is_confirmation)
             {
@@ -364,7 +393,7 @@
                           : core::duration(watch_wait);
     host.m_platform_calls.m_watch_range(
         range.m_prefix, *range.m_position.m_revision, wait,
-        [&host, &range, number = ++range.m_call_number](
+        [&host, &range, asked = now(), number = ++range.m_call_number](
             result<platform::range_changes> const& answer)
         {
             detect_pause(host);
@@ -389,7 +418,7 @@
                 return;
             }
             range.m_catching_up_since.reset();
-            apply_changes(host, range, changes);
+            apply_changes(host, range, changes, asked);
             schedule_next_read(host, range,
                                changes.m_events.empty()
                                    ? core::duration(0)
@@ -399,10 +428,11 @@
 
 /// Applies changes that the open watch has not reported, and replaces it.
 void apply_unreported_changes(entry_host& host, range_watch& range,
-                              platform::range_changes const& changes)
+                              platform::range_changes const& changes,
+                              core::time_point asked)
 {
     ++range.m_call_number;
-    apply_changes(host, range, changes);
+    apply_changes(host, range, changes, asked);
     schedule_next_read(host, range, change_interval(host, range));
 }
 
@@ -412,7 +442,7 @@
 {
     host.m_platform_calls.m_watch_range(
         range.m_prefix, *range.m_position.m_revision, confirmation_wait,
-        [&host, &range, number = range.m_call_number](
+        [&host, &range, asked = now(), number = range.m_call_number](
             result<platform::range_changes> const& answer)
         {
             detect_pause(host);
@@ -431,7 +461,7 @@
             }
             host.m_metrics.count_event("store_watch_silent");
             log_range(range, logging::level::warn, "store watch is silent", "");
-            apply_unreported_changes(host, range, changes);
+            apply_unreported_changes(host, range, changes, asked);
         });
 }
 
@@ -461,7 +491,7 @@
     }
     if (!changes.m_events.empty())
     {
-        apply_unreported_changes(host, range, changes);
+        apply_unreported_changes(host, range, changes, asked);
     }
     confirm_configuration(host, asked);
 }
@@ -644,7 +674,7 @@
                 return;
             }
             auto const& snapshot = value(answer);
-            apply_configuration_snapshot(host, snapshot, true);
+            apply_configuration_snapshot(host, snapshot, true, asked);
             observe_store_epoch(host, snapshot.m_epoch);
             if (confirms_position(known, snapshot))
             {
@@ -690,11 +720,12 @@
 {
     if (host.m_store_sync != nullptr &&
         core::is_own_read_due(host.m_store_sync->m_missed_change,
-                              host.m_configuration, now()))
+                              host.m_configuration, is_document_in_doubt(host),
+                              now()))
     {
         logging::write(
             logging::level::warn, "serve.store",
-            "reading the document that peers announced and did not send",
+            "reading the document, which peers did not send or is in doubt",
             {{"generation",
               std::to_string(host.m_configuration.m_newest_generation)}});
         read_configuration_now(host);
