Show left-out entries and documents in doubt on the command line

`config status` says of each host how many entries its document lacks, and whether the newest one is not in force there.

--- a/src/cli/config_commands_test.cpp
+++ b/src/cli/config_commands_test.cpp
@@ -259,6 +259,29 @@
     CHECK(run({"config", "diff", good.m_name, good.m_name}).m_exit_code == 0);
 }
 
+// Guards against an entry that hosts leave out without a word to operators, and
+// against a key in that word.
+TEST_CASE("config check names the entries that hosts would leave out")
+{
+    auto const check = [](std::string const& rank)
+    {
+        std::string const name = "check-operators.json";
+        std::ofstream(name)
+            << R"({"version":7,"resources":[{"resource_kind":"tenants",)"
+            << R"("metadata":{"name":"shop"},"spec":{"api_keys":["secret"],)"
+            << R"("priority":)" << rank << "}}]}";
+        return run({"config", "check", "--operators", name});
+    };
+    CHECK(check("10").m_exit_code == 0);
+    auto const faulty = check("-1");
+    CHECK(faulty.m_exit_code == 2);
+    CHECK(contains(faulty.m_out, "left out: tenants \"shop\": "));
+    CHECK(contains(faulty.m_out, "1 entries left out"));
+    CHECK(!contains(faulty.m_out, "secret"));
+    CHECK(check("").m_exit_code == 2);
+    static_cast<void>(std::remove("check-operators.json"));
+}
+
 // Guards against a change that is lost, stored twice or reported as in force
 // where it is not, and against a conflict report without one of the changes.
 // The store drops one answer to a write, which the command must resolve.
--- a/src/cli/document_file.cpp
+++ b/src/cli/document_file.cpp
@@ -11,7 +11,7 @@
 namespace hawthornspur::cli
 {
 
-result<core::configuration> read_document(std::string const& path)
+result<std::string> read_text(std::string const& path)
 {
     std::string text;
     if (path == "-")
@@ -37,7 +37,17 @@
                               path + " cannot be read");
         }
     }
-    auto parsed = config::parse_document(text);
+    return text;
+}
+
+result<core::configuration> read_document(std::string const& path)
+{
+    auto const text = read_text(path);
+    if (!has_value(text))
+    {
+        return failure(text);
+    }
+    auto parsed = config::parse_document(value(text));
     if (auto const* faults = std::get_if<config::fault_list>(&parsed))
     {
         return make_error(faults->front().m_code,
--- a/src/cli/document_file.hpp
+++ b/src/cli/document_file.hpp
@@ -10,6 +10,9 @@
 namespace hawthornspur::cli
 {
 
+/// Reads a file, or the standard input for "-". Errors: file_unreadable.
+result<std::string> read_text(std::string const& path);
+
 /// Reads and checks a document; "-" reads the standard input. Errors:
 /// file_unreadable, or the code of the first fault with a message that has one
 /// line for each fault.
--- a/src/cli/host_generations.cpp
+++ b/src/cli/host_generations.cpp
@@ -25,15 +25,33 @@
 constexpr auto poll_interval = std::chrono::milliseconds(250);
 constexpr auto answer_timeout = std::chrono::seconds(1);
 
-std::optional<std::uint64_t> read_generation(std::string const& body)
+std::optional<std::uint64_t> read_number(nlohmann::json const& status,
+                                         char const* field)
 {
-    auto const parsed = nlohmann::json::parse(body, nullptr, false);
-    auto const found = parsed.find("generation");
-    return found != parsed.end() && found->is_number_unsigned()
+    auto const found = status.find(field);
+    return found != status.end() && found->is_number_unsigned()
                ? std::optional(found->get<std::uint64_t>())
                : std::nullopt;
 }
 
+/// Reads the answer of a host. One without a generation keeps the previous
+/// values.
+void read_status(std::string const& body, host_generation& host)
+{
+    auto const status = nlohmann::json::parse(body, nullptr, false);
+    auto const generation = read_number(status, "generation");
+    if (!generation)
+    {
+        return;
+    }
+    host.m_generation = generation;
+    host.m_left_out_entries =
+        read_number(status, "left_out_entries").value_or(0);
+    auto const doubt = status.find("document_in_doubt");
+    host.m_is_in_doubt =
+        doubt != status.end() && *doubt == nlohmann::json(true);
+}
+
 /// A status request to several hosts. `m_done` is called when every host has
 /// answered or timed out.
 struct poll_round
@@ -66,11 +84,7 @@
         constexpr int status_ok = 200;
         if (outcome == net::exchange_outcome::complete && *status == status_ok)
         {
-            // An answer without a generation keeps the previous value.
-            if (auto const generation = read_generation(*body))
-            {
-                host.m_generation = generation;
-            }
+            read_status(*body, host);
         }
         if (--round->m_pending == 0)
         {
@@ -236,7 +250,12 @@
            endpoint.m_address + ":" + std::to_string(endpoint.m_port) +
            (host.m_generation
                 ? ": generation " + std::to_string(*host.m_generation)
-                : std::string(": no answer"));
+                : std::string(": no answer")) +
+           (host.m_left_out_entries > 0
+                ? ", " + std::to_string(host.m_left_out_entries) +
+                      " entries left out"
+                : std::string()) +
+           (host.m_is_in_doubt ? ", newest document not in force" : "");
 }
 
 } // namespace hawthornspur::cli
--- a/src/cli/host_generations.hpp
+++ b/src/cli/host_generations.hpp
@@ -18,6 +18,10 @@
     std::string m_name;
     net::endpoint m_administration;
     std::optional<std::uint64_t> m_generation;
+    /// Entries of the document in force that the host could not read.
+    std::uint64_t m_left_out_entries = 0;
+    /// The newest document in the store is not in force there.
+    bool m_is_in_doubt = false;
 };
 
 /// The flags that select the hosts to query.
