Pass on answers without a length whatever their Connection header

Cause: evhttp takes such an answer for empty if its Connection header is not exactly "close".

Change: the validator passes a head without a length on with one Connection header, "close", if it has this option, and without any otherwise.

Test: "an answer without a length ends with its connection" has nine forms of the header, three status lines, an orderly end and a reset.

--- a/src/net/answer_validator.cpp
+++ b/src/net/answer_validator.cpp
@@ -79,7 +79,49 @@
     return is_valid ? status : std::nullopt;
 }
 
-status check_headers(std::string_view head, bool& is_chunked)
+/// Whether a Connection header names the option.
+bool names_option(std::string_view options, std::string_view option)
+{
+    while (!options.empty())
+    {
+        auto const end = options.find(',');
+        if (equals_ignore_case(trim(options.substr(0, end)), option))
+        {
+            return true;
+        }
+        options.remove_prefix(end == std::string_view::npos ? options.size()
+                                                            : end + 1);
+    }
+    return false;
+}
+
+/// The head with one Connection header, "close", if it has the option, and
+/// without any otherwise. `first_line` is the size of the status line.
+std::string simplify_connection(std::string_view head, std::size_t first_line)
+{
+    std::string out(head.substr(0, first_line));
+    bool is_closed = false;
+    for (auto rest = head.substr(first_line); !rest.starts_with(line_end);)
+    {
+        auto const size = rest.find(line_end) + line_end.size();
+        auto const line = rest.substr(0, size);
+        auto const colon = line.find(':');
+        if (equals_ignore_case(line.substr(0, colon), "Connection"))
+        {
+            is_closed =
+                is_closed || names_option(line.substr(colon + 1), "close");
+        }
+        else
+        {
+            out += line;
+        }
+        rest.remove_prefix(size);
+    }
+    out += is_closed ? "Connection: close\r\n\r\n" : "\r\n";
+    return out;
+}
+
+status check_headers(std::string_view head, bool& is_chunked, bool& has_length)
 {
     int framing_headers = 0;
     int headers = 0;
@@ -129,6 +171,7 @@
     {
         return malformed("more than one header defines the body length");
     }
+    has_length = framing_headers == 1;
     return success();
 }
 
@@ -258,8 +301,10 @@
         {
             return malformed("not a valid status line");
         }
-        auto const check_result = check_headers(
-            head.substr(first_line + line_end.size()), m_is_chunked);
+        bool has_length = false;
+        auto const check_result =
+            check_headers(head.substr(first_line + line_end.size()),
+                          m_is_chunked, has_length);
         if (!has_value(check_result))
         {
             return failure(check_result);
@@ -283,6 +328,14 @@
                 m_raw.resize(size);
                 m_raw += value(body);
             }
+            else if (!has_length)
+            {
+                // The body ends with the connection. evhttp takes it for empty
+                // if a Connection header is not exactly "close".
+                m_raw =
+                    simplify_connection(head, first_line + line_end.size()) +
+                    m_raw.substr(size);
+            }
         }
     }
     return std::exchange(m_raw, {});
--- a/src/net/answer_validator.hpp
+++ b/src/net/answer_validator.hpp
@@ -11,10 +11,11 @@
 namespace hawthornspur::net
 {
 
-/// Validates an answer before evhttp parses it, removes interim answers and
-/// divides a chunked body anew. evhttp treats a 103 as the final answer,
-/// accepts heads with ambiguous framing, and keeps a chunk until it is complete
-/// and all trailers, whatever their size.
+/// Validates an answer before evhttp parses it, removes interim answers,
+/// divides a chunked body anew and simplifies the Connection header of an
+/// answer without a length. evhttp treats a 103 as the final answer, accepts
+/// heads with ambiguous framing, keeps a chunk until it is complete and all
+/// trailers, whatever their size, and takes some answers for empty.
 class answer_validator
 {
 public:
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -317,6 +317,60 @@
     }
 }
 
+// Guards against an answer without a length that reaches the caller without its
+// body because of its Connection header, as in review/7, or whole although it
+// was reset.
+TEST_CASE("an answer without a length ends with its connection")
+{
+    using enum exchange_outcome;
+    auto loop = take(event_loop::create());
+    for (std::string const& options : std::vector<std::string>{
+             "", "Connection: keep-alive\r\n", "Connection: close\r\n",
+             "Connection: close, X-Foo\r\n", "Connection: X-Foo, Close\r\n",
+             "Connection: keep-alive\r\nConnection: close\r\n",
+             "Connection:\r\n", "Connection:\tclose\t\r\n",
+             "CONNECTION: upgrade\r\nKeep-Alive: timeout=10\r\n"})
+    {
+        for (std::string const& start : std::vector<std::string>{
+                 "HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 500 Error"})
+        {
+            for (bool const is_reset : {false, true})
+            {
+                CAPTURE(start);
+                CAPTURE(options);
+                CAPTURE(is_reset);
+                raw_listener server(*loop);
+                auto client = take(http_client::create(*loop));
+                exchange_record record;
+                client->send({"127.0.0.1", server.m_port}, post(),
+                             {.m_timeout = test_timeout}, record.handlers());
+                REQUIRE(run_until(*loop,
+                                  [&] { return count_requests(server) == 1; }));
+                auto& connection = *server.m_connections[0];
+                connection.send(start + "\r\nX-Id: a\r\n" + options +
+                                "X-End: b\r\n\r\nbo");
+                REQUIRE(
+                    run_until(*loop, [&] { return !record.m_body.empty(); }));
+                connection.send("dy");
+                REQUIRE(
+                    run_until(*loop, [&] { return connection.unsent() == 0; }));
+                is_reset ? connection.close_with_reset()
+                         : connection.shut_down();
+                REQUIRE(run_until(*loop, [&]
+                                  { return record.m_outcome.has_value(); }));
+                CHECK(*record.m_outcome == (is_reset ? truncated : complete));
+                CHECK((is_reset || record.m_body == "body"));
+                REQUIRE(record.m_head);
+                CHECK(find_header(record.m_head->m_headers, "X-End") == "b");
+                bool const says_close =
+                    options.find("lose") != std::string::npos;
+                CHECK(find_header(record.m_head->m_headers, "Connection")
+                          .has_value() == says_close);
+            }
+        }
+    }
+}
+
 // Guards against a head that is cut and followed by a second answer, which
 // would lend its framing to the first one, and against a refusal that says of
 // the second answer that its request did not run, as in review/6.
