Send one fragmented message at a time on a link

Cause: the queue of a link sends a fragment of each request in turn, so all long heads are unfinished at the receiver at once, which closes the link above 2 MiB.

Change: of messages that are sent in fragments, one is sent after the other; other messages go in between. The receiver's limit stays.

--- a/src/net/send_queue.cpp
+++ b/src/net/send_queue.cpp
@@ -120,7 +120,8 @@
     {
         m_bytes -= queued.m_bytes.size();
     }
-    m_ready_streams.erase(found->second);
+    auto& list = found->second->m_is_held ? m_held_streams : m_ready_streams;
+    list.erase(found->second);
     m_streams.erase(found);
     return true;
 }
@@ -180,16 +181,45 @@
     return encode_fragment({front_item.m_id, is_last, piece});
 }
 
+void send_queue::hold_fragmented_messages()
+{
+    while (m_is_sending_fragments)
+    {
+        auto const first = m_ready_streams.begin();
+        auto const& front_item = first->m_items.front();
+        if (front_item.m_kind != item_kind::fragmented_message ||
+            front_item.m_sent_bytes > 0)
+        {
+            return;
+        }
+        first->m_is_held = true;
+        m_held_streams.splice(m_held_streams.end(), m_ready_streams, first);
+    }
+}
+
+void send_queue::release_held_streams()
+{
+    m_is_sending_fragments = false;
+    for (auto& held : m_held_streams)
+    {
+        held.m_is_held = false;
+    }
+    m_ready_streams.splice(m_ready_streams.begin(), m_held_streams);
+}
+
 std::optional<std::string> send_queue::pop()
 {
     if (m_ready_streams.empty())
     {
         return std::nullopt;
     }
+    hold_fragmented_messages();
     auto const next_stream = m_ready_streams.begin();
     auto& front_item = next_stream->m_items.front();
     auto const unsent = front_item.m_bytes.size() - front_item.m_sent_bytes;
+    bool const is_fragment = front_item.m_kind == item_kind::fragmented_message;
     auto piece = encode_next_piece(front_item);
+    bool const is_last = front_item.m_sent_bytes == front_item.m_bytes.size();
     if (front_item.m_kind == item_kind::whole_message)
     {
         m_bytes -= unsent;
@@ -198,7 +228,7 @@
     else
     {
         m_bytes -= std::min(unsent, chunk_bytes);
-        if (front_item.m_sent_bytes == front_item.m_bytes.size())
+        if (is_last)
         {
             next_stream->m_items.pop_front();
         }
@@ -213,6 +243,14 @@
         m_ready_streams.splice(m_ready_streams.end(), m_ready_streams,
                                next_stream);
     }
+    if (is_fragment)
+    {
+        m_is_sending_fragments = true;
+        if (is_last)
+        {
+            release_held_streams();
+        }
+    }
     return piece;
 }
 
--- a/src/net/send_queue.hpp
+++ b/src/net/send_queue.hpp
@@ -15,7 +15,9 @@
 {
 
 /// Messages that wait to be sent on a link. Messages of one forwarded request
-/// keep their order; requests are served round-robin, one chunk at a time.
+/// keep their order; requests are served round-robin, one chunk at a time. Of
+/// messages that are sent in fragments, one is sent after the other: the peer
+/// keeps unfinished ones in memory, and limits them.
 class send_queue
 {
 public:
@@ -74,6 +76,8 @@
     {
         stream_key m_key;
         std::deque<item> m_items;
+        /// In m_held_streams.
+        bool m_is_held = false;
     };
     using stream_list = std::list<stream>;
 
@@ -83,12 +87,21 @@
     /// Removes a request of which nothing was sent. False if there is none.
     bool drop_unsent_request(stream_key const& key);
     static std::string encode_next_piece(item& front_item);
+    /// Holds back the streams at the front that would begin a second fragmented
+    /// message.
+    void hold_fragmented_messages();
+    /// Lets the streams that were held back go on, before all others.
+    void release_held_streams();
 
     std::size_t m_max_bytes;
     std::size_t m_bytes = 0;
     std::uint64_t m_next_fragmented_id = 1;
     /// Streams with queued items, in round-robin order.
     stream_list m_ready_streams;
+    /// Streams that wait for the end of the fragmented message under way, whose
+    /// stream is ready.
+    stream_list m_held_streams;
+    bool m_is_sending_fragments = false;
     std::unordered_map<stream_key, stream_list::iterator, stream_key_hash>
         m_streams;
 };
--- a/src/net/send_queue_test.cpp
+++ b/src/net/send_queue_test.cpp
@@ -36,6 +36,100 @@
 
 } // namespace
 
+namespace
+{
+
+answer_head make_large_head(forward_id id, std::size_t bytes)
+{
+    answer_head head{id, {200, {{"X-Large", std::string(bytes, 'h')}}}, {}};
+    return head;
+}
+
+} // namespace
+
+// Guards against a link that is closed because many answers with long heads are
+// under way at once, as in review/9: the peer limits unfinished messages.
+TEST_CASE("one fragmented message is sent at a time, the others in their turn")
+{
+    constexpr std::size_t largest_head = std::size_t{64} << 10U;
+    CHECK(rc::check(
+        [&]
+        {
+            send_queue queue(unlimited_bytes);
+            fragment_assembler assembler(largest_head + 1024);
+            std::map<forward_id, std::size_t> queued;
+            std::map<forward_id, std::size_t> received;
+            auto const receive = [&]
+            {
+                auto const piece = queue.pop();
+                if (!piece)
+                {
+                    return;
+                }
+                auto message = decode(*piece);
+                if (has_value(message))
+                {
+                    ++received[get_id(value(message))];
+                    return;
+                }
+                auto const whole = assembler.add(take(decode_fragment(*piece)));
+                RC_ASSERT(has_value(whole));
+                if (value(whole))
+                {
+                    ++received[get_id(take(decode(*value(whole))))];
+                }
+            };
+            auto const steps = *rc::gen::inRange(1, 200);
+            for (int i = 0; i < steps; ++i)
+            {
+                auto const id = *rc::gen::inRange<forward_id>(1, 60);
+                switch (*rc::gen::inRange(0, 4))
+                {
+                case 0:
+                    queue.push(make_large_head(
+                        id, *rc::gen::inRange<std::size_t>(1, largest_head)));
+                    ++queued[id];
+                    break;
+                case 1:
+                    queue.push(window_update{id, 1});
+                    ++queued[id];
+                    break;
+                default:
+                    receive();
+                }
+            }
+            while (!queue.is_empty())
+            {
+                receive();
+            }
+            RC_ASSERT(received == queued);
+            RC_ASSERT(queue.bytes() == 0U);
+        }));
+}
+
+// Guards against a request that is sent although it was cancelled while another
+// message was under way in fragments.
+TEST_CASE("a held request that is cancelled is not sent")
+{
+    send_queue queue(unlimited_bytes);
+    queue.push(make_large_head(1, 3 * chunk_bytes));
+    forward_request large;
+    large.m_id = 2;
+    large.m_uri = "/" + std::string(2 * chunk_bytes, 'u');
+    queue.push(large);
+    REQUIRE(queue.pop());
+    REQUIRE(queue.pop());
+    queue.push(cancel_request{2});
+    std::size_t fragments = 2;
+    while (auto const piece = queue.pop())
+    {
+        CHECK(take(decode_fragment(*piece)).m_message_id == 1);
+        ++fragments;
+    }
+    CHECK(fragments == 4);
+    CHECK(queue.bytes() == 0);
+}
+
 // Guards against a large body that delays other requests: between two of its
 // chunks, one chunk of every other request is sent.
 TEST_CASE("requests are served round-robin by chunks")
