Bound the memory of answers in tiny chunks

Cause: a host stops reading a target when 256 KiB wait for the caller, but evhttp keeps each chunk in a buffer of about a kilobyte, and the queue of a link an item for each part. Only the bytes were counted.

Change: the chunks of one read are joined before evhttp sees them; small parts of an answer wait in one buffer once 4 KiB wait for the caller; small parts of a body in the queue of a link are joined.

--- a/src/net/answer_validator.cpp
+++ b/src/net/answer_validator.cpp
@@ -226,17 +226,16 @@
 
 result<std::string> answer_validator::divide_chunks(std::string_view bytes)
 {
-    std::string out;
+    bool const was_done = m_phase == chunk_phase::done;
+    // One chunk: evhttp reports each one by itself.
+    std::string data;
     while (!bytes.empty() && m_phase != chunk_phase::done)
     {
         if (m_phase == chunk_phase::data)
         {
             auto const size =
                 std::min<std::uint64_t>(m_remaining_bytes, bytes.size());
-            out += absl::StrCat(absl::Hex(size));
-            out += line_end;
-            out += bytes.substr(0, size);
-            out += line_end;
+            data += bytes.substr(0, size);
             bytes.remove_prefix(size);
             m_remaining_bytes -= size;
             m_phase = m_remaining_bytes == 0 ? chunk_phase::data_end
@@ -251,17 +250,29 @@
         }
         if (end == std::string_view::npos)
         {
-            return out;
+            break;
         }
         bytes.remove_prefix(end + 1);
         if (!process_line())
         {
             return malformed("invalid chunk");
         }
-        if (m_phase == chunk_phase::done)
-        {
-            out += "0\r\n\r\n";
-        }
+    }
+    std::string out;
+    if (!data.empty())
+    {
+        out = absl::StrCat(absl::Hex(data.size()));
+        out += line_end;
+        out += data;
+        out += line_end;
+    }
+    if (m_phase != chunk_phase::done)
+    {
+        return out;
+    }
+    if (!was_done)
+    {
+        out += "0\r\n\r\n";
     }
     out += bytes;
     return out;
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -33,6 +33,10 @@
                        { return equals_ignore_case(name, other); });
 }
 
+/// Each chunk takes about a kilobyte of memory in evhttp, whatever its size.
+/// Chunks are written at once while no more than this waits for the caller.
+constexpr std::size_t max_unread_small_chunks = 4096;
+
 std::optional<std::string_view> find_length(http_headers const& headers)
 {
     return find_header(headers, "Content-Length");
@@ -71,6 +75,11 @@
     static void on_written(evhttp_connection* /*connection*/, void* self)
     {
         auto* exchange = static_cast<http_exchange*>(self);
+        if (exchange->m_request != nullptr && !exchange->m_waiting_data.empty())
+        {
+            exchange->send_chunk(std::exchange(exchange->m_waiting_data, {}));
+            return;
+        }
         if (exchange->m_request != nullptr && exchange->m_on_drained)
         {
             // Copied because the action may replace or destroy itself.
@@ -246,6 +255,19 @@
         }
         *m_remaining_length -= data.size();
     }
+    if (!m_waiting_data.empty() ||
+        (m_has_sent_chunk && data.size() < max_unread_small_chunks &&
+         buffered_bytes() > max_unread_small_chunks))
+    {
+        m_waiting_data += data;
+        return;
+    }
+    send_chunk(data);
+}
+
+void http_exchange::send_chunk(std::string_view data)
+{
+    m_has_sent_chunk = true;
     auto* buffer = evbuffer_new();
     evbuffer_add(buffer, data.data(), data.size());
     evhttp_send_reply_chunk_with_cb(m_request, buffer, &callbacks::on_written,
@@ -265,6 +287,10 @@
         abort();
         return;
     }
+    if (!m_waiting_data.empty())
+    {
+        send_chunk(std::exchange(m_waiting_data, {}));
+    }
     evhttp_send_reply_end(release_request());
 }
 
@@ -287,7 +313,8 @@
     }
     auto* connection = evhttp_request_get_connection(m_request);
     auto* transport = evhttp_connection_get_bufferevent(connection);
-    return evbuffer_get_length(bufferevent_get_output(transport));
+    return evbuffer_get_length(bufferevent_get_output(transport)) +
+           m_waiting_data.size();
 }
 
 void http_exchange::set_on_closed(std::function<void()> action)
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -84,10 +84,19 @@
     caller_connection* m_connection;
     bool m_is_started = false;
     bool m_has_body = true;
+    /// evhttp reports when the caller has been sent everything, which it does
+    /// not for a head alone.
+    bool m_has_sent_chunk = false;
     /// Bytes of the announced length that have not been written.
+    /// Sends data as one chunk.
+    void send_chunk(std::string_view data);
+
     std::optional<std::uint64_t> m_remaining_length;
     std::unique_ptr<close_detector> m_close_detector;
     std::function<void()> m_on_closed;
+    /// Small parts of the body that wait until the caller has read what was
+    /// written before.
+    std::string m_waiting_data;
     std::function<void()> m_on_drained;
 };
 
--- a/src/net/send_queue.cpp
+++ b/src/net/send_queue.cpp
@@ -126,6 +126,23 @@
     return true;
 }
 
+bool send_queue::append_to_last(stream& queued_stream, item const& added)
+{
+    if (added.m_kind != item_kind::request_body &&
+        added.m_kind != item_kind::answer_body)
+    {
+        return false;
+    }
+    auto& items = queued_stream.m_items;
+    if (items.empty() || items.back().m_kind != added.m_kind ||
+        items.back().m_bytes.size() >= chunk_bytes)
+    {
+        return false;
+    }
+    items.back().m_bytes += added.m_bytes;
+    return true;
+}
+
 bool send_queue::push(peer_message message)
 {
     auto const key = make_stream_key(message);
@@ -152,7 +169,10 @@
         drop_request_bodies(queued_stream);
     }
     m_bytes += new_item.m_bytes.size();
-    queued_stream.m_items.push_back(std::move(new_item));
+    if (!append_to_last(queued_stream, new_item))
+    {
+        queued_stream.m_items.push_back(std::move(new_item));
+    }
     return true;
 }
 
--- a/src/net/send_queue.hpp
+++ b/src/net/send_queue.hpp
@@ -83,6 +83,9 @@
 
     static stream_key make_stream_key(peer_message const& message);
     item make_item(peer_message message);
+    /// Joins small parts of a body, each of which would take the memory of an
+    /// item. False if the part needs an item of its own.
+    static bool append_to_last(stream& queued_stream, item const& added);
     void drop_request_bodies(stream& queued_stream);
     /// Removes a request of which nothing was sent. False if there is none.
     bool drop_unsent_request(stream_key const& key);
--- a/src/net/send_queue_test.cpp
+++ b/src/net/send_queue_test.cpp
@@ -107,6 +107,40 @@
         }));
 }
 
+// Guards against a body in tiny parts that takes the memory of an item for each
+// byte, and against joined parts that lose their order or their request.
+TEST_CASE("small parts of a body are sent together")
+{
+    send_queue queue(unlimited_bytes);
+    std::string expected;
+    for (int i = 0; i < 1000; ++i)
+    {
+        expected += static_cast<char>('a' + i % 26);
+        queue.push(answer_chunk{1, expected.substr(expected.size() - 1)});
+        queue.push(body_chunk{1, "b"});
+    }
+    queue.push(answer_end{1});
+    std::map<bool, std::string> received;
+    std::size_t pieces = 0;
+    while (auto const piece = queue.pop())
+    {
+        ++pieces;
+        auto const message = take(decode(*piece));
+        if (auto const* answer = std::get_if<answer_chunk>(&message))
+        {
+            received[true] += answer->m_data;
+        }
+        else if (auto const* body = std::get_if<body_chunk>(&message))
+        {
+            received[false] += body->m_data;
+        }
+    }
+    CHECK(pieces == 3);
+    CHECK(received[true] == expected);
+    CHECK(received[false] == std::string(1000, 'b'));
+    CHECK(queue.bytes() == 0);
+}
+
 // Guards against a request that is sent although it was cancelled while another
 // message was under way in fragments.
 TEST_CASE("a held request that is cancelled is not sent")
