Judge only the newest of several versions that one answer shows

A host that had got version 9 from another host before its own answer showed versions 8 and 9 took version 8 for the newest one, was in doubt for a moment and refused keys, and so did the hosts that it told. Found while reading the change, before any run of it by users.

Change: of the versions in one answer, all are applied in order, and only the last one is judged.

--- a/src/cli/config_commands_test.cpp
+++ b/src/cli/config_commands_test.cpp
@@ -260,7 +260,7 @@
 }
 
 // Guards against an entry that hosts leave out without a word to operators, and
-// against a key in that word.
+// against a value of it, which may be a key, in that word.
 TEST_CASE("config check names the entries that hosts would leave out")
 {
     auto const check = [](std::string const& rank)
@@ -268,12 +268,12 @@
         std::string const name = "check-operators.json";
         std::ofstream(name)
             << R"({"version":7,"resources":[{"resource_kind":"tenants",)"
-            << R"("metadata":{"name":"shop"},"spec":{"api_keys":["secret"],)"
+            << R"("metadata":{"name":"shop"},"spec":{)"
             << R"("priority":)" << rank << "}}]}";
         return run({"config", "check", "--operators", name});
     };
     CHECK(check("10").m_exit_code == 0);
-    auto const faulty = check("-1");
+    auto const faulty = check(R"("secret")");
     CHECK(faulty.m_exit_code == 2);
     CHECK(contains(faulty.m_out, "left out: tenants \"shop\": "));
     CHECK(contains(faulty.m_out, "1 entries left out"));
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -380,7 +380,7 @@
     auto loop = take(event_loop::create());
     for (std::string const& cut :
          {answer,
-          std::string("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: "
+          std::string("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: "
                       "1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n"),
           std::string("HTTP/1.0 500 Error\r\nVia: HTTP/1.1 x\r\nX-Id: a\r\n"
                       "Connection: close\r\n\r\n")})
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -224,6 +224,18 @@
     record_document_read(host, read, reason);
 }
 
+/// Applies a version that a later one has replaced in the store, which may be
+/// unreadable.
+void apply_superseded_version(entry_host& host, std::string const& text)
+{
+    auto const applied =
+        apply_operator_document(host, text, core::configuration_source::store);
+    if (!has_value(applied))
+    {
+        report_rejected_document(host, failure(applied).m_message);
+    }
+}
+
 void apply_configuration_snapshot(entry_host& host,
                                   platform::stored_range const& snapshot,
                                   bool is_latest, core::time_point asked)
@@ -261,6 +273,35 @@
     apply_configuration_snapshot(host, snapshot, is_latest, asked);
 }
 
+/// Applies the versions of the document that an answer shows, oldest first.
+/// Only the last one is known to have been the newest.
+void apply_document_changes(entry_host& host,
+                            platform::range_changes const& changes,
+                            core::time_point asked)
+{
+    auto const& key = host.m_adapter.m_store_layout->m_configuration_key;
+    platform::range_event const* newest = nullptr;
+    for (auto const& event : changes.m_events)
+    {
+        if (event.m_key != key)
+        {
+            continue;
+        }
+        if (newest != nullptr && newest->m_value)
+        {
+            apply_superseded_version(host, *newest->m_value);
+        }
+        newest = &event;
+    }
+    if (newest != nullptr)
+    {
+        document_read read;
+        read.m_position = {changes.m_epoch, newest->m_revision};
+        read.m_asked = asked;
+        apply_configuration_value(host, newest->m_value, read);
+    }
+}
+
 void apply_changes(entry_host& host, range_watch& range,
                    platform::range_changes const& changes,
                    core::time_point asked)
@@ -271,16 +312,7 @@
         return;
     }
     apply_evacuation_changes(host, changes);
-    for (auto const& event : changes.m_events)
-    {
-        if (event.m_key == host.m_adapter.m_store_layout->m_configuration_key)
-        {
-            document_read read;
-            read.m_position = {changes.m_epoch, event.m_revision};
-            read.m_asked = asked;
-            apply_configuration_value(host, event.m_value, read);
-        }
-    }
+    apply_document_changes(host, changes, asked);
 }
 
 core::duration change_interval(entry_host const& host, range_watch const& range)
