--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -2,6 +2,7 @@
 #include "net/http_client.hpp"
 #include "net/net_test_support.hpp"
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -347,8 +348,8 @@
                 REQUIRE(run_until(*loop,
                                   [&] { return count_requests(server) == 1; }));
                 auto& connection = *server.m_connections[0];
-                connection.send(start + "\r\nX-Id: a\r\n" + options +
-                                "X-End: b\r\n\r\nbo");
+                connection.send(absl::StrCat(start, "\r\nX-Id: a\r\n", options,
+                                             "X-End: b\r\n\r\nbo"));
                 REQUIRE(
                     run_until(*loop, [&] { return !record.m_body.empty(); }));
                 connection.send("dy");
