Compare the new fields of a configuration in the property test of documents

document_property_test names all members of core::configuration, so that a new one is not forgotten. Documents of the own format have no left-out entries, which the test now demands.

--- a/src/config/document_property_test.cpp
+++ b/src/config/document_property_test.cpp
@@ -253,12 +253,16 @@
 bool are_equal(core::configuration const& a, core::configuration const& b)
 {
     auto const& [generation, change, zones, hosts, addresses, keys, depth,
-                 owners, idle, services, routes, customers] = a;
+                 owners, idle, services, routes, customers, left_out,
+                 has_unknown_routes, may_need_keys] = a;
     return std::tie(generation, change, hosts, addresses, keys, depth, owners,
-                    idle) ==
+                    idle, has_unknown_routes, may_need_keys) ==
                std::tie(b.m_generation, b.m_change_id, b.m_max_entry_hosts,
                         b.m_address_lifetime, b.m_key_lifetime, b.m_max_depth,
-                        b.m_max_owners_per_zone, b.m_caller_idle_timeout) &&
+                        b.m_max_owners_per_zone, b.m_caller_idle_timeout,
+                        b.m_has_unknown_routes, b.m_may_need_keys) &&
+           // Documents of this format are taken whole.
+           left_out.empty() && b.m_left_out.empty() &&
            are_equal(customers, b.m_customers) && are_equal(zones, b.m_zones) &&
            std::equal(routes.begin(), routes.end(), b.m_routes.begin(),
                       b.m_routes.end(),
