Show what listeners do and what delays the event loop

The logs could not tell whether callers wait in a listener's queue, at a paused listener or unread, nor which callback makes the event loop late, and an overloaded host left out the lines on its own state.

GET /status and the metrics now have, for each listener, the connections that were accepted, refused and wait, and for how long accepting has failed; the delay of the loop, the longest one, and the longest activities by name. The line 'event loop delayed' names the longest activity and the longest one within another. Lines on the state of the process have a rate limit of their own.

--- a/src/base/activity.cpp
+++ b/src/base/activity.cpp
@@ -1,5 +1,7 @@
 #include "base/activity.hpp"
 
+#include <utility>
+
 namespace hawthornspur::diagnostics
 {
 
@@ -16,7 +18,14 @@
     ++log.m_count;
 }
 
+longest_activities take_longest_activities() noexcept
+{
+    return std::exchange(current_activities().m_longest, {});
+}
+
 activity_scope::activity_scope(char const* name, std::uint64_t id) noexcept
+    : m_activity{name, id}
+    , m_start(std::chrono::steady_clock::now())
 {
     record_activity(name, id);
     auto& log = current_activities();
@@ -29,7 +38,15 @@
 
 activity_scope::~activity_scope()
 {
-    --current_activities().m_depth;
+    auto& log = current_activities();
+    --log.m_depth;
+    auto& longest =
+        log.m_depth == 0 ? log.m_longest.m_outer : log.m_longest.m_inner;
+    auto const time = std::chrono::steady_clock::now() - m_start;
+    if (time > longest.m_time)
+    {
+        longest = {m_activity, time};
+    }
 }
 
 } // namespace hawthornspur::diagnostics
--- a/src/base/activity.hpp
+++ b/src/base/activity.hpp
@@ -2,6 +2,7 @@
 #define HAWTHORNSPUR_BASE_ACTIVITY_HPP
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -17,6 +18,22 @@
     std::uint64_t m_id = 0;
 };
 
+/// How long an activity ran.
+struct timed_activity
+{
+    activity m_activity;
+    std::chrono::steady_clock::duration m_time{};
+};
+
+/// The longest activities since they were last taken.
+struct longest_activities
+{
+    /// Not within another activity.
+    timed_activity m_outer;
+    /// Directly or indirectly within another one.
+    timed_activity m_inner;
+};
+
 /// Activities of one thread. Plain memory that a signal handler can read.
 struct activity_log
 {
@@ -30,6 +47,7 @@
     /// The last activities that began, as a ring.
     std::array<activity, max_recent> m_recent;
     std::uint64_t m_count = 0;
+    longest_activities m_longest;
 };
 
 /// The log of the calling thread.
@@ -38,7 +56,11 @@
 /// Adds an activity that has no duration.
 void record_activity(char const* name, std::uint64_t id = 0) noexcept;
 
-/// Marks an activity as running until the end of the scope.
+/// Returns the longest activities that ended since the last call, and starts
+/// anew.
+longest_activities take_longest_activities() noexcept;
+
+/// Marks an activity as running until the end of the scope, and measures it.
 class activity_scope
 {
 public:
@@ -46,6 +68,10 @@
     ~activity_scope();
     activity_scope(activity_scope const&) = delete;
     activity_scope& operator=(activity_scope const&) = delete;
+
+private:
+    activity m_activity;
+    std::chrono::steady_clock::time_point m_start;
 };
 
 } // namespace hawthornspur::diagnostics
--- a/src/base/logging.cpp
+++ b/src/base/logging.cpp
@@ -42,9 +42,13 @@
 /// time is needed for the calls.
 constexpr int max_lines_per_second = 300;
 
+/// More than a process writes on its own state while a fleet starts.
+constexpr int max_process_lines_per_second = 300;
+
 /// Rate limit in windows of one second.
 struct line_limiter
 {
+    int m_max_lines = 0;
     std::chrono::steady_clock::time_point m_window_start{};
     int m_lines = 0;
     std::uint64_t m_discarded_lines = 0;
@@ -52,9 +56,8 @@
 
 /// Returns whether one more line may be written. At the start of a window, logs
 /// the number of lines that were discarded in the previous ones.
-bool try_acquire_line(log4cxx::Logger& logger)
+bool try_acquire_line(line_limiter& limiter, log4cxx::Logger& logger)
 {
-    static line_limiter limiter;
     auto const now = std::chrono::steady_clock::now();
     if (now - limiter.m_window_start >= std::chrono::seconds(1))
     {
@@ -70,7 +73,7 @@
             log4cxx::MDC::remove("lines");
         }
     }
-    if (++limiter.m_lines > max_lines_per_second)
+    if (++limiter.m_lines > limiter.m_max_lines)
     {
         ++limiter.m_discarded_lines;
         return false;
@@ -78,6 +81,28 @@
     return true;
 }
 
+void write_limited(line_limiter& limiter, level severity,
+                   std::string const& logger, std::string_view message,
+                   std::initializer_list<field> fields)
+{
+    auto const module_logger = log4cxx::Logger::getLogger(logger);
+    auto const log_level = to_log4cxx(severity);
+    if (!module_logger->isEnabledFor(log_level) ||
+        !try_acquire_line(limiter, *module_logger))
+    {
+        return;
+    }
+    for (auto const& entry : fields)
+    {
+        log4cxx::MDC::put(std::string(entry.m_name), entry.m_value);
+    }
+    module_logger->forcedLog(log_level, std::string(message));
+    for (auto const& entry : fields)
+    {
+        log4cxx::MDC::remove(std::string(entry.m_name));
+    }
+}
+
 } // namespace
 
 void start(level threshold)
@@ -117,25 +142,16 @@
 void write(level severity, std::string const& logger, std::string_view message,
            std::initializer_list<field> fields)
 {
-    auto const module_logger = log4cxx::Logger::getLogger(logger);
-    auto const log_level = to_log4cxx(severity);
-    if (!module_logger->isEnabledFor(log_level))
-    {
-        return;
-    }
-    if (!try_acquire_line(*module_logger))
-    {
-        return;
-    }
-    for (auto const& entry : fields)
-    {
-        log4cxx::MDC::put(std::string(entry.m_name), entry.m_value);
-    }
-    module_logger->forcedLog(log_level, std::string(message));
-    for (auto const& entry : fields)
-    {
-        log4cxx::MDC::remove(std::string(entry.m_name));
-    }
+    static line_limiter limiter{.m_max_lines = max_lines_per_second};
+    write_limited(limiter, severity, logger, message, fields);
+}
+
+void write_process_line(level severity, std::string const& logger,
+                        std::string_view message,
+                        std::initializer_list<field> fields)
+{
+    static line_limiter limiter{.m_max_lines = max_process_lines_per_second};
+    write_limited(limiter, severity, logger, message, fields);
 }
 
 } // namespace hawthornspur::logging
--- a/src/base/logging.hpp
+++ b/src/base/logging.hpp
@@ -44,6 +44,13 @@
 void write(level severity, std::string const& logger, std::string_view message,
            std::initializer_list<field> fields = {});
 
+/// Like write(), for lines on the state of the process rather than on one
+/// request. They have a rate limit of their own, so that the lines on requests
+/// of an overloaded host do not displace them.
+void write_process_line(level severity, std::string const& logger,
+                        std::string_view message,
+                        std::initializer_list<field> fields = {});
+
 } // namespace hawthornspur::logging
 
 #endif
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,9 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -88,6 +91,8 @@
     std::unique_ptr<timer> m_deferred_timer;
     std::unique_ptr<timer> m_idle_timer;
     std::unique_ptr<timer> m_accept_timer;
+    std::optional<core::time_point> m_accepts_failing_since;
+    bool m_is_accepting_paused = false;
 
     ~state()
     {
@@ -108,6 +113,9 @@
 
     bufferevent* on_accept();
     void on_accept_failed();
+    /// Accepts again after a pause. If accepting does not fail for as long,
+    /// the failure is over.
+    void end_accept_pause();
     void forget_listener() const;
     void set_idle(caller_connection& connection);
     void set_busy(caller_connection& connection);
@@ -135,6 +143,7 @@
     {
         return nullptr;
     }
+    m_accepts_failing_since.reset();
     ++m_counters.m_connections_accepted;
     ++m_counters.m_connections_open;
     auto owned = std::make_unique<caller_connection>(transport, m_settings,
@@ -149,13 +158,35 @@
 void http_server::state::on_accept_failed()
 {
     ++m_counters.m_accepts_failed;
-    logging::write(logging::level::warn, "net.http", "connection not accepted",
-                   {{"reason", std::strerror(errno)},
-                    {"open", std::to_string(m_counters.m_connections_open)}});
+    logging::write_process_line(
+        logging::level::warn, "net.http", "connection not accepted",
+        {{"port", std::to_string(m_port)},
+         {"reason", std::strerror(errno)},
+         {"open", std::to_string(m_counters.m_connections_open)}});
+    if (!m_accepts_failing_since)
+    {
+        m_accepts_failing_since = event_loop::now();
+    }
+    m_is_accepting_paused = true;
     evconnlistener_disable(evhttp_bound_socket_get_listener(m_socket));
     m_accept_timer->start(accept_pause);
 }
 
+void http_server::state::end_accept_pause()
+{
+    if (m_socket == nullptr)
+    {
+        return;
+    }
+    if (!std::exchange(m_is_accepting_paused, false))
+    {
+        m_accepts_failing_since.reset();
+        return;
+    }
+    evconnlistener_enable(evhttp_bound_socket_get_listener(m_socket));
+    m_accept_timer->start(accept_pause);
+}
+
 void http_server::state::forget_listener() const
 {
     if (m_socket != nullptr)
@@ -303,6 +334,7 @@
 
 void http_server::state::run_deferred()
 {
+    diagnostics::activity_scope const scope("server.deferred");
     admit_connections();
     auto const waiting = std::move(m_resumable_connections);
     m_resumable_connections.clear();
@@ -388,16 +420,8 @@
     auto deferred = timer::create(loop, [&server] { server.run_deferred(); });
     auto idle_check =
         timer::create(loop, [&server] { server.close_idle_connections(); });
-    auto accepting = timer::create(
-        loop,
-        [&server]
-        {
-            if (server.m_socket != nullptr)
-            {
-                evconnlistener_enable(
-                    evhttp_bound_socket_get_listener(server.m_socket));
-            }
-        });
+    auto accepting =
+        timer::create(loop, [&server] { server.end_accept_pause(); });
     server.m_http = evhttp_new(loop.base());
     if (server.m_http == nullptr || !has_value(deferred) ||
         !has_value(idle_check) || !has_value(accepting))
@@ -469,6 +493,25 @@
     return m_state->m_counters;
 }
 
+listener_state http_server::listener() const
+{
+    listener_state result;
+    result.m_failing_since = m_state->m_accepts_failing_since;
+    result.m_is_closed = m_state->m_socket == nullptr;
+    if (!result.m_is_closed)
+    {
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        if (::getsockopt(evhttp_bound_socket_get_fd(m_state->m_socket),
+                         IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+        {
+            // Of a listening socket, Linux reports the length of its queue.
+            result.m_waiting = info.tcpi_unacked;
+        }
+    }
+    return result;
+}
+
 std::size_t http_server::unfinished_answers() const
 {
     auto const& all = m_state->m_connections;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hawthornspur::net
@@ -66,6 +67,19 @@
     std::uint64_t m_refused_in_flight = 0;
 };
 
+/// What a server's listener does with new connections.
+struct listener_state
+{
+    /// Closed by close_listener().
+    bool m_is_closed = false;
+    /// Time since which accepting fails, mostly for lack of descriptors. The
+    /// listener pauses after each failure.
+    std::optional<core::time_point> m_failing_since;
+    /// Connections that wait in the operating system's queue; empty if it does
+    /// not tell.
+    std::optional<std::size_t> m_waiting;
+};
+
 using http_request_handler =
     std::function<void(http_request, std::shared_ptr<http_exchange>)>;
 
@@ -90,6 +104,8 @@
     std::uint16_t port() const noexcept;
     http_server_counters const& counters() const noexcept;
 
+    listener_state listener() const;
+
     /// Requests whose answer has not been handed to the operating system
     /// completely.
     std::size_t unfinished_answers() const;
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -7,6 +7,7 @@
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/quotas.hpp"
+#include "serve/self_report.hpp"
 #include "serve/stop.hpp"
 
 #include <nlohmann/json.hpp>
@@ -162,6 +163,8 @@
         {"left_out_entries", count_left_out_entries(host)},
         {"left_out", describe_left_out_entries(host)},
         {"configuration_proof_age_ms", describe_proof_age(host)},
+        {"listeners", describe_listeners(host)},
+        {"loop", describe_loop_delay(host)},
         {"calls_in_flight", host.m_calls.size()},
         {"once_keys",
          host.m_once_table == nullptr ? 0 : core::size(*host.m_once_table)},
@@ -343,6 +346,7 @@
              false,
              {}});
     }
+    add_self_report_samples(host, samples);
     add_sharing_samples(host, samples);
     return samples;
 }
--- a/src/serve/configuration_driver.cpp
+++ b/src/serve/configuration_driver.cpp
@@ -1,5 +1,6 @@
 #include "serve/configuration_driver.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "config/document.hpp"
 #include "config/json_text.hpp"
@@ -67,11 +68,12 @@
 void log_document(core::configuration const& document,
                   core::configuration_source source, std::string_view message)
 {
-    logging::write(logging::level::info, "serve.configuration", message,
-                   {{"generation", std::to_string(document.m_generation)},
-                    {"routes", std::to_string(document.m_routes.size())},
-                    {"change_id", document.m_change_id},
-                    {"source", std::string(to_string(source))}});
+    logging::write_process_line(
+        logging::level::info, "serve.configuration", message,
+        {{"generation", std::to_string(document.m_generation)},
+         {"routes", std::to_string(document.m_routes.size())},
+         {"change_id", document.m_change_id},
+         {"source", std::string(to_string(source))}});
 }
 
 /// Adds zones, owner limits and budgets, which the operators' document of this
@@ -180,6 +182,8 @@
                                   core::configuration_source source,
                                   std::string const& text = {})
 {
+    diagnostics::activity_scope const scope("configuration.apply",
+                                            document.m_generation);
     if (host.m_store_sync != nullptr)
     {
         complete_document(host, document);
@@ -420,6 +424,7 @@
 apply_operator_document(entry_host& host, std::string const& text,
                         core::configuration_source source)
 {
+    diagnostics::activity_scope const scope("configuration.read");
     auto document = host.m_adapter.m_store_layout->m_read_configuration(text);
     if (!has_value(document))
     {
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -1,7 +1,7 @@
 #include "serve/host.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
-#include "base/text.hpp"
 #include "core/once_table.hpp"
 #include "serve/administration.hpp"
 #include "serve/caller_server.hpp"
@@ -44,9 +44,6 @@
 constexpr auto rate_usage_interval = std::chrono::seconds(4);
 constexpr auto rate_limits_interval = std::chrono::seconds(1);
 
-/// Half of the time after which peers treat a link as silent.
-constexpr auto reported_loop_delay = std::chrono::milliseconds(300);
-
 /// Longest delay until a new epoch of at-most-once keys is announced.
 constexpr auto announcement_interval = std::chrono::seconds(1);
 
@@ -67,6 +64,8 @@
 
 struct repeated_action
 {
+    /// A string literal, which names the action where its time is reported.
+    char const* m_name;
     core::duration (*m_interval)(entry_host const&);
     void (*m_action)(entry_host&);
 };
@@ -75,14 +74,15 @@
 status add_repeated_action(entry_host& host, repeated_action const& repeated)
 {
     auto const index = host.m_interval_timers.size();
-    auto timer = net::timer::create(*host.m_loop,
-                                    [&host, index, repeated]
-                                    {
-                                        detect_pause(host);
-                                        repeated.m_action(host);
-                                        host.m_interval_timers[index]->start(
-                                            repeated.m_interval(host));
-                                    });
+    auto timer = net::timer::create(
+        *host.m_loop,
+        [&host, index, repeated]
+        {
+            diagnostics::activity_scope const scope(repeated.m_name);
+            detect_pause(host);
+            repeated.m_action(host);
+            host.m_interval_timers[index]->start(repeated.m_interval(host));
+        });
     if (!has_value(timer))
     {
         return failure(timer);
@@ -132,25 +132,9 @@
         });
 }
 
-/// Logs that the process could not run for a time in which its peers and
-/// callers waited.
-void report_loop_delay(entry_host& host)
-{
-    auto const delay = now() - host.m_housekeeping_due;
-    if (host.m_housekeeping_due == core::time_point{} ||
-        delay < reported_loop_delay)
-    {
-        return;
-    }
-    host.m_metrics.count_event("loop_delayed");
-    logging::write(logging::level::warn, "serve.host", "event loop delayed",
-                   {{"late_ms", milliseconds_text(delay)},
-                    {"calls", std::to_string(host.m_calls.size())}});
-}
-
 void run_housekeeping(entry_host& host)
 {
-    report_loop_delay(host);
+    record_loop_delay(host);
     expire_forwards(host);
     expire_held_calls(host);
     maintain_crash_suspects(host);
@@ -167,24 +151,29 @@
         begin_stop(host, "another process uses this host name");
     }
     advance_stop(host);
-    host.m_housekeeping_due = now() + next_housekeeping_delay(host);
+    host.m_loop_delay.m_due = now() + next_housekeeping_delay(host);
 }
 
 status start_repeated_actions(entry_host& host)
 {
     for (auto const& repeated :
-         {repeated_action{next_summary_delay, send_summaries},
-          repeated_action{next_housekeeping_delay, run_housekeeping},
-          repeated_action{[](entry_host const&) -> core::duration
+         {repeated_action{"host.summaries", next_summary_delay, send_summaries},
+          repeated_action{"host.housekeeping", next_housekeeping_delay,
+                          run_housekeeping},
+          repeated_action{"host.rate_usage",
+                          [](entry_host const&) -> core::duration
                           { return rate_usage_interval; },
                           log_rate_usage},
-          repeated_action{[](entry_host const&) -> core::duration
+          repeated_action{"host.rate_limits",
+                          [](entry_host const&) -> core::duration
                           { return rate_limits_interval; },
                           share_rate_limits},
-          repeated_action{[](entry_host const&) -> core::duration
+          repeated_action{"host.announce",
+                          [](entry_host const&) -> core::duration
                           { return announcement_interval; },
                           announce_periodically},
-          repeated_action{[](entry_host const&) -> core::duration
+          repeated_action{"host.host_list",
+                          [](entry_host const&) -> core::duration
                           { return host_list_interval; },
                           request_host_list}})
     {
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -22,6 +22,7 @@
 #include "serve/call.hpp"
 #include "serve/crash_reports.hpp"
 #include "serve/evacuations.hpp"
+#include "serve/loop_delay.hpp"
 #include "serve/metrics.hpp"
 #include "serve/platform_adapter.hpp"
 #include "serve/start_queue.hpp"
@@ -194,7 +195,7 @@
     std::unique_ptr<net::timer> m_routing_timer;
     bool m_is_routing_update_pending = false;
     std::vector<std::unique_ptr<net::timer>> m_interval_timers;
-    core::time_point m_housekeeping_due{};
+    loop_delay m_loop_delay;
     std::vector<std::unique_ptr<net::signal_watch>> m_signal_watches;
 };
 
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -1,5 +1,6 @@
 #include "serve/membership_driver.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "core/link_choice.hpp"
 #include "core/once_table.hpp"
@@ -131,6 +132,7 @@
 
 void on_routing_timer(entry_host& host)
 {
+    diagnostics::activity_scope const scope("routing.timer");
     detect_pause(host);
     if (host.m_is_ready)
     {
@@ -144,6 +146,7 @@
 
 void on_membership_timer(entry_host& host)
 {
+    diagnostics::activity_scope const scope("membership.timer");
     detect_pause(host);
     core::membership_effects effects;
     core::on_timer(*host.m_membership, now(), effects);
@@ -253,6 +256,7 @@
 
 void on_datagram(entry_host& host, core::membership_message const& message)
 {
+    diagnostics::activity_scope const scope("peer.datagram");
     detect_pause(host);
     core::membership_effects effects;
     core::on_message(*host.m_membership, message, now(), effects);
@@ -334,6 +338,7 @@
 
 void update_routing(entry_host& host)
 {
+    diagnostics::activity_scope const scope("routing.update");
     host.m_is_routing_update_pending = false;
     update_peer_links(host);
     auto records = core::hosts(*host.m_membership);
--- a/src/serve/stored_targets.cpp
+++ b/src/serve/stored_targets.cpp
@@ -1,5 +1,6 @@
 #include "serve/stored_targets.hpp"
 
+#include "base/activity.hpp"
 #include "base/logging.hpp"
 #include "platform/store_layout.hpp"
 #include "serve/configuration_driver.hpp"
@@ -96,6 +97,7 @@
 void apply_target_snapshot(entry_host& host,
                            platform::stored_range const& snapshot)
 {
+    diagnostics::activity_scope const scope("targets.snapshot");
     std::vector<core::registered_target> targets;
     for (auto const& item : snapshot.m_items)
     {
