Derive readiness from what a host does with connections

What callers saw: a host in the directory that said ready and took none of their connections. Cause: m_is_ready was set once and never taken back, whatever the callers' listener did; the readiness listener has connections of its own.

core/host_readiness decides from the listener (not able to accept for a second, the time that callers wait for a connection) and the event loop (late by a second, for a second). GET /status names the reason, and each change has a line.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -493,6 +493,12 @@
     return m_state->m_counters;
 }
 
+std::optional<core::time_point>
+http_server::accepts_failing_since() const noexcept
+{
+    return m_state->m_accepts_failing_since;
+}
+
 listener_state http_server::listener() const
 {
     listener_state result;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -105,6 +105,8 @@
     http_server_counters const& counters() const noexcept;
 
     listener_state listener() const;
+    /// See listener_state::m_failing_since.
+    std::optional<core::time_point> accepts_failing_since() const noexcept;
 
     /// Requests whose answer has not been handed to the operating system
     /// completely.
--- a/src/serve/address_answer.cpp
+++ b/src/serve/address_answer.cpp
@@ -7,6 +7,7 @@
 #include "net/http_refusal.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/readiness.hpp"
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -7,6 +7,7 @@
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
 #include "serve/quotas.hpp"
+#include "serve/readiness.hpp"
 #include "serve/self_report.hpp"
 #include "serve/stop.hpp"
 
@@ -149,6 +150,7 @@
         {"incarnation", host.m_incarnation},
         {"state", to_string(self.m_state)},
         {"ready", is_ready(host)},
+        {"not_ready_reason", to_string(host.m_readiness.m_fault)},
         {"isolated", host.m_is_isolated},
         {"generation", configuration.m_in_force == nullptr
                            ? 0
--- a/src/serve/directory_server.cpp
+++ b/src/serve/directory_server.cpp
@@ -4,6 +4,7 @@
 #include "net/http_refusal.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/readiness.hpp"
 
 #include <memory>
 #include <string>
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -16,6 +16,7 @@
 #include "serve/peer_driver.hpp"
 #include "serve/quota_state.hpp"
 #include "serve/rate_limits.hpp"
+#include "serve/readiness.hpp"
 #include "serve/spilling.hpp"
 #include "serve/start_queue.hpp"
 #include "serve/stop.hpp"
@@ -135,6 +136,10 @@
 void run_housekeeping(entry_host& host)
 {
     record_loop_delay(host);
+    if (judge_readiness(host))
+    {
+        announce_self(host);
+    }
     expire_forwards(host);
     expire_held_calls(host);
     maintain_crash_suspects(host);
--- a/src/serve/host.hpp
+++ b/src/serve/host.hpp
@@ -6,6 +6,7 @@
 #include "core/configuration_state.hpp"
 #include "core/crash_suspects.hpp"
 #include "core/fleet_start.hpp"
+#include "core/host_readiness.hpp"
 #include "core/membership.hpp"
 #include "core/once_table.hpp"
 #include "core/pool.hpp"
@@ -135,9 +136,7 @@
     core::fleet_start m_fleet_start;
     core::once_table_ptr m_once_table;
     bool m_is_isolated = false;
-    /// The host has had the newest known configuration, its targets and the
-    /// hosts of its zone. Never reset.
-    bool m_is_ready = false;
+    core::host_readiness m_readiness;
 
     std::unordered_map<core::request_id, std::unique_ptr<active_call>> m_calls;
     /// Calls and pools that have ended, destroyed from the event loop:
--- a/src/serve/membership_driver.cpp
+++ b/src/serve/membership_driver.cpp
@@ -8,6 +8,7 @@
 #include "serve/host.hpp"
 #include "serve/pools.hpp"
 #include "serve/quotas.hpp"
+#include "serve/readiness.hpp"
 #include "serve/start_queue.hpp"
 #include "serve/store_role_inputs.hpp"
 #include "serve/store_sync.hpp"
@@ -134,7 +135,7 @@
 {
     diagnostics::activity_scope const scope("routing.timer");
     detect_pause(host);
-    if (host.m_is_ready)
+    if (host.m_readiness.m_has_started)
     {
         update_routing(host);
     }
@@ -290,22 +291,14 @@
 
 bool can_route(entry_host const& host) noexcept
 {
-    return host.m_is_ready || (host.m_store_sync != nullptr &&
-                               core::is_current(host.m_configuration));
-}
-
-bool is_ready(entry_host const& host) noexcept
-{
-    return host.m_is_ready;
+    return host.m_readiness.m_has_started ||
+           (host.m_store_sync != nullptr &&
+            core::is_current(host.m_configuration));
 }
 
 void announce_self(entry_host& host)
 {
-    // A ready host stays ready. While it fetches a newer generation, it serves
-    // under the old one.
-    host.m_is_ready =
-        host.m_is_ready ||
-        (core::is_current(host.m_configuration) && has_discovered_zone(host));
+    judge_readiness(host);
     auto state = core::host_state::joining;
     if (host.m_stop_stage != stop_stage::running)
     {
--- a/src/serve/membership_driver.hpp
+++ b/src/serve/membership_driver.hpp
@@ -61,9 +61,6 @@
 /// forward, but owns no pool before it has read the targets.
 bool can_route(entry_host const& host) noexcept;
 
-/// Whether the host is ready; see entry_host::m_is_ready.
-bool is_ready(entry_host const& host) noexcept;
-
 } // namespace hawthornspur::serve
 
 #endif
--- a/src/serve/store_sync.cpp
+++ b/src/serve/store_sync.cpp
@@ -11,6 +11,7 @@
 #include "serve/host.hpp"
 #include "serve/host_registration.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/readiness.hpp"
 #include "serve/store_role_inputs.hpp"
 #include "serve/stored_configuration.hpp"
 #include "serve/stored_targets.hpp"
--- a/tests/configuration_proof_test.cpp
+++ b/tests/configuration_proof_test.cpp
@@ -7,6 +7,7 @@
 #include "serve/configuration_proofs.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/readiness.hpp"
 #include "target_emulator/target_emulator.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -1,11 +1,15 @@
 #include "net/socket_address.hpp"
 #include "serve/caller_server.hpp"
+#include "serve/readiness.hpp"
 #include "test_cluster.hpp"
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -58,8 +62,87 @@
     std::vector<int> m_sockets;
 };
 
+/// Leaves this process no free descriptor until it is destroyed.
+class no_descriptors
+{
+public:
+    no_descriptors()
+    {
+        REQUIRE(::getrlimit(RLIMIT_NOFILE, &m_limit) == 0);
+        constexpr rlim_t enough = 1024;
+        rlimit const lower{std::min(enough, m_limit.rlim_max),
+                           m_limit.rlim_max};
+        REQUIRE(::setrlimit(RLIMIT_NOFILE, &lower) == 0);
+        for (int fd = ::dup(0); fd >= 0; fd = ::dup(0))
+        {
+            m_descriptors.push_back(fd);
+        }
+    }
+    ~no_descriptors()
+    {
+        for (auto const fd : m_descriptors)
+        {
+            ::close(fd);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &m_limit);
+    }
+    no_descriptors(no_descriptors const&) = delete;
+    no_descriptors& operator=(no_descriptors const&) = delete;
+
+private:
+    rlimit m_limit{};
+    std::vector<int> m_descriptors;
+};
+
+/// A caller whose connection waits to be accepted: its socket is opened before
+/// descriptors run out, and connects afterwards.
+class waiting_caller
+{
+public:
+    waiting_caller()
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        REQUIRE(m_socket >= 0);
+    }
+    ~waiting_caller()
+    {
+        ::close(m_socket);
+    }
+    waiting_caller(waiting_caller const&) = delete;
+    waiting_caller& operator=(waiting_caller const&) = delete;
+
+    void connect(std::uint16_t port) const
+    {
+        auto const address = net::parse_address("127.0.0.1", port);
+        REQUIRE(::connect(m_socket, address->get(), address->m_length) == 0);
+    }
+
+private:
+    int m_socket;
+};
+
 } // namespace
 
+// Guards against a host that says ready and accepts no connection (issue 64).
+TEST_CASE("a host that cannot accept connections is not ready")
+{
+    test_cluster cluster(2, 1);
+    auto& host = cluster.host(0);
+    REQUIRE(serve::is_ready(host));
+    waiting_caller const caller;
+    {
+        no_descriptors const used_up;
+        caller.connect(host.m_caller_server->port());
+        cluster.run_for(std::chrono::milliseconds(2000));
+        CHECK(host.m_caller_server->counters().m_accepts_failed > 0);
+        CHECK(!serve::is_ready(host));
+        // Nobody tried the other one, whose listener has not failed.
+        CHECK(serve::is_ready(cluster.host(1)));
+    }
+    cluster.run_until([&] { return serve::is_ready(host); });
+    CHECK(cluster.send_and_wait(0, "POST", "/x").m_head.m_status == 200);
+}
+
 // Guards against an owner whose descriptors are all taken by connections that
 // callers do not use: it can neither reach its targets nor other hosts.
 TEST_CASE("idle callers leave a host the descriptors that it needs")
--- a/tests/host_failure_test.cpp
+++ b/tests/host_failure_test.cpp
@@ -218,7 +218,7 @@
 TEST_CASE("a host is not ready while a newer generation is announced")
 {
     test_cluster cluster(1, 1);
-    cluster.host(0).m_is_ready = false;
+    cluster.host(0).m_readiness = {};
     cluster.host(0).m_configuration.m_newest_generation = 2;
     auto const refused = cluster.send_and_wait(0, "GET", "/x");
     CHECK(get_result_code(refused) == 2007);
--- a/tests/store_platform_test.cpp
+++ b/tests/store_platform_test.cpp
@@ -5,6 +5,7 @@
 #include "serve/configuration_driver.hpp"
 #include "serve/host.hpp"
 #include "serve/membership_driver.hpp"
+#include "serve/readiness.hpp"
 #include "serve/stop.hpp"
 #include "serve/store_sync.hpp"
 #include "store_fixture.hpp"
