Share the callers of a small owner with large hosts of other zones

What callers saw: when the large hosts of a zone are gone, a host with 0.07 cores and 10 Mbit/s owns the zone's pools, and address answers name it alone.

Cause: address answers named the owner of the pools, whatever it can carry. core::callers_hosts adds the owners of other zones of the region with at least four times its processor time. They serve from their own zone and spill the rest. Where hosts are of one size, and while a large host lives, nothing changes.

--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -4,6 +4,7 @@
 #include "core/ownership.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace hawthornspur::core
@@ -12,6 +13,11 @@
 namespace
 {
 
+/// Hosts with this much more processor time than the smallest owner of a zone
+/// take some of its callers. Twice as much would move callers between hosts
+/// that can carry a zone each.
+constexpr int much_larger = 4;
+
 /// Slots of the active targets of the service in the zone.
 int count_active_slots(service_config const& service, std::string const& zone)
 {
@@ -157,6 +163,41 @@
     return hosts;
 }
 
+std::vector<std::string> callers_hosts(routing_table& table,
+                                       configuration const& document,
+                                       std::string const& zone)
+{
+    auto hosts = zone_hosts(table, document, zone);
+    auto const* own_zone = find_zone(document, zone);
+    if (own_zone == nullptr)
+    {
+        return hosts;
+    }
+    int smallest = std::numeric_limits<int>::max();
+    for (auto const& name : hosts)
+    {
+        smallest = std::min(smallest, find_host(table, name)->m_millicores);
+    }
+    for (auto const& other : document.m_zones)
+    {
+        if (other.m_name == zone || other.m_region != own_zone->m_region)
+        {
+            continue;
+        }
+        for (auto const& name : zone_hosts(table, document, other.m_name))
+        {
+            bool const is_named =
+                std::find(hosts.begin(), hosts.end(), name) != hosts.end();
+            if (!is_named &&
+                find_host(table, name)->m_millicores / much_larger >= smallest)
+            {
+                hosts.push_back(name);
+            }
+        }
+    }
+    return hosts;
+}
+
 bool has_same_route(host_record const& a, host_record const& b) noexcept
 {
     return a.m_state == b.m_state && a.m_incarnation == b.m_incarnation &&
--- a/src/core/routing.hpp
+++ b/src/core/routing.hpp
@@ -57,7 +57,19 @@
                                               configuration const& document,
                                               pool_id const& pool);
 
-/// Returns the hosts that own the pools of a zone; its callers should use them.
+/// Returns the hosts that callers of a zone should use: the owners of its pools
+/// and, if these are small, the much larger owners of other zones of the region
+/// beside them.
+///
+/// Load pattern: the large hosts of a zone are lost, and a small one owns its
+/// pools. All callers of the zone would fill its link, so that it accepts their
+/// connections too late. It remains the owner, and gets the requests that other
+/// zones have no slots for.
+std::vector<std::string> callers_hosts(routing_table& table,
+                                       configuration const& document,
+                                       std::string const& zone);
+
+/// Returns the hosts that own the pools of a zone.
 std::vector<std::string> zone_hosts(routing_table& table,
                                     configuration const& document,
                                     std::string const& zone);
--- a/src/core/routing_test.cpp
+++ b/src/core/routing_test.cpp
@@ -108,4 +108,32 @@
         remote_pools(table, document, document.m_services[0], "b", 2).empty());
 }
 
+// Guards against a small host that gets all callers of its zone after the large
+// ones were lost (issue 64).
+TEST_CASE("callers of a zone with a small owner use large ones beside it")
+{
+    using names = std::vector<std::string>;
+    auto document = make_two_zones();
+    document.m_max_owners_per_zone = 1;
+    auto const find_hosts = [&](int millicores_of_a, int millicores_of_b)
+    {
+        auto a = make_host("a1", "a", host_state::live);
+        a.m_millicores = millicores_of_a;
+        auto b = make_host("b1", "b", host_state::live);
+        b.m_millicores = millicores_of_b;
+        routing_table table;
+        reset(table, {a, b});
+        return callers_hosts(table, document, "a");
+    };
+    CHECK(find_hosts(500, 500) == names{"a1"});
+    CHECK(find_hosts(500, 70) == names{"a1"});
+    // The small host owns the pools of its zone and takes some of its callers.
+    CHECK(find_hosts(70, 500) == names{"a1", "b1"});
+    // Callers are not moved to other zones for a small difference.
+    CHECK(find_hosts(70, 70) == names{"a1"});
+    CHECK(find_hosts(200, 500) == names{"a1"});
+    document.m_zones[1].m_region = "far";
+    CHECK(find_hosts(70, 500) == names{"a1"});
+}
+
 } // namespace hawthornspur::core
--- a/src/serve/directory_server.cpp
+++ b/src/serve/directory_server.cpp
@@ -47,7 +47,7 @@
                            : requested_zone;
     address_list list;
     list.m_lifetime = document.m_address_lifetime;
-    for (auto const& name : core::zone_hosts(host.m_routing, document, zone))
+    for (auto const& name : core::callers_hosts(host.m_routing, document, zone))
     {
         if (auto const* record = core::find_host(host.m_routing, name))
         {
--- a/src/serve/loop_delay.cpp
+++ b/src/serve/loop_delay.cpp
@@ -16,6 +16,9 @@
 /// Half of the time after which peers treat a link as silent.
 constexpr auto reported_loop_delay = std::chrono::milliseconds(300);
 
+/// Activities that last longer delay the answers of other callers noticeably.
+constexpr auto reported_activity = std::chrono::milliseconds(100);
+
 std::string name_of(diagnostics::timed_activity const& item)
 {
     auto const* const name = item.m_activity.m_name;
@@ -46,13 +49,15 @@
     }
     record.m_last = std::max(core::duration(0), now() - record.m_due);
     record.m_longest = std::max(record.m_longest, record.m_last);
-    if (record.m_last < reported_loop_delay)
+    bool const is_delayed = record.m_last >= reported_loop_delay;
+    if (!is_delayed && activities.m_outer.m_time < reported_activity)
     {
         return;
     }
-    host.m_metrics.count_event("loop_delayed");
+    host.m_metrics.count_event(is_delayed ? "loop_delayed" : "slow_activity");
     logging::write_process_line(
-        logging::level::warn, "serve.host", "event loop delayed",
+        logging::level::warn, "serve.host",
+        is_delayed ? "event loop delayed" : "slow activity",
         {{"late_ms", milliseconds_text(record.m_last)},
          {"calls", std::to_string(host.m_calls.size())},
          {"activity", name_of(activities.m_outer)},
--- a/src/serve/loop_delay.hpp
+++ b/src/serve/loop_delay.hpp
@@ -25,7 +25,7 @@
 };
 
 /// Records how late housekeeping runs and the longest activity before it. Logs
-/// a delay in which peers and callers waited.
+/// a delay in which peers and callers waited, and a long activity.
 void record_loop_delay(entry_host& host);
 
 } // namespace hawthornspur::serve
