--- a/tests/descriptor_limit_test.cpp
+++ b/tests/descriptor_limit_test.cpp
@@ -136,10 +136,15 @@
         cluster.run_for(std::chrono::milliseconds(2000));
         CHECK(host.m_caller_server->counters().m_accepts_failed > 0);
         CHECK(!serve::is_ready(host));
+        CHECK(serve::to_string(host.m_readiness.m_fault) == "not_accepting");
+        auto const listener = host.m_caller_server->listener();
+        CHECK(listener.m_failing_since.has_value());
+        CHECK(listener.m_waiting == 1);
         // Nobody tried the other one, whose listener has not failed.
         CHECK(serve::is_ready(cluster.host(1)));
     }
     cluster.run_until([&] { return serve::is_ready(host); });
+    CHECK(!host.m_caller_server->listener().m_failing_since);
     CHECK(cluster.send_and_wait(0, "POST", "/x").m_head.m_status == 200);
 }
 
