--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,190 +1,170 @@
-"""Targets begin to answer uploads before they have read them, and read on. Rule
-LOST counts the kept connections that hosts close without a whole answer."""
+"""Clients leave before their deadline by resetting their connections. Rule
+GONE counts what upstreams still get and do for them."""
 
 import asyncio
 import os
 import random
+import socket
+import struct
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "kit-3"))
-import standins  # pylint: disable=wrong-import-position
+sys.path.insert(0, os.path.dirname(FOLDER))
+import small_fleet as standins  # pylint: disable=wrong-import-position
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CALM = 2.0  # seconds before and after the disruption
-DISRUPTION = 6.0  # of the site file
-EARLY_TARGETS = 0.7  # share of the targets
-EARLY_ANSWERS = 0.4  # share of the answers of such a target
-MEAN_BYTES, SPREAD, MOST_BYTES = 60000, 0.6, 360000
-CLIENTS = 12
-TARGETS_A_ZONE = 4
-TIMEOUT_MS, DEADLINE_MS = 2000, 3000
-
-
-class Uploads:
-    def __init__(self):
-        self.is_early_time = False
-        self.random = random.Random(int(os.environ.get("SEED", "1")))
-        self.early = {}  # request id: bytes of its body
+# "reset", or "fin" for a look at clients that leave without a reset.
+LEAVE = os.environ.get("LEAVE", "reset")
+SHARE = 0.3  # of the clients leave
+LEAVE_AFTER = 0.2  # half of the objective of map-views, in seconds
+RATE = 54.3  # map-views a second, of the sheet
+ROUNDS = 10
+DISRUPTION = 4.0  # of the site file, for this share
+CALM = 1.0
+WORK_MEAN, WORK_SPREAD, WORK_MOST = 0.14, 0.3, 1.4  # map-views, in seconds
+WORK_TAIL, WORK_TAIL_X = 0.03, 7.0
+GRACE = 0.5
+FEW = 5
+
+
+def processor_seconds(host):
+    with open(f"/proc/{host.process.pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 class Target(standins.Target):
-    """Reads each request to its end, and answers it whole."""
+    """Works as long as the site file says of map-views."""
+
+    works = None  # request id: seconds
+    random = None
+
+    async def do_work(self, request, reader):
+        base = WORK_MEAN / (1 + WORK_TAIL * (WORK_TAIL_X - 1))
+        work = base * self.random.lognormvariate(-WORK_SPREAD ** 2 / 2,
+                                                 WORK_SPREAD)
+        if self.random.random() < WORK_TAIL:
+            work *= WORK_TAIL_X
+        self.works[request] = min(WORK_MOST, work)
+        begin = time.monotonic()
+        while time.monotonic() < begin + self.works[request]:
+            await asyncio.sleep(0.02)
+            if reader.at_eof():
+                self.dropped[request] = time.monotonic()
+                raise ConnectionResetError
+        self.done[request] = time.monotonic()
 
-    uploads = None
-    is_early = False
-    arrived = 0
-    answered_early = 0
 
-    def answers_early(self):
-        if not (self.uploads.is_early_time and self.is_early):
+class Case:
+    def __init__(self):
+        self.world = standins.World(FOLDER)
+        self.random = random.Random(int(os.environ.get("SEED", "1")))
+        self.works = {}
+        self.asked, self.leavers = 0, 0  # in disruptions
+        self.left = {}  # request id: time
+        self.statuses = {}
+        self.addresses = []
+        self.begin = 0.0
+
+    def draw_leaver(self):
+        """Whether this client leaves; never more than SHARE of them do."""
+        turn = (time.monotonic() - self.begin) % (DISRUPTION + CALM)
+        if not TROUBLE or turn > DISRUPTION - LEAVE_AFTER:
             return False
-        self.arrived += 1
-        if self.answered_early >= EARLY_ANSWERS * self.arrived:
+        self.asked += 1
+        if (self.leavers + 1 > SHARE * self.asked or
+                self.random.random() < SHARE):
             return False
-        self.answered_early += 1
+        self.leavers += 1
         return True
 
-    async def serve(self, reader, writer):
+    async def call(self, number):
+        leaves = self.draw_leaver()
+        name = f"q{number}"
+        address = self.random.choice(self.addresses).rsplit(":", 1)
         try:
-            while True:
-                await self.serve_request(reader, writer)
-        except (OSError, asyncio.IncompleteReadError,
-                asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    async def serve_request(self, reader, writer):
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-        path = head.split(" ")[1]
-        headers = {name.strip().lower(): value.strip() for name, _, value in
-                   (line.partition(":") for line in head.split("\r\n")[1:])}
-        words = [f"X-Instance-Id: {self.name}", self.load()]
-        if path == "/health":
-            writer.write(standins.make_answer("200 OK", words, b""))
-            return
-        request = headers["x-request-id"]
-        size = int(headers["content-length"])
-        if headers.get("x-target-instance", self.name) != self.name:
-            await reader.readexactly(size)
-            writer.write(standins.make_answer("421 Misdirected", words, b""))
-            return
-        self.runs.append((time.monotonic(), request, headers, size))
-        self.running += 1
-        try:
-            is_early = self.answers_early()
-            body = b"" if is_early else await reader.readexactly(size)
-            lines = ["HTTP/1.1 200 OK", *words, f"X-Request-Id: {request}",
-                     f"X-Server-Signature: sig.{request}",
-                     "Transfer-Encoding: chunked"]
-            writer.write("\r\n".join(lines).encode() +
-                         b"\r\n\r\n9\r\naccepted,\r\n")
-            await writer.drain()
-            if is_early:
-                self.uploads.early[request] = size
-                self.world.record.write(f"{self.name} begins to answer "
-                                        f"{request} of {size} bytes early")
-                body = await reader.readexactly(size)
-            await asyncio.sleep(self.work)
-            text = f" {len(body)} bytes".encode()
-            writer.write(f"{len(text):x}\r\n".encode() + text +
-                         b"\r\n0\r\n\r\n")
-            await writer.drain()
-            self.done[request] = time.monotonic()
-        finally:
-            self.running -= 1
-
-
-class Case:
-    def __init__(self):
-        self.world = standins.World(FOLDER)
-        self.uploads = Uploads()
-        self.outcomes = {}
-        self.lost = []
-        self.number = 0
-
-    async def client(self, address, end):
-        """Uploads one document after the other on a kept connection."""
-        host, port = address.rsplit(":", 1)
-        draw = self.uploads.random
-        writer = None
-        while time.monotonic() < end:
-            if writer is None:
-                reader, writer = await asyncio.open_connection(host, int(port))
-            self.number += 1
-            name = f"u{self.number}"
-            size = min(MOST_BYTES,
-                       int(MEAN_BYTES * draw.lognormvariate(0, SPREAD)))
-            writer.write(standins.make_request("POST", "/docs/1", name,
-                                               DEADLINE_MS, b"d" * size))
-            sent = time.monotonic()
-            try:
-                outcome, headers, _ = await asyncio.wait_for(
-                    standins.read_answer(reader), DEADLINE_MS / 1000)
-                is_kept = headers.get("connection", "").lower() != "close"
-            except (OSError, asyncio.IncompleteReadError,
-                    asyncio.TimeoutError) as problem:
-                outcome, is_kept = type(problem).__name__, False
-                self.note_end(name, outcome, size, time.monotonic() - sent)
-            self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
-            if not is_kept:
+            reader, writer = await asyncio.open_connection(
+                address[0], int(address[1]))
+            writer.write(standins.make_request("GET", "/map/1", name, 3000))
+            if not leaves:
+                status, _, _ = await asyncio.wait_for(
+                    standins.read_answer(reader), 3)
+                self.statuses[status] = self.statuses.get(status, 0) + 1
                 writer.close()
-                writer = None
-
-    def note_end(self, name, outcome, size, after):
-        runs = any(run[1] == name for target in self.world.targets
-                   for run in target.runs)
-        is_early = name in self.uploads.early
-        if outcome != "TimeoutError" and runs:
-            self.lost.append(name)
-        self.world.record.write(
-            f"{name} of {size} bytes ends after {after:.2f} s without a whole "
-            f"answer: {outcome}; reached a target: {runs}; begun early: "
-            f"{is_early}")
+                return
+            await asyncio.sleep(LEAVE_AFTER)
+            if LEAVE == "reset":
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER,
+                    struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            self.left[name] = time.monotonic()
+            self.world.record.write(f"{name} left {address[0]}")
+        except (OSError, EOFError, asyncio.TimeoutError) as problem:
+            key = type(problem).__name__
+            self.statuses[key] = self.statuses.get(key, 0) + 1
+
+    def judge(self):
+        write = self.world.record.write
+        runs, ends = {}, {}
+        for target in self.world.targets:
+            for begin, request, _, _ in target.runs:
+                runs[request] = begin
+                ends[request] = target.dropped.get(
+                    request, target.done.get(request, begin))
+        late = [name for name, at in self.left.items()
+                if runs.get(name, 0) > at + GRACE]
+        # Running when their client left, and with half a second to go.
+        long = [name for name, at in self.left.items()
+                if name in runs and runs[name] <= at and
+                runs[name] + self.works.get(name, 0) > at + GRACE]
+        still = [name for name in long
+                 if ends[name] > self.left[name] + GRACE]
+        write(f"clients left: {len(self.left)}; of their requests, reached an "
+              f"upstream over half a second later: {len(late)}; at an "
+              f"upstream whose work would have lasted so long: {len(long)}, "
+              f"and was still done half a second later: {len(still)}")
+        return len(late) > FEW or len(still) > len(long) / 4
 
     async def run(self):
-        world, uploads = self.world, self.uploads
+        world = self.world
         targets = []
         for zone in world.zones:
-            for index in range(TARGETS_A_ZONE):
-                target = Target(world, f"i-docs-{zone}{index}", "docs", zone)
-                target.uploads = uploads
+            for index in range(2):
+                target = Target(world, f"i-map-{zone}{index}", "map", zone)
+                target.works, target.random = self.works, self.random
                 targets.append(target)
-        count = int(EARLY_TARGETS * len(targets))
-        for target in uploads.random.sample(targets, count):
-            target.is_early = True
         document = standins.configuration(7, [
-            standins.route("r-docs", "/docs/", "docs", "upload", TIMEOUT_MS,
-                           target_latency_ms=2000),
-            standins.service("docs")])
+            standins.route("r-map", "/map/", "map", "read_only", 1500),
+            standins.service("map")])
         if not await world.start(document, targets):
             world.record.write("the hosts did not become ready")
             return 2
-        addresses = []
         for zone in world.zones:
-            addresses += await world.resolve(world.hosts[0], zone)
-        if not addresses:
-            return 2
-        end = time.monotonic() + 2 * CALM + DISRUPTION
-        clients = [asyncio.ensure_future(
-            self.client(addresses[number % len(addresses)], end))
-            for number in range(CLIENTS)]
-        await asyncio.sleep(CALM)
-        uploads.is_early_time = TROUBLE
-        await asyncio.sleep(DISRUPTION)
-        uploads.is_early_time = False
-        await asyncio.gather(*clients)
-        world.record.write(f"{self.number} uploads, {len(uploads.early)} "
-                           f"answered early; outcomes {self.outcomes}")
-        world.record.write(f"kept connections that a host closed without a "
-                           f"whole answer after it had passed the request on: "
-                           f"{len(self.lost)}")
-        if 200 not in self.outcomes:
+            self.addresses = sorted(set(
+                self.addresses + await world.resolve(world.hosts[0], zone)))
+        world.record.write(f"addresses {self.addresses}")
+        begin = self.begin = time.monotonic()
+        before = {host.name: processor_seconds(host) for host in world.hosts}
+        tasks, number = [], 0
+        while time.monotonic() < begin + ROUNDS * (DISRUPTION + CALM):
+            number += 1
+            tasks.append(asyncio.ensure_future(self.call(number)))
+            await asyncio.sleep(max(0, begin + number / RATE -
+                                    time.monotonic()))
+        await asyncio.wait(tasks, timeout=5)
+        await asyncio.sleep(2)
+        for host in world.hosts:
+            used = processor_seconds(host) - before[host.name]
+            world.record.write(f"{host.name} used {used:.2f} s of processor "
+                               f"time in {time.monotonic() - begin:.1f} s")
+        world.record.write(f"{number} requests, {self.asked} in disruptions; those whose clients stayed: "
+                           f"{self.statuses}")
+        if 200 not in self.statuses:
             return 2
-        is_broken = len(self.lost) > 3
-        world.record.write("LOST was broken" if is_broken else "LOST held")
+        is_broken = self.judge()
+        world.record.write("GONE was broken" if is_broken else "GONE held")
         return 1 if is_broken else 0
 
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 # the interpreter reads them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/kit-3/*.py review/1[1-5]/*.py; do
+for file in review/small_fleet.py review/1[1-5]/*.py; do
     [[ -e "$file" ]] || continue
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/kit-3/standins.py
+++ b/review/small_fleet.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 
-REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 HOST_NAME = "shop.example"
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000,
@@ -196,6 +196,8 @@
 class Target:
     """A sound target. It counts what runs; `behave` may change an answer."""
 
+    read_limit = 2 ** 20
+
     def __init__(self, world, name, service, zone, slots=3):
         self.world, self.name, self.service = world, name, service
         self.zone, self.slots = zone, slots
@@ -214,7 +216,7 @@
 
     async def open(self):
         self.server = await asyncio.start_server(
-            self.serve, self.world.target_ip, 0, backlog=512, limit=2 ** 20)
+            self.serve, self.world.target_ip, 0, backlog=512, limit=self.read_limit)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     def beat(self):
