Show what a connection had carried when a target refuses a request

The hypotheses could not be told apart: no line or counter said whether a refusal was read on a connection on which the same request had been refused before, nor that a target's own 503, 429, 408 or 421 without the mark reached a caller.

A connection to a target now has a history of its answers and of the requests that were refused on it. Lines about attempts have `answers_before` and `refused_there_before`; events `refused_again_on_connection` and `promise_without_mark`. No decision depends on it.

--- /dev/null
+++ b/src/core/answer_history.cpp
@@ -0,0 +1,36 @@
+#include "core/answer_history.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace hawthornspur::core
+{
+
+namespace
+{
+
+std::size_t hash_id(std::string_view request_id)
+{
+    return std::hash<std::string_view>()(request_id);
+}
+
+} // namespace
+
+void record_answer(answer_history& history)
+{
+    ++history.m_answers;
+}
+
+void record_refusal(answer_history& history, std::string_view request_id)
+{
+    ++history.m_answers;
+    history.m_refused.push_back(hash_id(request_id));
+}
+
+bool has_refused(answer_history const& history, std::string_view request_id)
+{
+    return std::find(history.m_refused.begin(), history.m_refused.end(),
+                     hash_id(request_id)) != history.m_refused.end();
+}
+
+} // namespace hawthornspur::core
--- /dev/null
+++ b/src/core/answer_history.hpp
@@ -0,0 +1,34 @@
+#ifndef HAWTHORNSPUR_CORE_ANSWER_HISTORY_HPP
+#define HAWTHORNSPUR_CORE_ANSWER_HISTORY_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace hawthornspur::core
+{
+
+/// The requests that one connection has carried and its server has answered. A
+/// faulty server may send a copy of any of these answers at any time later.
+/// Requests are known by a hash of their ids, so that two may rarely be taken
+/// for one.
+struct answer_history
+{
+    std::uint64_t m_answers = 0;
+    /// Hashes of the ids of all refused requests.
+    std::vector<std::size_t> m_refused;
+};
+
+/// Records that the server has answered a request without refusing it.
+void record_answer(answer_history& history);
+
+/// Records that the server has refused the request with this id.
+void record_refusal(answer_history& history, std::string_view request_id);
+
+/// Whether the server has refused the request with this id.
+bool has_refused(answer_history const& history, std::string_view request_id);
+
+} // namespace hawthornspur::core
+
+#endif
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -158,6 +158,7 @@
     exchange->m_id = id;
     exchange->m_handlers = std::move(handlers);
     exchange->m_max_answer_bytes = options.m_max_answer_bytes;
+    exchange->m_request_id = options.m_request_id;
     exchange->m_connection = take_connection(client, server, options);
     auto timeout = timer::create(
         *client.m_loop,
@@ -249,6 +250,29 @@
     }
 }
 
+connection_use http_client::use_of(exchange_id id) const
+{
+    auto const found = m_state->m_exchanges.find(id);
+    if (found == m_state->m_exchanges.end())
+    {
+        return {};
+    }
+    auto const& exchange = *found->second;
+    auto const& history = exchange.m_connection->m_history;
+    return {history.m_answers,
+            !exchange.m_request_id.empty() &&
+                core::has_refused(history, exchange.m_request_id)};
+}
+
+void http_client::note_refusal(exchange_id id)
+{
+    auto const found = m_state->m_exchanges.find(id);
+    if (found != m_state->m_exchanges.end())
+    {
+        found->second->m_is_refused = true;
+    }
+}
+
 void http_client::forbid_reuse(exchange_id id)
 {
     auto const found = m_state->m_exchanges.find(id);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -71,6 +71,17 @@
     /// Limit of the connections to this server, including idle ones. Without a
     /// connection the exchange ends with not_sent.
     std::size_t m_max_connections = 256;
+    /// Id of the request, which its answer may repeat; empty if it has none.
+    std::string m_request_id = {};
+};
+
+/// What the connection of an exchange had carried before it.
+struct connection_use
+{
+    /// Requests that the server has answered.
+    std::uint64_t m_answers = 0;
+    /// The server has refused a request with the same id.
+    bool m_has_refused_request = false;
 };
 
 /// Identifies an exchange in flight; 0 is none.
@@ -117,6 +128,12 @@
     /// Pauses or resumes reading the answer, for back-pressure.
     void set_reading(exchange_id id, bool enabled);
 
+    /// What the connection of an exchange in flight had carried before.
+    connection_use use_of(exchange_id id) const;
+
+    /// Records that the answer of an exchange refuses its request.
+    void note_refusal(exchange_id id);
+
     /// Closes the connection of an exchange after its answer.
     void forbid_reuse(exchange_id id);
 
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -291,6 +291,20 @@
     stop_sending(connection);
 }
 
+/// Records the answered request in the history of its connection.
+void record_outcome(client_exchange const& exchange)
+{
+    auto& history = exchange.m_connection->m_history;
+    if (exchange.m_is_refused && !exchange.m_request_id.empty())
+    {
+        core::record_refusal(history, exchange.m_request_id);
+    }
+    else
+    {
+        core::record_answer(history);
+    }
+}
+
 bool is_length_header(std::string_view name)
 {
     return equals_ignore_case(name, "Content-Length") ||
@@ -354,6 +368,7 @@
         evbuffer_get_length(bufferevent_get_input(transport)) == 0;
     if (outcome == exchange_outcome::complete && is_clean)
     {
+        record_outcome(*ended);
         connection->m_last_answer_time = event_loop::now();
         client.m_idle[connection->m_server].push_back(connection);
     }
--- a/src/net/http_client_state.hpp
+++ b/src/net/http_client_state.hpp
@@ -1,6 +1,7 @@
 #ifndef HAWTHORNSPUR_NET_HTTP_CLIENT_STATE_HPP
 #define HAWTHORNSPUR_NET_HTTP_CLIENT_STATE_HPP
 
+#include "core/answer_history.hpp"
 #include "net/answer_validator.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -32,6 +33,7 @@
     /// The request that evhttp owns; null after evhttp has reported its end.
     evhttp_request* m_request = nullptr;
     core::time_point m_last_answer_time{};
+    core::answer_history m_history;
     /// Bytes written to the socket for the current request. Once there are
     /// any, the request may have run.
     std::size_t m_bytes_sent = 0;
@@ -52,6 +54,9 @@
     exchange_id m_id = 0;
     client_connection* m_connection = nullptr;
     exchange_handlers m_handlers;
+    std::string m_request_id;
+    /// The answer refuses the request.
+    bool m_is_refused = false;
     std::size_t m_max_answer_bytes = 0;
     std::size_t m_received_bytes = 0;
     bool m_has_delivered_head = false;
--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -124,6 +124,8 @@
     bool m_is_other_target = false;
     bool m_is_server_error = false;
     bool m_is_draining = false;
+    /// What its connection had carried before, once the head has arrived.
+    net::connection_use m_connection_use;
     std::optional<core::reported_load> m_load;
     /// Head of the answer, held until the pool decides which attempt is
     /// relayed.
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -17,6 +17,7 @@
 #include "serve/relay.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <utility>
 
@@ -47,9 +48,21 @@
         {{"request_id", call.m_accepted.m_request_id},
          {"attempt", std::to_string(number)},
          {"target", attempt.m_target_name},
+         {"answers_before", std::to_string(attempt.m_connection_use.m_answers)},
+         {"refused_there_before",
+          attempt.m_connection_use.m_has_refused_request ? "yes" : "no"},
          {"after_ms", milliseconds_text(now() - attempt.m_start_time)}});
 }
 
+/// Whether callers may take the status as a promise that the request has not
+/// run and never will.
+bool promises_not_run(int status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::find(statuses.begin(), statuses.end(), status) !=
+           statuses.end();
+}
+
 net::http_request make_target_request(entry_host const& host,
                                       active_call const& call,
                                       attempt_metadata const& metadata)
@@ -144,6 +157,8 @@
         return;
     }
     auto& attempt = call->m_attempts.at(number);
+    attempt.m_connection_use =
+        host.m_http_client->use_of(attempt.m_exchange_id);
     auto const signals = host.m_adapter.m_caller_interface.m_read_signals(
         call->m_accepted, head, *call->m_classified.m_kind);
     if (signals.m_is_crossed)
@@ -162,11 +177,26 @@
         attempt.m_head = std::move(head);
         attempt.m_length = length;
     }
-    else if (!signals.m_is_identified)
+    else
+    {
+        host.m_http_client->note_refusal(attempt.m_exchange_id);
+        if (!signals.m_is_identified)
+        {
+            // A second copy could not be told from a refusal of the next
+            // request on the connection.
+            host.m_http_client->forbid_reuse(attempt.m_exchange_id);
+        }
+        if (attempt.m_connection_use.m_has_refused_request)
+        {
+            host.m_metrics.count_event("refused_again_on_connection");
+        }
+    }
+    if (has_answer && promises_not_run(attempt.m_head->m_status))
     {
-        // A second copy could not be told from a refusal of the next request
-        // on the connection.
-        host.m_http_client->forbid_reuse(attempt.m_exchange_id);
+        host.m_metrics.count_event("promise_without_mark");
+        log_attempt(*call, number, attempt,
+                    "answer promises that the request has not run, without "
+                    "the mark for it");
     }
     if (!attempt.m_is_other_target)
     {
@@ -338,6 +368,7 @@
     options.m_max_connections = target->second.m_max_connections;
     options.m_max_answer_bytes =
         call.m_classified.m_service->m_max_answer_bytes;
+    options.m_request_id = call.m_accepted.m_request_id;
     auto& attempt = call.m_attempts[number];
     attempt.m_target = effect.m_target;
     attempt.m_start_time = now();
