Never send a request again on a connection that refused it

What callers saw: 503 for a request that a target ran (REFUSED), on targets that start again under a new id at their address and repeat refusals.

Cause: a refusal was attributed to a request by the id alone, and a copy of it bears the same id. Only placing kept a request from a target that had refused it. Placing compares targets, connections belong to addresses: the 421 that a restarted target gives to a request for its former id left a connection on which the repeat to its new id was sent, and a copy of the 421 was its answer.

Change: a connection keeps the ids of the requests that were refused on it and is not used for them again, whichever target, pool or service the request is for; after 64 of them it is closed. How a connection may be used again follows from the head of each answer, also if the call has ended meanwhile (a refusal without an id then left its connection open). At the limit of connections, an idle one makes room.

--- a/src/core/answer_history.cpp
+++ b/src/core/answer_history.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// With ids of 8 bytes, half a KiB for each connection.
+constexpr std::size_t max_refused_requests = 64;
+
 std::size_t hash_id(std::string_view request_id)
 {
     return std::hash<std::string_view>()(request_id);
@@ -33,4 +36,9 @@
                      hash_id(request_id)) != history.m_refused.end();
 }
 
+bool is_full(answer_history const& history)
+{
+    return history.m_refused.size() >= max_refused_requests;
+}
+
 } // namespace hawthornspur::core
--- a/src/core/answer_history.hpp
+++ b/src/core/answer_history.hpp
@@ -16,19 +16,25 @@
 struct answer_history
 {
     std::uint64_t m_answers = 0;
-    /// Hashes of the ids of all refused requests.
+    /// Hashes of the ids of refused requests.
     std::vector<std::size_t> m_refused;
 };
 
 /// Records that the server has answered a request without refusing it.
 void record_answer(answer_history& history);
 
-/// Records that the server has refused the request with this id.
+/// Records that the server has refused the request with this id, or has answered
+/// it with another failure.
 void record_refusal(answer_history& history, std::string_view request_id);
 
-/// Whether the server has refused the request with this id.
+/// Whether the server has refused the request with this id. A copy of that
+/// refusal could not be told from an answer to the request, if the connection
+/// carried it again.
 bool has_refused(answer_history const& history, std::string_view request_id);
 
+/// Whether the connection is to be closed, so that the history stays small.
+bool is_full(answer_history const& history);
+
 } // namespace hawthornspur::core
 
 #endif
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -52,24 +52,39 @@
                                    exchange_options const& options)
 {
     auto& idle = client.m_idle[server];
-    while (!idle.empty())
+    // The last one has rested for the shortest time.
+    for (auto i = idle.size(); i-- > 0;)
     {
-        auto* connection = idle.back();
-        if (is_reusable(*connection, options.m_max_idle_time) &&
-            !has_unread_input(*connection))
+        auto* connection = idle[i];
+        if (!is_reusable(*connection, options.m_max_idle_time))
         {
-            idle.pop_back();
-            ++client.m_counters.m_connections_reused;
-            connection->m_bytes_sent = 0;
-            connection->m_validator.reset();
-            return connection;
+            detail::destroy_later(client, connection);
+            continue;
         }
-        detail::destroy_later(client, connection);
+        if (core::has_refused(connection->m_history, options.m_request_id))
+        {
+            ++client.m_counters.m_connections_passed_over;
+            continue;
+        }
+        if (has_unread_input(*connection))
+        {
+            detail::destroy_later(client, connection);
+            continue;
+        }
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+        ++client.m_counters.m_connections_reused;
+        connection->m_bytes_sent = 0;
+        connection->m_validator.reset();
+        return connection;
     }
     if (client.m_connection_counts[server] >= options.m_max_connections)
     {
-        ++client.m_counters.m_connection_limit_reached;
-        return nullptr;
+        if (idle.empty())
+        {
+            ++client.m_counters.m_connection_limit_reached;
+            return nullptr;
+        }
+        detail::destroy_later(client, idle.front());
     }
     return detail::open_connection(client, server);
 }
@@ -159,6 +174,7 @@
     exchange->m_handlers = std::move(handlers);
     exchange->m_max_answer_bytes = options.m_max_answer_bytes;
     exchange->m_request_id = options.m_request_id;
+    exchange->m_read_reuse = options.m_read_reuse;
     exchange->m_connection = take_connection(client, server, options);
     auto timeout = timer::create(
         *client.m_loop,
@@ -264,24 +280,6 @@
                 core::has_refused(history, exchange.m_request_id)};
 }
 
-void http_client::note_refusal(exchange_id id)
-{
-    auto const found = m_state->m_exchanges.find(id);
-    if (found != m_state->m_exchanges.end())
-    {
-        found->second->m_is_refused = true;
-    }
-}
-
-void http_client::forbid_reuse(exchange_id id)
-{
-    auto const found = m_state->m_exchanges.find(id);
-    if (found != m_state->m_exchanges.end())
-    {
-        found->second->m_connection->m_must_close = true;
-    }
-}
-
 http_client_counters const& http_client::counters() const noexcept
 {
     return m_state->m_counters;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -57,6 +57,16 @@
     std::function<void(exchange_outcome)> m_on_end;
 };
 
+/// Whether a connection may be used again after an answer.
+enum class reuse : std::uint8_t
+{
+    allowed,
+    /// Not for a request with the same id. A copy of the answer may arrive at
+    /// any time, and is told from answers to other requests by the id.
+    other_requests,
+    forbidden,
+};
+
 struct exchange_options
 {
     /// Time from send() to the end of the answer.
@@ -73,6 +83,10 @@
     std::size_t m_max_connections = 256;
     /// Id of the request, which its answer may repeat; empty if it has none.
     std::string m_request_id = {};
+    /// Decides from the head of the answer how the connection may be used
+    /// again. Called also if the handlers no longer care for the answer. Empty
+    /// means that reuse is allowed.
+    std::function<reuse(http_response_head const&)> m_read_reuse = {};
 };
 
 /// What the connection of an exchange had carried before it.
@@ -97,6 +111,9 @@
     std::uint64_t m_connections_expired = 0;
     /// Connections closed because bytes arrived without a request in flight.
     std::uint64_t m_unsolicited = 0;
+    /// Idle connections that were not used for a request, since their server
+    /// had refused the same request on them.
+    std::uint64_t m_connections_passed_over = 0;
     /// Exchanges that failed at the connection limit.
     std::uint64_t m_connection_limit_reached = 0;
 };
@@ -131,12 +148,6 @@
     /// What the connection of an exchange in flight had carried before.
     connection_use use_of(exchange_id id) const;
 
-    /// Records that the answer of an exchange refuses its request.
-    void note_refusal(exchange_id id);
-
-    /// Closes the connection of an exchange after its answer.
-    void forbid_reuse(exchange_id id);
-
     http_client_counters const& counters() const noexcept;
     /// Connections that are in use, idle or being closed.
     std::size_t open_connections() const noexcept;
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -64,6 +64,10 @@
     {
         head.m_headers.emplace_back(header->key, header->value);
     }
+    if (exchange.m_read_reuse)
+    {
+        exchange.m_reuse = exchange.m_read_reuse(head);
+    }
     auto const length = announced_length(head.m_headers);
     if (exchange.m_handlers.m_on_head)
     {
@@ -291,18 +295,18 @@
     stop_sending(connection);
 }
 
-/// Records the answered request in the history of its connection.
-void record_outcome(client_exchange const& exchange)
+/// Records the answered request in the history of its connection. Returns
+/// whether the connection may be used again.
+bool record_outcome(client_exchange const& exchange)
 {
     auto& history = exchange.m_connection->m_history;
-    if (exchange.m_is_refused && !exchange.m_request_id.empty())
-    {
-        core::record_refusal(history, exchange.m_request_id);
-    }
-    else
+    if (exchange.m_reuse == reuse::allowed)
     {
         core::record_answer(history);
+        return true;
     }
+    core::record_refusal(history, exchange.m_request_id);
+    return exchange.m_reuse == reuse::other_requests && !core::is_full(history);
 }
 
 bool is_length_header(std::string_view name)
@@ -362,13 +366,13 @@
     connection->m_exchange_id = 0;
     cancel_unsent_request(connection);
     auto* transport = evhttp_connection_get_bufferevent(connection->m_evcon);
+    auto const may_reuse = record_outcome(*ended);
     // Bytes after the answer would be parsed as the next answer.
     auto const is_clean =
-        !connection->m_must_close &&
+        may_reuse && !connection->m_must_close &&
         evbuffer_get_length(bufferevent_get_input(transport)) == 0;
     if (outcome == exchange_outcome::complete && is_clean)
     {
-        record_outcome(*ended);
         connection->m_last_answer_time = event_loop::now();
         client.m_idle[connection->m_server].push_back(connection);
     }
--- a/src/net/http_client_state.hpp
+++ b/src/net/http_client_state.hpp
@@ -55,8 +55,8 @@
     client_connection* m_connection = nullptr;
     exchange_handlers m_handlers;
     std::string m_request_id;
-    /// The answer refuses the request.
-    bool m_is_refused = false;
+    std::function<reuse(http_response_head const&)> m_read_reuse;
+    reuse m_reuse = reuse::allowed;
     std::size_t m_max_answer_bytes = 0;
     std::size_t m_received_bytes = 0;
     bool m_has_delivered_head = false;
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -729,6 +729,56 @@
     CHECK(client->counters().m_connections_opened == 2);
 }
 
+// Guards against the copy of a refusal that is taken for the answer to the same
+// request, sent again on the connection.
+TEST_CASE("a request is not sent again on a connection that refused it")
+{
+    auto loop = take(event_loop::create());
+    raw_listener server(*loop);
+    auto client = take(http_client::create(*loop));
+    std::size_t sent = 0;
+    auto const send = [&](char const* id, reuse allowed, std::size_t limit)
+    {
+        exchange_record record;
+        exchange_options options;
+        options.m_request_id = id;
+        options.m_max_connections = limit;
+        options.m_read_reuse = [=](http_response_head const&)
+        {
+            return allowed;
+        };
+        client->send({"127.0.0.1", server.m_port}, post(), options,
+                     record.handlers());
+        ++sent;
+        REQUIRE(
+            run_until(*loop, [&] { return count_requests(server) == sent; }));
+        for (auto& connection : server.m_connections)
+        {
+            if (connection->m_received.ends_with("bbb"))
+            {
+                connection->m_received += ' ';
+                connection->send(whole_answer);
+            }
+        }
+        REQUIRE(run_until(*loop, [&] { return record.m_outcome.has_value(); }));
+        CHECK(*record.m_outcome == exchange_outcome::complete);
+        return server.m_connections.size();
+    };
+    CHECK(send("r1", reuse::other_requests, 8) == 1);
+    CHECK(send("r2", reuse::other_requests, 8) == 1);
+    CHECK(send("r1", reuse::other_requests, 8) == 2);
+    CHECK(send("r1", reuse::allowed, 8) == 3);
+    CHECK(send("r2", reuse::allowed, 8) == 3);
+    // At the limit, an idle connection makes room.
+    CHECK(send("r1", reuse::allowed, 3) == 3);
+    CHECK(send("r2", reuse::other_requests, 3) == 3);
+    CHECK(send("r2", reuse::other_requests, 3) == 3);
+    CHECK(send("r2", reuse::allowed, 3) == 4);
+    CHECK(client->counters().m_connection_limit_reached == 0);
+    // Nobody needs to read the answer.
+    CHECK(send("r3", reuse::forbidden, 8) == 4);
+}
+
 // Guards against buffering an answer in memory while its reader is blocked.
 TEST_CASE("a paused exchange delivers nothing until it is resumed")
 {
--- a/src/serve/administration.cpp
+++ b/src/serve/administration.cpp
@@ -316,6 +316,10 @@
         make_counter("hawthornspur_connections_reused_total",
                      "Requests sent on a kept connection.",
                      client.m_connections_reused),
+        make_counter("hawthornspur_connections_passed_over_total",
+                     "Kept connections that were not used for a request that "
+                     "had been refused on them.",
+                     client.m_connections_passed_over),
         make_counter("hawthornspur_connections_silent_total",
                      "Connections closed because no answer came in time.",
                      client.m_connections_silent),
--- a/src/serve/caller_interface.hpp
+++ b/src/serve/caller_interface.hpp
@@ -5,6 +5,7 @@
 #include "core/configuration.hpp"
 #include "core/pool.hpp"
 #include "core/time.hpp"
+#include "net/http_client.hpp"
 #include "net/http_message.hpp"
 
 #include <functional>
@@ -27,8 +28,6 @@
     bool m_is_other_target = false;
     /// The answer belongs to another request.
     bool m_is_crossed = false;
-    /// The answer bears the id of its request.
-    bool m_is_identified = false;
     std::optional<core::reported_load> m_load;
     /// Requests per second that the target takes from all hosts together.
     std::optional<double> m_rate_limit;
@@ -76,6 +75,13 @@
                                  net::http_response_head const&,
                                  core::kind_config const&)>
         m_read_signals;
+    /// How the connection may be used again after an answer with this head to
+    /// the request with this id. Answers that promise that their request has
+    /// not run must not be taken for those to other requests.
+    std::function<net::reuse(std::string const& request_id,
+                             net::http_response_head const&,
+                             core::kind_config const&)>
+        m_read_reuse;
     /// Reads the head of the answer to a probe of the named target.
     std::function<answer_signals(net::http_response_head const&,
                                  std::string const& target)>
--- a/src/serve/default_caller_interface.cpp
+++ b/src/serve/default_caller_interface.cpp
@@ -57,6 +57,14 @@
     return signals;
 }
 
+net::reuse read_reuse(std::string const& /*request_id*/,
+                      net::http_response_head const& head,
+                      core::kind_config const& kind)
+{
+    // Targets need not repeat the id of a request.
+    return is_not_run(head, kind) ? net::reuse::forbidden : net::reuse::allowed;
+}
+
 answer_signals read_probe_signals(net::http_response_head const& head,
                                   std::string const& /*target*/)
 {
@@ -89,6 +97,7 @@
     callbacks.m_set_target_headers = set_target_headers;
     callbacks.m_remove_credentials = remove_credentials;
     callbacks.m_read_signals = read_signals;
+    callbacks.m_read_reuse = read_reuse;
     callbacks.m_read_probe_signals = read_probe_signals;
     callbacks.m_remove_signal_headers = remove_signal_headers;
     callbacks.m_add_retry_after = add_retry_after;
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -177,19 +177,9 @@
         attempt.m_head = std::move(head);
         attempt.m_length = length;
     }
-    else
+    else if (attempt.m_connection_use.m_has_refused_request)
     {
-        host.m_http_client->note_refusal(attempt.m_exchange_id);
-        if (!signals.m_is_identified)
-        {
-            // A second copy could not be told from a refusal of the next
-            // request on the connection.
-            host.m_http_client->forbid_reuse(attempt.m_exchange_id);
-        }
-        if (attempt.m_connection_use.m_has_refused_request)
-        {
-            host.m_metrics.count_event("refused_again_on_connection");
-        }
+        host.m_metrics.count_event("refused_again_on_connection");
     }
     if (has_answer && promises_not_run(attempt.m_head->m_status))
     {
@@ -369,6 +359,15 @@
     options.m_max_answer_bytes =
         call.m_classified.m_service->m_max_answer_bytes;
     options.m_request_id = call.m_accepted.m_request_id;
+    // The call may end before its answer, its configuration must not.
+    options.m_read_reuse =
+        [&read = host.m_adapter.m_caller_interface.m_read_reuse,
+         id = options.m_request_id,
+         configuration = call.m_classified.m_configuration,
+         &kind = *call.m_classified.m_kind](net::http_response_head const& head)
+    {
+        return read(id, head, kind);
+    };
     auto& attempt = call.m_attempts[number];
     attempt.m_target = effect.m_target;
     attempt.m_start_time = now();
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -101,16 +101,25 @@
         auto const socket = accept(m_listener, nullptr, nullptr);
         if (socket >= 0)
         {
-            serve_connection(socket);
-            close(socket);
+            m_connections.emplace_back(
+                [this, socket]
+                {
+                    serve_connection(socket);
+                    close(socket);
+                });
         }
     }
+    for (auto& connection : m_connections)
+    {
+        connection.join();
+    }
 }
 
 void raw_target::serve_connection(int socket)
 {
     std::string received;
     std::string surplus;
+    bool is_used = false;
     while (!m_is_stopping)
     {
         if (!wait_for(socket, POLLIN))
@@ -129,6 +138,8 @@
         {
             continue;
         }
+        m_used_connections += is_used ? 0 : 1;
+        is_used = true;
         auto const id = find_request_id(received);
         {
             std::lock_guard const lock(m_head_mutex);
--- a/tests/raw_target.hpp
+++ b/tests/raw_target.hpp
@@ -33,7 +33,7 @@
 };
 
 /// A target on loopback that sends any bytes, also such that are no answer. It
-/// serves one connection at a time on a thread of its own.
+/// serves each connection on a thread of its own.
 class raw_target
 {
 public:
@@ -58,6 +58,11 @@
     {
         return m_requests;
     }
+    /// Connections that have carried a request.
+    std::size_t used_connections() const noexcept
+    {
+        return m_used_connections;
+    }
     /// Head of the last request, without its body.
     std::string last_head() const;
     /// Connections that the other side has closed.
@@ -79,7 +84,9 @@
     std::atomic<bool> m_is_stopping = false;
     std::atomic<std::size_t> m_sent_bytes = 0;
     std::atomic<std::size_t> m_requests = 0;
+    std::atomic<std::size_t> m_used_connections = 0;
     std::atomic<std::size_t> m_closed_connections = 0;
+    std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
 
--- a/tests/soak/platform_rules.py
+++ b/tests/soak/platform_rules.py
@@ -1,5 +1,5 @@
 """Judges what callers and targets saw on their sockets by the rules of the
-users' platform (RULES.md): BUDGET, DRAIN, LIMIT and REFUSED."""
+users' platform (RULES.md): BUDGET, DRAIN, LIMIT, REFUSED and TWICE."""
 
 import bisect
 import collections
@@ -21,6 +21,8 @@
 LIMIT_SLACK = 5
 # Answers that promise that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
+# Services whose requests may run once.
+AT_MOST_ONCE_SERVICES = ("pay",)
 # Time after which a host that passed on a limit keeps it.
 LIMIT_DELAY_SECONDS = 0.5
 
@@ -55,6 +57,9 @@
         self.requests = {}  # id: Request
         self.arrivals = []
         self.promised = set()  # ids of requests that were refused as not run
+        # (id, target) of requests that came again on a connection on which they
+        # had been refused, where a copy of the refusal may be due.
+        self.returned = []
         # (target, time, "store" or host that passed the answer on)
         self.leaving = []
         self.limits = []  # (target, time, requests a second, host)
@@ -208,8 +213,25 @@
                f"{', '.join(broken[:8])}")
 
 
+def check_twice(records):
+    runs = collections.Counter(
+        arrival.request for arrival in records.arrivals
+        if arrival.ran and arrival.service in AT_MOST_ONCE_SERVICES)
+    twice = sorted(request for request, number in runs.items() if number > 1)
+    if twice:
+        yield f"TWICE: {len(twice)} requests: {', '.join(twice[:8])}"
+
+
+def check_returned(records):
+    if records.returned:
+        yield (f"REFUSED: {len(records.returned)} requests came again on the "
+               f"connection that had refused them: "
+               f"{', '.join(request for request, _ in records.returned[:8])}")
+
+
 def find_problems(records):
     """Yields the broken rules, each with the figures that show it."""
     for check in (check_budget_window, check_attempts, check_time_left,
-                  check_drain, check_limit, check_promises):
+                  check_drain, check_limit, check_promises, check_twice,
+                  check_returned):
         yield from check(records)
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -3,12 +3,13 @@
 its store, targets and callers as processes and sockets on loopback. The seed
 determines the scenario, the faults and their times.
 Usage: platform_soak.py [--build DIR] [--seeds A-B] [--scenario NAME]
-[--seconds N]"""
+[--seconds N] [--hosts N]"""
 
 import argparse
 import asyncio
 import base64
 import collections
+import dataclasses
 import functools
 import json
 import os
@@ -42,6 +43,19 @@
 CROWD_PAUSE_SECONDS = 0.01
 CROWD_WORK_SECONDS = 0.6
 CROWD_IDLE_SECONDS = 0.5
+REFUSED_SHARE = 0.3
+COPIED_SHARE = 0.5  # of the refusals
+LATE_COPY_SECONDS = (0.0005, 0.02)
+RESTART_PAUSE_SECONDS = (0.2, 1.0)
+# Time for which the entry of a target that has ended is still listed.
+EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
+
+
+@dataclasses.dataclass
+class Connection:
+    """A connection as its target sees it."""
+    refused: set = dataclasses.field(default_factory=set)  # ids
+    copy: bytes = b""  # of a refusal, due when the next request arrives
 
 
 class Door(standins.Door):
@@ -83,6 +97,8 @@
         self.work = 0.02
         self.running = 0
         self.reset_share = 0.0
+        self.refused_share = 0.0
+        self.copied_share = 0.0  # of the refusals
         self.is_shedding = False
         self.limit = None
         self.is_leaving = False  # says so in its answers
@@ -115,18 +131,44 @@
                 "at": self.address_of, "capacity": self.slots, "state": self.state, "warmup_left_ms": 0,
                 "sequence": sequence, "born": 1}
 
+    def restart(self, name):
+        """Ends all connections and goes on under another name."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.run.records.ended_targets.add(self.name)
+        self.name = name
+
     async def serve(self, host, reader, writer):
         self.writers.add(writer)
+        self.run.connections += 1
+        connection = Connection()
         try:
             while True:
-                await self.answer(reader, writer, host)
+                await self.answer(reader, writer, host, connection)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, reader, writer, host):
+    def refuse(self, connection, writer, request, status, words):
+        """Refuses a request, at times with a copy of the refusal: at once,
+        late, or as soon as the next request arrives on the connection."""
+        text = make_answer(status, words, b"")
+        connection.refused.add(request)
+        writer.write(text)
+        if self.run.rng.random() >= self.copied_share:
+            return
+        when = self.run.rng.choice(["at once", "late", "next"])
+        if when == "at once":
+            writer.write(text)
+        elif when == "late":
+            asyncio.get_running_loop().call_later(
+                self.run.rng.uniform(*LATE_COPY_SECONDS), writer.write, text)
+        else:
+            connection.copy = text
+
+    async def answer(self, reader, writer, host, connection):
         line, headers = await read_head(reader)
         await reader.readexactly(int(headers.get("content-length", 0)))
         words = [f"X-Instance-Id: {self.name}", "X-Instance-Load: "
@@ -141,6 +183,11 @@
             return
         now = time.monotonic()
         request = headers.get("x-request-id", "")
+        if request in connection.refused:
+            self.run.records.returned.append((request, self.name))
+        if connection.copy:
+            writer.write(connection.copy)
+            connection.copy = b""
         words.append(f"X-Request-Id: {request}")
         arrival = rules.Arrival(
             now, request, self.service, self.name, host,
@@ -149,10 +196,12 @@
         self.run.records.arrivals.append(arrival)
         if headers.get("x-target-instance", self.name) != self.name:
             arrival.is_other_target = True
-            write(writer, "421 Misdirected", words, b"")
+            self.refuse(connection, writer, request, "421 Misdirected", words)
             return
-        if self.is_shedding or self.running >= 4 * self.slots:
-            write(writer, "503 Full", words + ["X-Not-Executed: 1"], b"")
+        if (self.is_shedding or self.running >= 4 * self.slots or
+                self.run.rng.random() < self.refused_share):
+            self.refuse(connection, writer, request, "503 Full",
+                        words + ["X-Not-Executed: 1"])
             return
         arrival.ran = True
         if self.endless:
@@ -179,16 +228,20 @@
     return lines[0], {name.lower(): value.strip() for name, _, value in pairs}
 
 
-def write(writer, status, headers, body):
+def make_answer(status, headers, body):
     text = "\r\n".join([f"HTTP/1.1 {status}", *headers,
                         f"Content-Length: {len(body)}"])
-    writer.write(text.encode() + b"\r\n\r\n" + body)
+    return text.encode() + b"\r\n\r\n" + body
+
+
+def write(writer, status, headers, body):
+    writer.write(make_answer(status, headers, body))
 
 
 class Run:
     """One seed: the fleet, the targets, the callers and the faults."""
 
-    def __init__(self, seed, scenario, build, seconds):
+    def __init__(self, seed, scenario, build, seconds, hosts_per_zone):
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.scenario = scenario
@@ -208,7 +261,7 @@
         standins.REPOSITORY = self.folder
         standins.BOUNDS["budget_slack"] = rules.BUDGET_SLACK
         self.record = standins.Record(self.folder)
-        self.fleet = standins.Fleet(self.record, ZONES, HOSTS_PER_ZONE)
+        self.fleet = standins.Fleet(self.record, ZONES, hosts_per_zone)
         self.targets = {}
         for host in self.fleet.hosts:
             host.store = Door(self.fleet.store, host.name, self.targets)
@@ -218,6 +271,7 @@
         self.caller_hosts = {}  # id: host that took the request
         self.words = {}  # id: (target that said something, dispatching host)
         self.outcomes = {}
+        self.connections = 0  # that targets have accepted
         self.peak = 0.0  # memory of a host, in MB
         self.sequence = 1
         self.lag = 0.0  # of this process, in seconds
@@ -431,6 +485,29 @@
                 t for t in self.targets.values() if t.service == other).name
         await self.disturb_hosts()
 
+    async def repeated_refusals(self):
+        """Targets refuse requests and repeat refusals. They also start again
+        under another name at their address, and refuse what is for the former
+        one, whose entry is listed for some seconds more."""
+        for target in self.targets.values():
+            target.refused_share = REFUSED_SHARE
+            target.copied_share = COPIED_SHARE
+        asyncio.ensure_future(self.restart_targets())
+        await self.disturb_hosts()
+
+    async def restart_targets(self):
+        for number in range(10**6):
+            await asyncio.sleep(self.rng.uniform(*RESTART_PAUSE_SECONDS))
+            target = self.rng.choice(list(self.targets.values()))
+            former = target.name
+            target.restart(f"{target.address_of}.{number}")
+            self.beat()
+            asyncio.ensure_future(self.expire(former))
+
+    async def expire(self, name):
+        await asyncio.sleep(EXPIRY_SECONDS)
+        await asyncio.to_thread(self.fleet.store.delete, "servers/" + name)
+
     async def leave(self, target, by_store):
         await asyncio.sleep(self.rng.uniform(3, 10))
         self.log(f"{target.name} leaves, by "
@@ -566,8 +643,9 @@
             elif code is None:
                 for problem in self.check_memory(host):
                     yield problem
-        if self.scenario == "crowd" and not self.outcomes.get(("pay", 503)):
-            yield "no connection was refused, so nothing was shown"
+        if (self.scenario in ("crowd", "repeated_refusals") and
+                not self.outcomes.get(("pay", 503))):
+            yield "no request was refused, so nothing was shown"
         for problem in rules.find_problems(self.records):
             yield problem
 
@@ -576,7 +654,7 @@
              "moved_targets": Run.moved_targets, "drains": Run.drains,
              "leave_under_faults": Run.leave_under_faults,
              "limits": Run.limits, "endless_answers": Run.endless_answers,
-             "crowd": Run.crowd}
+             "crowd": Run.crowd, "repeated_refusals": Run.repeated_refusals}
 
 
 async def exchange_on(reader, writer, request):
@@ -600,8 +678,8 @@
     return [problem async for problem in run.play()]
 
 
-def run_seed(seed, scenario, build, seconds):
-    run = Run(seed, scenario, build, seconds)
+def run_seed(seed, scenario, build, seconds, hosts_per_zone):
+    run = Run(seed, scenario, build, seconds, hosts_per_zone)
     try:
         problems = asyncio.run(collect(run))
     finally:
@@ -611,8 +689,8 @@
     for problem in problems:
         print(f"seed {seed}, {scenario}: {problem}", flush=True)
     print(f"seed {seed}, {scenario}: {len(problems)} problems, outcomes "
-          f"{run.outcomes}, {run.peak:.0f} MB at a host, record in "
-          f"{run.folder}", flush=True)
+          f"{run.outcomes}, {run.connections} connections to targets, "
+          f"{run.peak:.0f} MB at a host, record in {run.folder}", flush=True)
     return not problems
 
 
@@ -622,14 +700,16 @@
     parser.add_argument("--seeds", default="1-6")
     parser.add_argument("--scenario", choices=SCENARIOS)
     parser.add_argument("--seconds", type=float, default=24)
+    parser.add_argument("--hosts", type=int, default=HOSTS_PER_ZONE,
+                        help="entry hosts in each of the three zones")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     is_good = True
     for seed in range(int(first), int(last or first) + 1):
         names = list(SCENARIOS)
         scenario = options.scenario or names[(seed - 1) % len(names)]
-        is_good = run_seed(seed, scenario, options.build,
-                           options.seconds) and is_good
+        is_good = run_seed(seed, scenario, options.build, options.seconds,
+                           options.hosts) and is_good
     sys.stdout.flush()
     # Threads of the stand-ins may still wait for their connections.
     os._exit(0 if is_good else 1)
