Close a connection on which a health check was refused

A target that is full refuses health checks as it refuses requests, and a health check has no id. The connection was kept, and the next request on it could read a copy of that refusal: "not run" with the default interface, although the target runs the request, and a malformed answer (502) on the users' platform.

How a connection may be used again after a health check now follows from the status, as for requests without an id.

faulty_answer_test, "a connection on which a health check was refused is not used again": 2 of 6 checks failed before, all pass now.

--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -59,6 +59,13 @@
     options.m_timeout = probe_timeout;
     options.m_max_connections = found->second.m_max_connections;
     options.m_max_answer_bytes = max_probe_answer_bytes;
+    // Probes have no id that would tell a copy of a refusal from an answer to
+    // the next request on the connection.
+    options.m_read_reuse = [](net::http_response_head const& head)
+    {
+        return head.m_status < first_error_status ? net::reuse::allowed
+                                                  : net::reuse::forbidden;
+    };
     net::http_request const request{"GET",
                                     service->m_probe_budget.m_path,
                                     {{"Host", pool_id.m_service}},
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -141,6 +141,27 @@
     }
 }
 
+// Guards against a copy of the refusal of a health check, which has no id and
+// would be taken for the answer to the next request on the connection.
+TEST_CASE("a connection on which a health check was refused is not used again")
+{
+    std::vector<raw_answer> const answers{
+        {.m_start = ok_answer},
+        {.m_start = not_run + "Content-Length: 0\r\n\r\n"}};
+    raw_target const target(answers);
+    test_cluster cluster(2, 0);
+    auto& budget = cluster.document().m_services.front().m_probe_budget;
+    budget.m_cost_per_second = std::chrono::seconds(1);
+    use_targets(cluster, {&target});
+    cluster.send_and_wait(cluster.find_owner(0), "GET", "/x");
+    for (std::size_t probes = 1; probes <= 3; ++probes)
+    {
+        cluster.run_until([&] { return target.requests() > probes; });
+        CHECK(target.last_head().starts_with("GET " + budget.m_path));
+        CHECK(target.used_connections() >= probes);
+    }
+}
+
 // Guards against an answer that breaks off and reaches the caller as whole, and
 // against a second run of the request.
 TEST_CASE("an answer that breaks off in its head or body is never whole")
