Give no promise of "not run" that the target has not given

Cause: such an answer was relayed like any other. The users' pages say both that a target's status is returned unchanged and that callers take these statuses for "not run", which only a marked answer states. For a request that may run only once the second sentence decides: a caller that believes the status sends its request again.

Change: the attempt ends as a failure of its target after which the request may have run, so the caller gets 502. Requests that may be repeated get the target's answer as before. A 421 shows by itself that another target has the address.

--- a/src/serve/call.hpp
+++ b/src/serve/call.hpp
@@ -120,6 +120,9 @@
     /// The target reported that it did not run the request. The answer is not
     /// relayed.
     bool m_is_shed = false;
+    /// The status means "not run" to callers of a request that may run only
+    /// once, but the target does not say so. The answer is not relayed.
+    bool m_is_promise_unfounded = false;
     /// Another target has the address now and did not run the request.
     bool m_is_other_target = false;
     bool m_is_server_error = false;
--- a/src/serve/caller_interface.hpp
+++ b/src/serve/caller_interface.hpp
@@ -28,6 +28,9 @@
     bool m_is_other_target = false;
     /// The answer belongs to another request.
     bool m_is_crossed = false;
+    /// Callers take the status for the promise that the request has not run and
+    /// never will, which the target does not say.
+    bool m_is_promise_unfounded = false;
     std::optional<core::reported_load> m_load;
     /// Requests per second that the target takes from all hosts together.
     std::optional<double> m_rate_limit;
--- a/src/serve/dispatch.cpp
+++ b/src/serve/dispatch.cpp
@@ -17,7 +17,6 @@
 #include "serve/relay.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 #include <utility>
 
@@ -54,15 +53,6 @@
          {"after_ms", milliseconds_text(now() - attempt.m_start_time)}});
 }
 
-/// Whether callers may take the status as a promise that the request has not
-/// run and never will.
-bool promises_not_run(int status)
-{
-    constexpr std::array statuses{408, 421, 429, 503};
-    return std::find(statuses.begin(), statuses.end(), status) !=
-           statuses.end();
-}
-
 net::http_request make_target_request(entry_host const& host,
                                       active_call const& call,
                                       attempt_metadata const& metadata)
@@ -92,6 +82,10 @@
         {
             return core::attempt_outcome::shed;
         }
+        if (attempt.m_is_promise_unfounded)
+        {
+            return core::attempt_outcome::malformed;
+        }
         return attempt.m_is_server_error ? core::attempt_outcome::server_error
                                          : core::attempt_outcome::ok;
     case net::exchange_outcome::connect_failed:
@@ -168,10 +162,14 @@
     }
     attempt.m_is_shed = signals.m_is_not_run;
     attempt.m_is_other_target = signals.m_is_other_target;
+    attempt.m_is_promise_unfounded = signals.m_is_promise_unfounded &&
+                                     call->m_classified.m_kind->m_execution !=
+                                         core::execution_rule::idempotent;
     attempt.m_is_server_error = head.m_status >= first_server_error;
     attempt.m_is_draining = signals.m_is_draining;
     attempt.m_load = signals.m_load;
-    bool const has_answer = !attempt.m_is_shed && !attempt.m_is_other_target;
+    bool const has_answer = !attempt.m_is_shed && !attempt.m_is_other_target &&
+                            !attempt.m_is_promise_unfounded;
     if (has_answer)
     {
         attempt.m_head = std::move(head);
@@ -181,12 +179,11 @@
     {
         host.m_metrics.count_event("refused_again_on_connection");
     }
-    if (has_answer && promises_not_run(attempt.m_head->m_status))
+    if (attempt.m_is_promise_unfounded)
     {
-        host.m_metrics.count_event("promise_without_mark");
+        host.m_metrics.count_event("promise_unfounded");
         log_attempt(*call, number, attempt,
-                    "answer promises that the request has not run, without "
-                    "the mark for it");
+                    "status means not run, without the target's word for it");
     }
     if (!attempt.m_is_other_target)
     {
@@ -318,8 +315,9 @@
     call->m_target_time += now() - attempt.m_start_time;
     auto const result = to_attempt_outcome(outcome, attempt);
     call->m_unsent_attempts += core::has_reached_target(result) ? 0 : 1;
-    if (outcome != net::exchange_outcome::complete &&
-        !core::is_certainly_not_run(result))
+    bool const is_answered = outcome == net::exchange_outcome::complete &&
+                             !attempt.m_is_promise_unfounded;
+    if (!is_answered && !core::is_certainly_not_run(result))
     {
         call->m_may_have_run = core::result_code_for(result);
     }
