Close connections after every failure where answers have no id

With the default interface, whether an answer is a refusal depends on the kind of its request (`not_run_statuses`). The connection was kept if the answered request's kind took the status for an ordinary answer; a copy of it could then be read by a request of another kind, or of another service at the address, which takes it for "not run" while the target runs it.

An answer with status 400 or above now ends its connection there, as after a health check. The price is a connection for each failure.

faulty_answer_test, "a copy of an answer is no refusal of a request of another kind", passes; it was not run on the code before.

--- a/src/serve/default_caller_interface.cpp
+++ b/src/serve/default_caller_interface.cpp
@@ -59,10 +59,13 @@
 
 net::reuse read_reuse(std::string const& /*request_id*/,
                       net::http_response_head const& head,
-                      core::kind_config const& kind)
+                      core::kind_config const& /*kind*/)
 {
-    // Targets need not repeat the id of a request.
-    return is_not_run(head, kind) ? net::reuse::forbidden : net::reuse::allowed;
+    // Targets need not repeat the id of a request, and the kind of the next
+    // request may take a status for a refusal that this one does not.
+    constexpr int first_error_status = 400;
+    return head.m_status < first_error_status ? net::reuse::allowed
+                                              : net::reuse::forbidden;
 }
 
 answer_signals read_probe_signals(net::http_response_head const& head,
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -162,6 +162,42 @@
     }
 }
 
+// Guards against a late copy of an answer that one kind of request takes for a
+// refusal and another does not.
+TEST_CASE("a copy of an answer is no refusal of a request of another kind")
+{
+    std::string const busy = "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n";
+    for (bool const is_forwarded : {false, true})
+    {
+        CAPTURE(is_forwarded);
+        std::vector<raw_answer> const answers{
+            {.m_start = busy, .m_surplus = busy}, {.m_start = ok_answer}};
+        raw_target const target(answers);
+        test_cluster cluster(2, 0);
+        auto& kinds = cluster.document().m_services.front().m_kinds;
+        use_targets(cluster, {&target});
+        auto document = cluster.document();
+        for (auto& kind : document.m_services.front().m_kinds)
+        {
+            if (kind.m_method == "GET")
+            {
+                kind.m_not_run_statuses.clear();
+            }
+        }
+        REQUIRE(kinds.size() > 1);
+        document.m_generation = 3;
+        document.m_change_id = "change-3";
+        cluster.store_configuration(document);
+        cluster.wait_for_agreement(3, 2);
+        auto const owner = cluster.find_owner(0);
+        auto const host = is_forwarded ? 1 - owner : owner;
+        CHECK(cluster.send_and_wait(host, "GET", "/x").m_head.m_status == 429);
+        auto const run = cluster.send_and_wait(host, "POST", "/x");
+        CHECK(target.requests() == 2);
+        CHECK(get_outcome(run) != "not-run");
+    }
+}
+
 // Guards against an answer that breaks off and reaches the caller as whole, and
 // against a second run of the request.
 TEST_CASE("an answer that breaks off in its head or body is never whole")
