Let only hosts tell callers whether a request ran

The default interface says in Hawthornspur-Code and Hawthornspur-Outcome whether a request ran, and callers are told that an answer without the first comes from the service. Answers of targets were relayed with these headers, so that a target that passes on the answer of an inner call (for instance "not-run" of another host) gave its own caller that promise.

The headers are removed from targets' answers, with the one by which a target says that it has not run a request.

--- a/src/serve/default_caller_interface.cpp
+++ b/src/serve/default_caller_interface.cpp
@@ -82,6 +82,10 @@
 {
     net::remove_header(header_list, headers::load);
     net::remove_header(header_list, headers::draining);
+    // Only hosts tell callers whether a request ran.
+    net::remove_header(header_list, headers::code);
+    net::remove_header(header_list, headers::outcome);
+    net::remove_header(header_list, headers::not_run);
 }
 
 void add_retry_after(net::http_headers& header_list, core::duration delay)
--- a/tests/faulty_answer_test.cpp
+++ b/tests/faulty_answer_test.cpp
@@ -162,6 +162,31 @@
     }
 }
 
+// Guards against a target's headers that callers take for the word of a host,
+// directly or forwarded.
+TEST_CASE("only hosts tell callers whether a request ran")
+{
+    for (std::string const status : {"200 OK", "500 Own", "503 Own"})
+    {
+        raw_target const target(
+            raw_answer{.m_start = "HTTP/1.1 " + status +
+                                  "\r\nHawthornspur-Code: 2006\r\n"
+                                  "Hawthornspur-Outcome: not-run\r\n"
+                                  "Content-Length: 2\r\n\r\nok"});
+        test_cluster cluster(2, 0);
+        use_targets(cluster, {&target});
+        for (std::size_t host = 0; host < 2; ++host)
+        {
+            CAPTURE(status);
+            CAPTURE(host);
+            auto const received = cluster.send_and_wait(host, "POST", "/x");
+            CHECK(received.m_body == "ok");
+            CHECK(get_outcome(received) == "");
+            CHECK(get_result_code(received) == 0);
+        }
+    }
+}
+
 // Guards against a late copy of an answer that one kind of request takes for a
 // refusal and another does not.
 TEST_CASE("a copy of an answer is no refusal of a request of another kind")
