Judge the reuse of connections and probes by whose answer it is

The copy of a request's refusal made a sound target unhealthy, that of a success a failing one healthy, and a 421 counted as the end of the target.

How a connection may be used follows the same signals as whether an answer is believed. An answer with the id of a request tells a health check nothing and ends its connection.

--- a/src/core/pool.hpp
+++ b/src/core/pool.hpp
@@ -161,7 +161,8 @@
     bool m_healthy = false;
     bool m_draining = false;
     std::optional<reported_load> m_load = std::nullopt;
-    /// Set if this host could not send the probe; only the target is then used.
+    /// Set if this host could not send the probe or got the answer to another
+    /// request; only the target is then used.
     bool m_is_unsent = false;
     /// How much longer the target is cold, as it reports; empty if it does not.
     std::optional<duration> m_cold_left = std::nullopt;
--- a/src/serve/probing.cpp
+++ b/src/serve/probing.cpp
@@ -61,10 +61,14 @@
     options.m_max_answer_bytes = max_probe_answer_bytes;
     // Probes have no id that would tell a copy of a refusal from an answer to
     // the next request on the connection.
-    options.m_read_reuse = [](net::http_response_head const& head)
+    options.m_read_reuse =
+        [&read = host.m_adapter.m_caller_interface.m_read_probe_signals,
+         name = found->second.m_name](net::http_response_head const& head)
     {
-        return head.m_status < first_error_status ? net::reuse::allowed
-                                                  : net::reuse::forbidden;
+        return head.m_status < first_error_status &&
+                       !read(head, name).m_is_crossed
+                   ? net::reuse::allowed
+                   : net::reuse::forbidden;
     };
     net::http_request const request{"GET",
                                     service->m_probe_budget.m_path,
@@ -74,9 +78,16 @@
                     started_at = now()](net::http_response_head const& head,
                                         std::optional<std::uint64_t> /*length*/)
     {
-        answer->m_healthy = head.m_status < first_error_status;
         auto const signals =
             host.m_adapter.m_caller_interface.m_read_probe_signals(head, name);
+        if (signals.m_is_crossed)
+        {
+            // Of an earlier request, so that nothing is known of the target.
+            host.m_metrics.count_event("crossed_answer");
+            answer->m_is_unsent = true;
+            return;
+        }
+        answer->m_healthy = head.m_status < first_error_status;
         answer->m_healthy = answer->m_healthy && !signals.m_is_other_target;
         answer->m_draining =
             signals.m_is_draining && !signals.m_is_other_target;
@@ -105,7 +116,8 @@
                                         found->second.m_incarnation}](
             net::exchange_outcome outcome)
     {
-        answer->m_is_unsent = outcome == net::exchange_outcome::not_sent;
+        answer->m_is_unsent =
+            answer->m_is_unsent || outcome == net::exchange_outcome::not_sent;
         answer->m_healthy =
             answer->m_healthy && outcome == net::exchange_outcome::complete;
         on_probe_end(host, pool_id, process, *answer);
