Never refuse a request as not run after its answer has begun

check_promise() is the one place that decides whether a refusal may say "not run"; it did not ask whether an answer was under way. No path of the current code comes there then, by reading; a peer with a fault could, and copies of a keyed request would be told "not run". No test: it needs a host that breaks the protocol between hosts.

http_client_test: connections are closed at once or after many refusals, as the answers demand (a check in the earlier test showed nothing).

--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hawthornspur::net
@@ -775,8 +776,41 @@
     CHECK(send("r2", reuse::other_requests, 3) == 3);
     CHECK(send("r2", reuse::allowed, 3) == 4);
     CHECK(client->counters().m_connection_limit_reached == 0);
-    // Nobody needs to read the answer.
-    CHECK(send("r3", reuse::forbidden, 8) == 4);
+}
+
+// Guards against a history of refused requests that grows without bound, and
+// against a connection that is kept although its last answer forbids it.
+TEST_CASE("answers that limit reuse end connections at once or after many")
+{
+    constexpr std::size_t requests = 100;
+    for (auto const& [allowed, connections] :
+         {std::pair(reuse::allowed, std::size_t{1}),
+          std::pair(reuse::other_requests, std::size_t{2}),
+          std::pair(reuse::forbidden, requests)})
+    {
+        CAPTURE(connections);
+        auto loop = take(event_loop::create());
+        raw_listener server(*loop);
+        auto client = take(http_client::create(*loop));
+        exchange_options options;
+        options.m_read_reuse = [kept = allowed](http_response_head const&)
+        {
+            return kept;
+        };
+        for (std::size_t i = 0; i < requests; ++i)
+        {
+            exchange_record record;
+            options.m_request_id = std::to_string(i);
+            client->send({"127.0.0.1", server.m_port}, post(), options,
+                         record.handlers());
+            REQUIRE(run_until(*loop,
+                              [&] { return count_requests(server) == i + 1; }));
+            server.m_connections.back()->send(whole_answer);
+            REQUIRE(
+                run_until(*loop, [&] { return record.m_outcome.has_value(); }));
+        }
+        CHECK(server.m_connections.size() == connections);
+    }
 }
 
 // Guards against buffering an answer in memory while its reader is blocked.
--- a/src/serve/pipeline.cpp
+++ b/src/serve/pipeline.cpp
@@ -224,6 +224,10 @@
     {
         return *call.m_may_have_run;
     }
+    if (call.m_is_answer_started)
+    {
+        return result_code::answer_truncated;
+    }
     if (call.m_is_joined_copy)
     {
         // The request of the same key that it has joined may run.
