--- a/src/core/answer_history.hpp
+++ b/src/core/answer_history.hpp
@@ -23,8 +23,8 @@
 /// Records that the server has answered a request without refusing it.
 void record_answer(answer_history& history);
 
-/// Records that the server has refused the request with this id, or has answered
-/// it with another failure.
+/// Records that the server has refused the request with this id, or has
+/// answered it with another failure.
 void record_refusal(answer_history& history, std::string_view request_id);
 
 /// Whether the server has refused the request with this id. A copy of that
--- a/src/net/http_client_test.cpp
+++ b/src/net/http_client_test.cpp
@@ -13,7 +13,6 @@
 #include <functional>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace hawthornspur::net
@@ -783,19 +782,23 @@
 TEST_CASE("answers that limit reuse end connections at once or after many")
 {
     constexpr std::size_t requests = 100;
-    for (auto const& [allowed, connections] :
-         {std::pair(reuse::allowed, std::size_t{1}),
-          std::pair(reuse::other_requests, std::size_t{2}),
-          std::pair(reuse::forbidden, requests)})
+    struct sample
     {
-        CAPTURE(connections);
+        reuse m_allowed;
+        std::size_t m_connections;
+    };
+    for (auto const& wanted :
+         {sample{reuse::allowed, 1}, sample{reuse::other_requests, 2},
+          sample{reuse::forbidden, requests}})
+    {
+        CAPTURE(wanted.m_connections);
         auto loop = take(event_loop::create());
         raw_listener server(*loop);
         auto client = take(http_client::create(*loop));
         exchange_options options;
-        options.m_read_reuse = [kept = allowed](http_response_head const&)
+        options.m_read_reuse = [&wanted](http_response_head const&)
         {
-            return kept;
+            return wanted.m_allowed;
         };
         for (std::size_t i = 0; i < requests; ++i)
         {
@@ -809,7 +812,7 @@
             REQUIRE(
                 run_until(*loop, [&] { return record.m_outcome.has_value(); }));
         }
-        CHECK(server.m_connections.size() == connections);
+        CHECK(server.m_connections.size() == wanted.m_connections);
     }
 }
 
