End the tasks of target connections in the soak before its loop ends

Cause: asyncio.run() cancels the tasks that serve connections, and the stream protocol of Python 3.11 asks a cancelled task for its exception, which raises.

No check changes.

--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -49,6 +49,7 @@
 RESTART_PAUSE_SECONDS = (0.2, 1.0)
 # Time for which the entry of a target that has ended is still listed.
 EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
+END_STEP_SECONDS = 0.05
 
 
 @dataclasses.dataclass
@@ -120,11 +121,14 @@
             self.ports[host.name] = server.sockets[0].getsockname()[1]
 
     def close(self):
+        self.end_connections()
+        self.run.records.ended_targets.add(self.name)
+
+    def end_connections(self):
         for server in self.servers:
             server.close()
         for writer in list(self.writers):
             writer.transport.abort()
-        self.run.records.ended_targets.add(self.name)
 
     def entry(self, sequence):
         return {"service": self.service, "zone": self.zone, "version": "v1",
@@ -622,6 +626,16 @@
         if peak > HOST_MEMORY_MB:
             yield f"{host.name} has used {peak:.0f} MB"
 
+    async def end_connections(self):
+        """Ends the tasks that serve connections to targets. If they were
+        cancelled at exit, asyncio would report each of them."""
+        while True:
+            for target in self.targets.values():
+                target.end_connections()
+            await asyncio.sleep(END_STEP_SECONDS)
+            if not any(target.writers for target in self.targets.values()):
+                return
+
     async def play(self):
         await self.start()
         tasks = [asyncio.ensure_future(task) for task in (
@@ -675,7 +689,10 @@
 
 
 async def collect(run):
-    return [problem async for problem in run.play()]
+    try:
+        return [problem async for problem in run.play()]
+    finally:
+        await run.end_connections()
 
 
 def run_seed(seed, scenario, build, seconds, hosts_per_zone):
