--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -3,7 +3,7 @@
 its store, targets and callers as processes and sockets on loopback. The seed
 determines the scenario, the faults and their times.
 Usage: platform_soak.py [--build DIR] [--seeds A-B] [--scenario NAME]
-[--seconds N] [--hosts N]"""
+[--seconds N] [--hosts N] [--rate N]"""
 
 import argparse
 import asyncio
@@ -46,7 +46,7 @@
 REFUSED_SHARE = 0.3
 COPIED_SHARE = 0.5  # of the refusals
 LATE_COPY_SECONDS = (0.0005, 0.02)
-RESTART_PAUSE_SECONDS = (0.2, 1.0)
+RESTART_PAUSE_SECONDS = (0.2, 1.0)  # at RATE requests a second
 # Time for which the entry of a target that has ended is still listed.
 EXPIRY_SECONDS = 3 * HEARTBEAT_SECONDS
 END_STEP_SECONDS = 0.05
@@ -245,9 +245,10 @@
 class Run:
     """One seed: the fleet, the targets, the callers and the faults."""
 
-    def __init__(self, seed, scenario, build, seconds, hosts_per_zone):
+    def __init__(self, seed, scenario, build, seconds, hosts_per_zone, rate):
         self.rng = random.Random(seed)
         self.seconds = seconds
+        self.rate = rate
         self.scenario = scenario
         self.records = rules.Records()
         self.folder = tempfile.mkdtemp(prefix=f"platform-soak-{seed}-")
@@ -410,7 +411,7 @@
             task = asyncio.ensure_future(self.call(number))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await asyncio.sleep(max(0, begin + number / RATE -
+            await asyncio.sleep(max(0, begin + number / self.rate -
                                     time.monotonic()))
         await asyncio.gather(*tasks)
         self.log(f"{number} requests, outcomes {self.outcomes}")
@@ -501,7 +502,8 @@
 
     async def restart_targets(self):
         for number in range(10**6):
-            await asyncio.sleep(self.rng.uniform(*RESTART_PAUSE_SECONDS))
+            await asyncio.sleep(self.rng.uniform(*RESTART_PAUSE_SECONDS) *
+                                RATE / self.rate)
             target = self.rng.choice(list(self.targets.values()))
             former = target.name
             target.restart(f"{target.address_of}.{number}")
@@ -695,8 +697,9 @@
         await run.end_connections()
 
 
-def run_seed(seed, scenario, build, seconds, hosts_per_zone):
-    run = Run(seed, scenario, build, seconds, hosts_per_zone)
+def run_seed(seed, scenario, options):
+    run = Run(seed, scenario, options.build, options.seconds, options.hosts,
+              options.rate)
     try:
         problems = asyncio.run(collect(run))
     finally:
@@ -719,14 +722,16 @@
     parser.add_argument("--seconds", type=float, default=24)
     parser.add_argument("--hosts", type=int, default=HOSTS_PER_ZONE,
                         help="entry hosts in each of the three zones")
+    parser.add_argument("--rate", type=float, default=RATE,
+                        help="requests a second; targets start again more "
+                        "often in proportion")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     is_good = True
     for seed in range(int(first), int(last or first) + 1):
         names = list(SCENARIOS)
         scenario = options.scenario or names[(seed - 1) % len(names)]
-        is_good = run_seed(seed, scenario, options.build, options.seconds,
-                           options.hosts) and is_good
+        is_good = run_seed(seed, scenario, options) and is_good
     sys.stdout.flush()
     # Threads of the stand-ins may still wait for their connections.
     os._exit(0 if is_good else 1)
