Let the soak's targets repeat successes and break copies off

A target may also send a copy of a success, or one that breaks off before the next true answer on the connection, with the id of the earlier request. The soak repeated refusals only, whole ones, and did not compare an answer with its request.

Change, scenario repeated_refusals: a tenth of the successes is repeated, late or broken off at any byte when the next request arrives; refusals are repeated broken off as well. The share of refusals with a copy grows from 1/2 to 2/3, so that each kind so far stays as frequent. New rule MIXED: a 200 has to bear the signature and the body of its own request. Headers that an answer has twice are joined, so that a second signature does not hide the first. A run in which no copy broke off fails.

--- a/tests/soak/platform_rules.py
+++ b/tests/soak/platform_rules.py
@@ -1,5 +1,5 @@
 """Judges what callers and targets saw on their sockets by the rules of the
-users' platform (RULES.md): BUDGET, DRAIN, LIMIT, REFUSED and TWICE."""
+users' platform (RULES.md): BUDGET, DRAIN, LIMIT, MIXED, REFUSED and TWICE."""
 
 import bisect
 import collections
@@ -60,6 +60,9 @@
         # (id, target) of requests that came again on a connection on which they
         # had been refused, where a copy of the refusal may be due.
         self.returned = []
+        # (id, headers, body) of successes that are not the answer to their
+        # request.
+        self.mixed = []
         # (target, time, "store" or host that passed the answer on)
         self.leaving = []
         self.limits = []  # (target, time, requests a second, host)
@@ -229,9 +232,17 @@
                f"{', '.join(request for request, _ in records.returned[:8])}")
 
 
+def check_mixed(records):
+    if records.mixed:
+        shown = "; ".join(f"{request} got {headers} {body!r}"
+                          for request, headers, body in records.mixed[:8])
+        yield (f"MIXED: {len(records.mixed)} successes are not the answer to "
+               f"their request: {shown}")
+
+
 def find_problems(records):
     """Yields the broken rules, each with the figures that show it."""
     for check in (check_budget_window, check_attempts, check_time_left,
                   check_drain, check_limit, check_promises, check_twice,
-                  check_returned):
+                  check_returned, check_mixed):
         yield from check(records)
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -44,7 +44,8 @@
 CROWD_WORK_SECONDS = 0.6
 CROWD_IDLE_SECONDS = 0.5
 REFUSED_SHARE = 0.3
-COPIED_SHARE = 0.5  # of the refusals
+COPIED_SHARE = 2 / 3  # of the refusals
+COPIED_SUCCESS_SHARE = 0.1
 LATE_COPY_SECONDS = (0.0005, 0.02)
 RESTART_PAUSE_SECONDS = (0.2, 1.0)  # at RATE requests a second
 # Time for which the entry of a target that has ended is still listed.
@@ -56,7 +57,7 @@
 class Connection:
     """A connection as its target sees it."""
     refused: set = dataclasses.field(default_factory=set)  # ids
-    copy: bytes = b""  # of a refusal, due when the next request arrives
+    copy: bytes = b""  # of an answer, due when the next request arrives
 
 
 class Door(standins.Door):
@@ -100,6 +101,7 @@
         self.reset_share = 0.0
         self.refused_share = 0.0
         self.copied_share = 0.0  # of the refusals
+        self.copied_success_share = 0.0
         self.is_shedding = False
         self.limit = None
         self.is_leaving = False  # says so in its answers
@@ -157,20 +159,37 @@
 
     def refuse(self, connection, writer, request, status, words):
         """Refuses a request, at times with a copy of the refusal: at once,
-        late, or as soon as the next request arrives on the connection."""
+        late, as soon as the next request arrives on the connection, or then
+        and broken off."""
         text = make_answer(status, words, b"")
         connection.refused.add(request)
         writer.write(text)
         if self.run.rng.random() >= self.copied_share:
             return
-        when = self.run.rng.choice(["at once", "late", "next"])
-        if when == "at once":
+        self.repeat(connection, writer, text,
+                    ["at once", "late", "next", "broken off"])
+
+    def repeat(self, connection, writer, text, kinds):
+        kind = self.run.rng.choice(kinds)
+        self.run.copies[kind] += 1
+        if kind == "at once":
             writer.write(text)
-        elif when == "late":
+        elif kind == "late":
             asyncio.get_running_loop().call_later(
                 self.run.rng.uniform(*LATE_COPY_SECONDS), writer.write, text)
-        else:
+        elif kind == "next":
             connection.copy = text
+        else:
+            connection.copy = text[:self.run.rng.randrange(1, len(text))]
+
+    def succeed(self, connection, writer, request, words):
+        """Answers a request, at times with a copy of the answer: late, or one
+        that breaks off before the next answer on the connection."""
+        text = make_answer("200 OK", words + [
+            f"X-Server-Signature: sig.{request}"], f"of {request}".encode())
+        writer.write(text)
+        if self.run.rng.random() < self.copied_success_share:
+            self.repeat(connection, writer, text, ["late", "broken off"])
 
     async def answer(self, reader, writer, host, connection):
         line, headers = await read_head(reader)
@@ -219,8 +238,7 @@
         if self.run.rng.random() < self.reset_share:
             writer.transport.abort()
             raise ConnectionResetError
-        write(writer, "200 OK", words +
-              [f"X-Server-Signature: sig.{request}"], b"answer")
+        self.succeed(connection, writer, request, words)
         if self.run.caller_hosts.get(request) and (self.is_leaving or
                                                    self.limit):
             self.run.words[request] = (self, host)
@@ -229,7 +247,10 @@
 async def read_head(reader):
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     pairs = (line.partition(":") for line in lines[1:] if line)
-    return lines[0], {name.lower(): value.strip() for name, _, value in pairs}
+    headers = {}
+    for name, _, value in pairs:
+        headers.setdefault(name.lower(), []).append(value.strip())
+    return lines[0], {name: ", ".join(each) for name, each in headers.items()}
 
 
 def make_answer(status, headers, body):
@@ -277,6 +298,7 @@
         self.words = {}  # id: (target that said something, dispatching host)
         self.outcomes = {}
         self.connections = 0  # that targets have accepted
+        self.copies = collections.Counter()  # of answers, by their kind
         self.peak = 0.0  # memory of a host, in MB
         self.sequence = 1
         self.lag = 0.0  # of this process, in seconds
@@ -364,8 +386,11 @@
             int(deadline * 1000), body)
         status = "no answer"
         try:
-            status = await asyncio.wait_for(
+            status, headers, answer = await asyncio.wait_for(
                 self.send((address, self.fleet.ports[0]), request), deadline)
+            if status == 200 and (f"sig.{name}", f"of {name}".encode()) != (
+                    headers.get("x-server-signature"), answer):
+                self.records.mixed.append((name, headers, answer))
         except (OSError, EOFError, asyncio.TimeoutError, ValueError):
             pass
         self.note_outcome(service, status, name)
@@ -393,15 +418,15 @@
             connection = await asyncio.open_connection(*address)
         reader, writer = connection
         try:
-            status, headers, _ = await exchange_on(reader, writer, request)
+            answer = await exchange_on(reader, writer, request)
         except BaseException:
             writer.transport.abort()
             raise
-        if headers.get("connection") == "close":
+        if answer[1].get("connection") == "close":
             writer.close()
         else:
             idle.append(connection)
-        return status
+        return answer
 
     async def load(self):
         tasks, number = set(), 0
@@ -491,12 +516,13 @@
         await self.disturb_hosts()
 
     async def repeated_refusals(self):
-        """Targets refuse requests and repeat refusals. They also start again
+        """Targets refuse requests and repeat answers. They also start again
         under another name at their address, and refuse what is for the former
         one, whose entry is listed for some seconds more."""
         for target in self.targets.values():
             target.refused_share = REFUSED_SHARE
             target.copied_share = COPIED_SHARE
+            target.copied_success_share = COPIED_SUCCESS_SHARE
         asyncio.ensure_future(self.restart_targets())
         await self.disturb_hosts()
 
@@ -662,6 +688,9 @@
         if (self.scenario in ("crowd", "repeated_refusals") and
                 not self.outcomes.get(("pay", 503))):
             yield "no request was refused, so nothing was shown"
+        if (self.scenario == "repeated_refusals" and
+                not self.copies["broken off"]):
+            yield "no copy of an answer broke off, so nothing was shown"
         for problem in rules.find_problems(self.records):
             yield problem
 
@@ -710,6 +739,7 @@
         print(f"seed {seed}, {scenario}: {problem}", flush=True)
     print(f"seed {seed}, {scenario}: {len(problems)} problems, outcomes "
           f"{run.outcomes}, {run.connections} connections to targets, "
+          f"copies {dict(run.copies)}, "
           f"{run.peak:.0f} MB at a host, record in {run.folder}", flush=True)
     return not problems
 
