Count the soak's copies when they are sent

A copy that was due on the next request of its connection was counted when it was planned, though the connection might have ended before. The guard against runs without a broken-off copy then could pass without one.

--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -57,7 +57,8 @@
 class Connection:
     """A connection as its target sees it."""
     refused: set = dataclasses.field(default_factory=set)  # ids
-    copy: bytes = b""  # of an answer, due when the next request arrives
+    # Kind and text of a copy that is due when the next request arrives.
+    copy: tuple = ()
 
 
 class Door(standins.Door):
@@ -171,16 +172,18 @@
 
     def repeat(self, connection, writer, text, kinds):
         kind = self.run.rng.choice(kinds)
-        self.run.copies[kind] += 1
-        if kind == "at once":
-            writer.write(text)
-        elif kind == "late":
-            asyncio.get_running_loop().call_later(
-                self.run.rng.uniform(*LATE_COPY_SECONDS), writer.write, text)
-        elif kind == "next":
-            connection.copy = text
+        if kind == "next":
+            connection.copy = kind, text
+        elif kind == "broken off":
+            connection.copy = kind, text[:self.run.rng.randrange(1, len(text))]
         else:
-            connection.copy = text[:self.run.rng.randrange(1, len(text))]
+            self.run.copies[kind] += 1
+            if kind == "at once":
+                writer.write(text)
+            else:
+                asyncio.get_running_loop().call_later(
+                    self.run.rng.uniform(*LATE_COPY_SECONDS), writer.write,
+                    text)
 
     def succeed(self, connection, writer, request, words):
         """Answers a request, at times with a copy of the answer: late, or one
@@ -209,8 +212,10 @@
         if request in connection.refused:
             self.run.records.returned.append((request, self.name))
         if connection.copy:
-            writer.write(connection.copy)
-            connection.copy = b""
+            kind, text = connection.copy
+            self.run.copies[kind] += 1
+            writer.write(text)
+            connection.copy = ()
         words.append(f"X-Request-Id: {request}")
         arrival = rules.Arrival(
             now, request, self.service, self.name, host,
